--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+
+.PHONY: help setup format lint types features test proofs bench capacity demo
+
+help:
+	@echo 'make test      formatter, linter, types and behaviour tests'
+	@echo 'make proofs    long form of the failure tests, under 10 minutes'
+	@echo 'make demo      the whole system on this machine, under a minute'
+	@echo 'make bench     policy measurements'
+	@echo 'make capacity  slopes for docs/CAPACITY.md'
+
+setup: $(VENV)/ready
+
+$(VENV)/ready: requirements/dev.txt requirements/base.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements/dev.txt
+	touch $(VENV)/ready
+
+format: setup
+	$(BIN)/ruff format hornbeamrudder tools
+
+lint: setup
+	$(BIN)/ruff format --check hornbeamrudder tools
+	$(BIN)/flake8 hornbeamrudder tools
+
+types: setup
+	$(BIN)/mypy
+
+features: setup
+	$(BIN)/python -m tools.run_features
+
+test: lint types features
+
+proofs: setup
+	HORNBEAMRUDDER_PROOFS=long $(BIN)/python -m tools.run_features
+
+demo: setup
+	$(BIN)/python -m hornbeamrudder.cli demo
+
+bench: setup
+	$(BIN)/python -m hornbeamrudder.cli bench
+
+capacity: setup
+	$(BIN)/python -m hornbeamrudder.cli capacity
--- /dev/null
+++ b/hornbeamrudder/__init__.py
@@ -0,0 +1,1 @@
+"""Serving system for model engines and plain services."""
--- /dev/null
+++ b/hornbeamrudder/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Ranks, fair shares and deadlines."""
--- /dev/null
+++ b/hornbeamrudder/answers/__init__.py
@@ -0,0 +1,1 @@
+"""Answers of model engines, whole and resumable."""
--- /dev/null
+++ b/hornbeamrudder/backends/__init__.py
@@ -0,0 +1,1 @@
+"""State and load of backend servers."""
--- /dev/null
+++ b/hornbeamrudder/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, demo and experiments."""
--- /dev/null
+++ b/hornbeamrudder/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Versions of the configuration and the right to admit."""
--- /dev/null
+++ b/hornbeamrudder/core/__init__.py
@@ -0,0 +1,1 @@
+"""Data types, identifiers and errors that all other packages import."""
--- /dev/null
+++ b/hornbeamrudder/entry/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface towards callers, and the node daemon."""
--- /dev/null
+++ b/hornbeamrudder/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Placement and replacement of hosts."""
--- /dev/null
+++ b/hornbeamrudder/inventory/__init__.py
@@ -0,0 +1,1 @@
+"""Inventory from the asset register, and rules."""
--- /dev/null
+++ b/hornbeamrudder/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases with fencing numbers."""
--- /dev/null
+++ b/hornbeamrudder/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operator API and command-line client."""
--- /dev/null
+++ b/hornbeamrudder/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent requests, run at most once."""
--- /dev/null
+++ b/hornbeamrudder/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange between nodes."""
--- /dev/null
+++ b/hornbeamrudder/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budget and eligibility."""
--- /dev/null
+++ b/hornbeamrudder/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a worker."""
--- /dev/null
+++ b/hornbeamrudder/settings/__init__.py
@@ -0,0 +1,1 @@
+"""YAML settings of the daemons."""
--- /dev/null
+++ b/hornbeamrudder/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of outside systems for tests."""
--- /dev/null
+++ b/hornbeamrudder/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts for development of the project."""
--- /dev/null
+++ b/tools/run_features.py
@@ -0,0 +1,126 @@
+"""Runs the behave features of every slice and prints one closing line."""
+
+from concurrent import futures
+import dataclasses
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+PARALLEL_SLICES = 4
+SLICE_TIMEOUT_S = 540
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SliceResult:
+    """Outcome of the features of one slice."""
+
+    name: str
+    passed: tuple[str, ...]
+    failed: tuple[str, ...]
+    output: str
+
+
+def known_red_names() -> frozenset[str]:
+    """Scenario names listed in KNOWN-RED.txt as `test: <name>` lines."""
+    if not KNOWN_RED.exists():
+        return frozenset()
+    return frozenset(
+        line.removeprefix('test:').strip()
+        for line in KNOWN_RED.read_text().splitlines()
+        if line.startswith('test:')
+    )
+
+
+def run_slice(folder: pathlib.Path) -> SliceResult:
+    """Run behave on one slice's feature folder."""
+    name = folder.parent.name
+    with tempfile.TemporaryDirectory() as scratch:
+        report = pathlib.Path(scratch) / 'report.json'
+        command = [
+            sys.executable,
+            '-m',
+            'behave',
+            '--no-color',
+            '--format=json',
+            f'--outfile={report}',
+            '--format=progress2',
+            '--outfile=/dev/stdout',
+            str(folder),
+        ]
+        try:
+            done = subprocess.run(
+                command,
+                cwd=ROOT,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+                text=True,
+                timeout=SLICE_TIMEOUT_S,
+                env=os.environ | {'PYTHONHASHSEED': '0'},
+            )
+        except subprocess.TimeoutExpired as error:
+            return SliceResult(name, (), (f'{name}: timed out',), str(error))
+        try:
+            features = json.loads(report.read_text())
+        except (OSError, ValueError):
+            return SliceResult(name, (), (f'{name}: no report',), done.stdout)
+    scenarios = [
+        (element['name'], element.get('status', 'untested'))
+        for feature in features
+        for element in feature.get('elements', ())
+        if element['type'] != 'background'
+    ]
+    passed = tuple(title for title, status in scenarios if status == 'passed')
+    failed = tuple(title for title, status in scenarios if status != 'passed')
+    if not scenarios:
+        failed = (f'{name}: no scenario was run',)
+    elif done.returncode != 0 and not failed:
+        failed = (f'{name}: behave exited with {done.returncode}',)
+    return SliceResult(name, passed, failed, done.stdout)
+
+
+def main() -> int:
+    """Run all slices, or those named on the command line."""
+    wanted = frozenset(sys.argv[1:])
+    folders = [
+        folder
+        for folder in sorted((ROOT / 'hornbeamrudder').glob('*/features'))
+        if not wanted or folder.parent.name in wanted
+    ]
+    with futures.ThreadPoolExecutor(PARALLEL_SLICES) as pool:
+        results = list(pool.map(run_slice, folders))
+    known_red = known_red_names()
+    unexpected = [
+        (result, title)
+        for result in results
+        for title in result.failed
+        if title not in known_red
+    ]
+    red = [
+        title
+        for result in results
+        for title in result.failed
+        if title in known_red
+    ]
+    for result in results:
+        print(
+            f'{result.name}: {len(result.passed)} passed,'
+            f' {len(result.failed)} failed'
+        )
+    for result in {item.name: item for item, _ in unexpected}.values():
+        print(f'--- output of {result.name}\n{result.output}')
+    for _, title in unexpected:
+        print(f'FAILED: {title}')
+    for title in red:
+        print(f'known red, passed over: {title}')
+    passed = sum(len(result.passed) for result in results)
+    print(f'{passed} passed, {len(unexpected)} failed')
+    return 1 if unexpected or passed == 0 else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
