Add the configuration document with its cross checks and look-ups

Cause: nodes, operators and tests need one validated form of inventory and rules before the other slices can be joined.

--- /dev/null
+++ b/hornbeamrudder/inventory/features/document.feature
@@ -0,0 +1,72 @@
+Feature: Configuration document
+
+  Scenario: A document keeps its content through JSON
+    # Guards against a field that is lost or changed between nodes.
+    Given a valid document
+    When it is written as JSON and parsed again
+    Then both documents are equal
+
+  Scenario: All faults of a document are reported at once
+    # Guards against operators who have to correct one fault per attempt, and
+    # against references to services or accounts that do not exist.
+    Given a valid document
+    When these values are set
+      | path                    | value                              |
+      | surplus                 | 1                                  |
+      | hosts.0.workers.0.port  | "80"                               |
+      | hosts.0.workers.1.service | "none"                           |
+      | hosts.1.id              | "h1"                               |
+      | hosts.1.workers.1.ip    | "10.0.0.1"                         |
+      | accounts.1.token_sha256 | "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" |
+      | rules.ranks.0.account   | "nobody"                           |
+      | rules.ranks.1.service   | "none"                             |
+      | rules.floors            | {"standard": 0.7, "batch": 0.6}    |
+      | rules.account_weights   | [{"account": "x", "weight": 2}]    |
+    Then the problems name exactly these fields
+      | field                     | reason            |
+      | surplus                   | Extra inputs      |
+      | hosts[0].workers[0].port  | valid integer     |
+      | hosts[0].workers[1].service | unknown service |
+      | hosts[1].id               | duplicate id h1   |
+      | hosts[1].workers[1].port  | duplicate address |
+      | accounts[1].token_sha256  | duplicate token   |
+      | rules.ranks[0].account    | unknown account   |
+      | rules.ranks[1].service    | unknown service   |
+      | rules.floors              | add up to 1.3     |
+      | rules.account_weights[0].account | unknown account |
+
+  Scenario Outline: The most specific rank rule decides
+    # Guards against a result that depends on the order of the rules.
+    Given a valid document
+    Then <account> on <service> <method> <path> is <rank> within <deadline> s
+
+    Examples:
+      | account | service | method | path          | rank     | deadline |
+      | a1      | llm     | POST   | /v1/plans     | batch    | 60       |
+      | a1      | llm     | POST   | /v1/plans-old | urgent   | 2        |
+      | a2      | llm     | POST   | /v1/plans     | batch    | 50       |
+      | a2      | app     | GET    | /lookup       | standard | 30       |
+
+  Scenario Outline: Non-idempotent calls are recognised however spelled
+    # Guards against a second run of an order whose path is encoded.
+    Given a valid document
+    Then <method> <path> on app is idempotent: <idempotent>
+
+    Examples:
+      | method | path               | idempotent |
+      | POST   | /orders            | no         |
+      | post   | //orders/./new?x=1 | no         |
+      | POST   | /%6frders          | no         |
+      | GET    | /orders            | yes        |
+      | POST   | /orders-old        | yes        |
+
+  Scenario: Workers and accounts are found as core types
+    # Guards against a caller with a wrong digest who gets an account.
+    Given a valid document
+    Then worker w1 is at 10.0.0.1:80 in data centre dc-1
+    And the account of digest a*64 has weight 4
+    And the account of digest f*64 is absent
+
+  Scenario: No JSON value makes the parser raise
+    # Guards against an operator's input that terminates a process.
+    Then arbitrary and altered documents are parsed without an exception
