--- /dev/null
+++ b/hornbeamrudder/platform/cloud.py
@@ -0,0 +1,140 @@
+"""Client of the cloud API: offers, hosts and reclaim notices."""
+
+from typing import Any, Callable, TypeVar
+from urllib import parse as urls
+
+from returns import result
+
+from ..core import errors
+from ..core import hosts
+from ..core import ids
+from ..core import types
+from . import http
+from . import json_call
+
+TIMEOUT_S = 2.0
+
+Value = TypeVar('Value')
+
+
+class CloudClient:
+    """Calls the cloud API; errors are returned as values."""
+
+    def __init__(
+        self, client: http.HttpClient, peer: str, timeout_s: float = TIMEOUT_S
+    ) -> None:
+        self._client = client
+        self._peer = peer
+        self._timeout_s = timeout_s
+
+    def offers(self) -> result.Result[tuple[hosts.Offer, ...], errors.Failure]:
+        """Read what can be started now."""
+        return self._call(
+            'GET',
+            '/v1/offers',
+            lambda answer: tuple(map(parse_offer, answer['offers'])),
+        )
+
+    def list_hosts(
+        self,
+    ) -> result.Result[tuple[hosts.CloudHost, ...], errors.Failure]:
+        """Read the hosts that this account runs."""
+        return self._call(
+            'GET',
+            '/v1/hosts',
+            lambda answer: tuple(map(parse_host, answer['hosts'])),
+        )
+
+    def start_host(
+        self, order_id: str, offer: hosts.OfferKey, service: ids.ServiceName
+    ) -> result.Result[hosts.CloudHost, errors.Failure]:
+        """Start a host.
+
+        A failure of kind REFUSED means that no host was started. After a
+        TIMEOUT or INTERRUPTED the same `order_id` may be sent again: the
+        cloud API starts at most one host for it.
+        """
+        body = {
+            'order_id': order_id,
+            'zone': offer.zone,
+            'machine_class': offer.machine_class,
+            'pricing': offer.pricing.value,
+            'service': service,
+        }
+        return self._call('POST', '/v1/hosts', parse_host, body)
+
+    def stop_host(
+        self, host: ids.HostId
+    ) -> result.Result[hosts.CloudHost, errors.Failure]:
+        """Stop a host; repeating the call has no further effect."""
+        path = f'/v1/hosts/{urls.quote(host, safe="")}'
+        return self._call('DELETE', path, parse_host)
+
+    def notices(
+        self, after: int
+    ) -> result.Result[tuple[hosts.ReclaimNotice, ...], errors.Failure]:
+        """Read the reclaim notices with a number above `after`."""
+        return self._call(
+            'GET',
+            f'/v1/notices?after={after}',
+            lambda answer: tuple(map(parse_notice, answer['notices'])),
+        )
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        parse: Callable[[Any], Value],
+        body: Any = None,
+    ) -> result.Result[Value, errors.Failure]:
+        sent = json_call.request(
+            method,
+            self._peer,
+            path,
+            errors.Step.CALL_CLOUD,
+            self._timeout_s,
+            body,
+        )
+        return json_call.call(self._client, sent, parse)
+
+
+def parse_offer_key(item: Any) -> hosts.OfferKey:
+    """Read zone, machine class and pricing from a message."""
+    pricing = types.Pricing(item['pricing'])
+    return hosts.OfferKey(
+        item['zone'],
+        item['machine_class'],
+        pricing is types.Pricing.RECLAIMABLE,
+    )
+
+
+def parse_offer(item: Any) -> hosts.Offer:
+    """Read an offer from a message."""
+    return hosts.Offer(
+        parse_offer_key(item),
+        float(item['price_per_hour']),
+        float(item['reclaims_per_hour']),
+        int(item['slots']),
+        int(item['limit']),
+    )
+
+
+def parse_host(item: Any) -> hosts.CloudHost:
+    """Read a host from a message."""
+    return hosts.CloudHost(
+        item['id'],
+        parse_offer_key(item),
+        item['service'],
+        hosts.HostPhase(item['phase']),
+        ids.Incarnation(int(item['incarnation'])),
+    )
+
+
+def parse_notice(item: Any) -> hosts.ReclaimNotice:
+    """Read a reclaim notice from a message."""
+    return hosts.ReclaimNotice(
+        int(item['number']),
+        item['host'],
+        ids.Incarnation(int(item['incarnation'])),
+        float(item['seconds_left']),
+    )
--- /dev/null
+++ b/hornbeamrudder/platform/host_list.py
@@ -0,0 +1,48 @@
+"""Client of the host list, which lags behind the state of the hosts."""
+
+from typing import Any
+
+from returns import result
+
+from ..core import errors
+from ..core import hosts
+from ..core import ids
+from . import http
+from . import json_call
+
+TIMEOUT_S = 2.0
+
+
+class HostListClient:
+    """Reads the host list; errors are returned as values."""
+
+    def __init__(
+        self, client: http.HttpClient, peer: str, timeout_s: float = TIMEOUT_S
+    ) -> None:
+        self._client = client
+        self._peer = peer
+        self._timeout_s = timeout_s
+
+    def list_hosts(
+        self,
+    ) -> result.Result[tuple[hosts.ListedHost, ...], errors.Failure]:
+        """Read the live and leaving hosts, as they were some time ago."""
+        sent = json_call.request(
+            'GET',
+            self._peer,
+            '/v1/hosts',
+            errors.Step.READ_HOST_LIST,
+            self._timeout_s,
+        )
+        return json_call.call(self._client, sent, _parse_list)
+
+
+def _parse_list(answer: Any) -> tuple[hosts.ListedHost, ...]:
+    return tuple(
+        hosts.ListedHost(
+            item['id'],
+            ids.Incarnation(int(item['incarnation'])),
+            item['state'] == 'leaving',
+        )
+        for item in answer['hosts']
+    )
--- a/hornbeamrudder/standins/server.py
+++ b/hornbeamrudder/standins/server.py
@@ -2,16 +2,18 @@
 
 import collections
 import errno
+import pathlib
 import signal
 import socket
 import threading
 import time
-from typing import Any, Callable, Iterable, Mapping
+from typing import Any, Callable, Iterable, Mapping, TypeVar
 
 from cheroot import wsgi
 import orjson
 import pydantic
 import werkzeug
+import yaml
 
 from ..core import types
 
@@ -24,6 +26,17 @@
 
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 ControlCallback = Callable[[Mapping[str, Any]], None]
+Settings = TypeVar('Settings', bound=pydantic.BaseModel)
+
+
+class ListenSettings(pydantic.BaseModel):
+    """Settings that all stand-ins share; unknown keys are rejected."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    ip: str = '127.0.0.1'
+    port: int = pydantic.Field(default=0, ge=0, le=65535)
+    threads: int = pydantic.Field(default=16, ge=1, le=1024)
 
 
 class Faults(pydantic.BaseModel):
@@ -174,6 +187,18 @@
     return 0
 
 
+def load_settings(path: str, model: type[Settings]) -> Settings:
+    """Read a YAML file of settings.
+
+    Raises
+    ------
+    OSError, yaml.YAMLError, pydantic.ValidationError
+        Where the file is missing or invalid.
+    """
+    content = pathlib.Path(path).read_text(encoding='utf-8')
+    return model.model_validate(yaml.safe_load(content) or {})
+
+
 def json_response(value: Any, status: int = 200) -> werkzeug.Response:
     """Make a JSON response."""
     return werkzeug.Response(
