Serve chat completions and plain calls from end to end

Cause: no request could be served yet.

Change: a node daemon (werkzeug on cheroot) authenticates callers, streams answers of model engines with the request id and the offset as event id, resumes at an offset on another worker, and calls plain services, the non-idempotent ones on a fresh connection. Stand-ins for the model engine, the plain service and the table service join those of the platform. The configuration is read from a file for now.

--- /dev/null
+++ b/hornbeamrudder/answers/service.py
@@ -0,0 +1,170 @@
+"""The answers in progress on this node, by request id."""
+
+from concurrent import futures
+import threading
+import time
+from typing import Callable
+
+from ..core import errors
+from ..core import ids
+from ..core import types
+from . import generation
+from ..platform import http
+
+EXECUTOR_THREADS = 16
+SWEEP_INTERVAL_S = 1.0
+
+EndCallback = Callable[[generation.Generation], None]
+
+
+class AnswerService:
+    """Starts generations and keeps them until their caller has them.
+
+    Parameters
+    ----------
+    kept_answer_s : float
+        An answer whose caller is gone is kept this long, in seconds.
+    on_end : callable
+        Called once for each generation that ends, for metrics.
+    """
+
+    def __init__(
+        self,
+        client: http.HttpClient,
+        pool: generation.WorkerPool,
+        kept_answer_s: float,
+        on_end: EndCallback,
+    ) -> None:
+        self._client = client
+        self._pool = pool
+        self._kept_answer_s = kept_answer_s
+        self._on_end_callback = on_end
+        self._executor = futures.ThreadPoolExecutor(
+            EXECUTOR_THREADS, thread_name_prefix='answers'
+        )
+        self._lock = threading.Lock()
+        self._generations_by_request_id: dict[
+            ids.RequestId, generation.Generation
+        ] = {}
+        self._readers_by_request_id: dict[ids.RequestId, int] = {}
+        self._unread_since_by_request_id: dict[ids.RequestId, float] = {}
+        self._stop = threading.Event()
+        self._sweeper = threading.Thread(
+            target=self._sweep_loop, name='answer-sweeper', daemon=True
+        )
+        self._sweeper.start()
+
+    def create(
+        self, request: generation.GenerationRequest
+    ) -> generation.Generation:
+        """Register a generation that the caller will start.
+
+        A request id that is already here returns its generation.
+        """
+        with self._lock:
+            existing = self._generations_by_request_id.get(request.id)
+            if existing is not None:
+                return existing
+            created = generation.Generation(
+                request,
+                self._client,
+                self._pool,
+                self._executor,
+                self._on_end,
+            )
+            self._generations_by_request_id[request.id] = created
+            self._unread_since_by_request_id[request.id] = time.monotonic()
+            return created
+
+    def find(
+        self, request_id: ids.RequestId, account: ids.AccountId
+    ) -> generation.Generation | None:
+        """Return an account's own generation, None where it is not here."""
+        with self._lock:
+            found = self._generations_by_request_id.get(request_id)
+        if found is None or found.request.account != account:
+            return None
+        return found
+
+    def opened(self, request_id: ids.RequestId) -> None:
+        """Note that a caller has begun to read an answer."""
+        with self._lock:
+            readers = self._readers_by_request_id.get(request_id, 0)
+            self._readers_by_request_id[request_id] = readers + 1
+            self._unread_since_by_request_id.pop(request_id, None)
+
+    def closed(self, request_id: ids.RequestId, delivered: bool) -> None:
+        """Note that a caller has stopped reading.
+
+        Parameters
+        ----------
+        delivered : bool
+            The caller has the whole answer.
+        """
+        with self._lock:
+            readers = self._readers_by_request_id.pop(request_id, 1) - 1
+            if readers > 0:
+                self._readers_by_request_id[request_id] = readers
+            else:
+                self._unread_since_by_request_id[request_id] = time.monotonic()
+
+    def generations(self) -> tuple[generation.Generation, ...]:
+        """Return all generations that are kept here."""
+        with self._lock:
+            return tuple(self._generations_by_request_id.values())
+
+    def in_progress(self) -> tuple[generation.Generation, ...]:
+        """Return the generations whose answer has not ended."""
+        return tuple(
+            item
+            for item in self.generations()
+            if item.buffer.state is generation.buffer.AnswerState.RUNNING
+        )
+
+    def remove(self, request_id: ids.RequestId) -> None:
+        """Forget a generation."""
+        with self._lock:
+            self._generations_by_request_id.pop(request_id, None)
+            self._unread_since_by_request_id.pop(request_id, None)
+            self._readers_by_request_id.pop(request_id, None)
+
+    def leave_workers(self, leaving: frozenset[ids.WorkerId]) -> None:
+        """Move the streams of leaving workers to other workers."""
+        for item in self.in_progress():
+            worker = item.worker
+            if worker is not None and worker.id in leaving:
+                self._executor.submit(item.leave_worker, True)
+
+    def close(self) -> None:
+        """Stop the threads of the service."""
+        self._stop.set()
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
+    def _on_end(self, ended: generation.Generation) -> None:
+        self._on_end_callback(ended)
+
+    def _sweep_loop(self) -> None:
+        while not self._stop.wait(SWEEP_INTERVAL_S):
+            self._sweep(time.monotonic())
+
+    def _sweep(self, now: float) -> None:
+        with self._lock:
+            expired = [
+                self._generations_by_request_id[request_id]
+                for request_id, since in (
+                    self._unread_since_by_request_id.items()
+                )
+                if now - since > self._kept_answer_s
+            ]
+        for item in expired:
+            if item.buffer.state is generation.buffer.AnswerState.RUNNING:
+                item.cancel(
+                    errors.Failure(
+                        errors.FailureKind.INTERRUPTED,
+                        errors.Step.RELAY_ANSWER,
+                        '',
+                        'the caller did not return for its answer',
+                        types.Outcome.FAILED,
+                    )
+                )
+            self.remove(item.request.id)
--- /dev/null
+++ b/hornbeamrudder/backends/client.py
@@ -0,0 +1,150 @@
+"""HTTP calls to backend servers."""
+
+import dataclasses
+
+import orjson
+
+from ..core import errors
+from ..core import ids
+from ..core import types
+from ..platform import http
+
+FIRST_TOKEN_TIMEOUT_S = 10.0
+BETWEEN_TOKENS_TIMEOUT_S = 2.0
+CONTROL_TIMEOUT_S = 1.0
+HOP_BY_HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'proxy-authorization',
+        'proxy-authenticate',
+        'host',
+        'content-length',
+        'authorization',
+        'expect',
+        'cookie',
+    )
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineCall:
+    """One attempt at an answer of a model engine.
+
+    Attributes
+    ----------
+    resume_offset : int
+        Number of tokens that the caller's answer already has.
+    traceparent : str
+        W3C trace context, '' for none.
+    """
+
+    request_id: ids.RequestId
+    attempt: int
+    body: bytes
+    rank: types.Rank
+    resume_offset: int = 0
+    traceparent: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """One attempt at a call of a plain service."""
+
+    request_id: ids.RequestId
+    attempt: int
+    method: str
+    path: str
+    body: bytes
+    headers: tuple[tuple[str, str], ...]
+    idempotent: bool
+    timeout_s: float
+    idempotency_key: str = ''
+    traceparent: str = ''
+
+
+def engine_request(worker: types.Worker, call: EngineCall) -> http.HttpRequest:
+    """Build the streaming request of one attempt."""
+    headers = (
+        ('Content-Type', 'application/json'),
+        ('X-Request-Id', call.request_id),
+        ('X-Attempt', str(call.attempt)),
+        ('X-Priority', str(int(call.rank))),
+        ('X-Resume-Offset', str(call.resume_offset)),
+    )
+    return http.HttpRequest(
+        method='POST',
+        peer=str(worker.address),
+        path='/v1/chat/completions',
+        step=errors.Step.READ_ANSWER,
+        headers=headers + _trace_headers(call.traceparent),
+        body=call.body,
+        first_byte_timeout_s=FIRST_TOKEN_TIMEOUT_S,
+        between_bytes_timeout_s=BETWEEN_TOKENS_TIMEOUT_S,
+    )
+
+
+def service_request(
+    worker: types.Worker, call: ServiceCall
+) -> http.HttpRequest:
+    """Build the request of one attempt; non-idempotent ones are sent once."""
+    passed_on = tuple(
+        (name, value)
+        for name, value in call.headers
+        if name.lower() not in HOP_BY_HOP_HEADERS
+        and not name.lower().startswith('x-')
+        and name.lower() not in ('idempotency-key', 'traceparent')
+    )
+    own = (
+        ('X-Request-Id', call.request_id),
+        ('X-Attempt', str(call.attempt)),
+        ('Idempotency-Key', call.idempotency_key or call.request_id),
+    )
+    return http.HttpRequest(
+        method=call.method,
+        peer=str(worker.address),
+        path=call.path,
+        step=errors.Step.DISPATCH,
+        headers=passed_on + own + _trace_headers(call.traceparent),
+        body=call.body,
+        single_send=not call.idempotent,
+        first_byte_timeout_s=call.timeout_s,
+        between_bytes_timeout_s=min(
+            call.timeout_s, http.BETWEEN_BYTES_TIMEOUT_S
+        ),
+        total_timeout_s=call.timeout_s,
+    )
+
+
+def cancel_request(
+    worker: types.Worker, request_id: ids.RequestId, attempt: int
+) -> http.HttpRequest:
+    """Build the order to cancel an attempt at a model engine."""
+    return control_request(
+        worker,
+        '/v1/cancel',
+        orjson.dumps({'request_id': request_id, 'attempt': attempt}),
+    )
+
+
+def control_request(
+    worker: types.Worker, path: str, body: bytes
+) -> http.HttpRequest:
+    """Build a short call of a model engine's control path."""
+    return http.HttpRequest(
+        method='POST',
+        peer=str(worker.address),
+        path=path,
+        step=errors.Step.ORDER_ENGINE,
+        body=body,
+        first_byte_timeout_s=CONTROL_TIMEOUT_S,
+        total_timeout_s=CONTROL_TIMEOUT_S,
+    )
+
+
+def _trace_headers(traceparent: str) -> tuple[tuple[str, str], ...]:
+    return (('traceparent', traceparent),) if traceparent else ()
--- /dev/null
+++ b/hornbeamrudder/cli.py
@@ -0,0 +1,86 @@
+"""Command line of hornbeamrudder."""
+
+import argparse
+import sys
+from typing import Any, Callable, Sequence
+
+import pydantic
+from returns import result
+
+from .entry import daemon
+from .settings import load
+from .settings import schema
+from .standins import cloud
+from .standins import engine
+from .standins import hosts
+from .standins import objects
+from .standins import service
+from .standins import table
+from .standins import weights
+
+EXIT_PROBLEMS = 1
+
+Runner = tuple[type[pydantic.BaseModel], Callable[[Any], int]]
+
+STANDINS_BY_ROLE: dict[str, Runner] = {
+    'cloud': (cloud.Settings, cloud.run),
+    'engine': (engine.Settings, engine.run),
+    'hosts': (hosts.Settings, hosts.run),
+    'objects': (objects.Settings, objects.run),
+    'service': (service.Settings, service.run),
+    'table': (table.Settings, table.run),
+    'weights': (weights.Settings, weights.run),
+}
+
+
+def _run_with_settings(path: str, runner: Runner) -> int:
+    model, run = runner
+    match load.load(path, model):
+        case result.Success(settings):
+            return run(settings)
+        case result.Failure(messages):
+            print('\n'.join(messages), file=sys.stderr)
+            return EXIT_PROBLEMS
+    raise AssertionError
+
+
+def _node(arguments: argparse.Namespace) -> int:
+    return _run_with_settings(
+        arguments.settings, (schema.NodeSettings, daemon.run)
+    )
+
+
+def _standin(arguments: argparse.Namespace) -> int:
+    return _run_with_settings(
+        arguments.settings, STANDINS_BY_ROLE[arguments.role]
+    )
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Make the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog='hornbeamrudder',
+        description='Serving system on reclaimable hosts.',
+    )
+    commands = parser.add_subparsers(dest='command', required=True)
+    node = commands.add_parser('node', help='run a node on an entry host')
+    node.add_argument('--settings', required=True, metavar='FILE')
+    node.set_defaults(run=_node)
+    standin = commands.add_parser(
+        'standin', help='run a stand-in of an outside system, for tests'
+    )
+    standin.add_argument('role', choices=sorted(STANDINS_BY_ROLE))
+    standin.add_argument('--settings', required=True, metavar='FILE')
+    standin.set_defaults(run=_standin)
+    return parser
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the command line; returns the exit status."""
+    arguments = make_parser().parse_args(argv)
+    status: int = arguments.run(arguments)
+    return status
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/hornbeamrudder/entry/chat_request.py
@@ -0,0 +1,134 @@
+"""Reads an OpenAI-compatible chat completion request."""
+
+import dataclasses
+from typing import Annotated, Any
+
+import orjson
+import pydantic
+from returns import result
+
+from ..core import errors
+from ..core import ids
+from ..core import types
+from ..inventory import schema
+from . import problems
+
+DEFAULT_MAX_TOKENS = 256
+MAX_MESSAGES = 4096
+
+
+class Message(pydantic.BaseModel):
+    """One message of a conversation; other keys are passed on."""
+
+    model_config = pydantic.ConfigDict(extra='allow')
+
+    role: Annotated[str, pydantic.Field(min_length=1, max_length=64)]
+    content: str
+
+
+class Completion(pydantic.BaseModel):
+    """The keys of a request that the node reads; others are passed on."""
+
+    model_config = pydantic.ConfigDict(extra='allow')
+
+    model: Annotated[str, pydantic.Field(min_length=1, max_length=256)]
+    messages: Annotated[
+        tuple[Message, ...],
+        pydantic.Field(min_length=1, max_length=MAX_MESSAGES),
+    ]
+    stream: bool = False
+    max_tokens: Annotated[int | None, pydantic.Field(ge=1)] = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChatRequest:
+    """A checked request.
+
+    Attributes
+    ----------
+    body : bytes
+        JSON body for the engine, always a stream with a token limit.
+    prompt_key : str
+        Text of the messages, by which cached prefixes are found.
+    """
+
+    service: types.Service
+    body: bytes
+    prompt_key: str
+    prompt_tokens: int
+    max_tokens: int
+    stream: bool
+
+
+def parse(
+    document: schema.Document, body: bytes
+) -> result.Result[ChatRequest, errors.Failure]:
+    """Check a request body against the inventory."""
+    try:
+        value = orjson.loads(body)
+        completion = Completion.model_validate(value)
+    except orjson.JSONDecodeError as error:
+        return result.Failure(problems.invalid(f'body is not JSON: {error}'))
+    except pydantic.ValidationError as error:
+        return result.Failure(problems.invalid(_first_error(error)))
+    service = _service_of_model(document, completion.model)
+    if service is None:
+        return result.Failure(
+            problems.not_found(f'no service offers model {completion.model!r}')
+        )
+    limit = document.rules.admission.max_output_tokens
+    max_tokens = completion.max_tokens or min(DEFAULT_MAX_TOKENS, limit)
+    if max_tokens > limit:
+        return result.Failure(
+            problems.invalid(f'max_tokens is over the limit of {limit}')
+        )
+    prompt = '\n'.join(
+        f'{message.role}: {message.content}' for message in completion.messages
+    )
+    return result.Success(
+        ChatRequest(
+            service=service,
+            body=_engine_body(value, max_tokens),
+            prompt_key=prompt,
+            prompt_tokens=len(prompt.split()),
+            max_tokens=max_tokens,
+            stream=completion.stream,
+        )
+    )
+
+
+def _engine_body(value: dict[str, Any], max_tokens: int) -> bytes:
+    return orjson.dumps(value | {'stream': True, 'max_tokens': max_tokens})
+
+
+def _service_of_model(
+    document: schema.Document, model: str
+) -> types.Service | None:
+    services = document.services_by_name.values()
+    return next(
+        (
+            service
+            for service in services
+            if service.kind is types.ServiceKind.MODEL_ENGINE
+            and (model in service.models or model == service.name)
+        ),
+        None,
+    )
+
+
+def _first_error(error: pydantic.ValidationError) -> str:
+    item = error.errors(include_url=False, include_input=False)[0]
+    place = '.'.join(map(str, item['loc'])) or 'body'
+    return f'{place}: {item["msg"]}'
+
+
+def service_named(
+    document: schema.Document, name: str
+) -> result.Result[types.Service, errors.Failure]:
+    """Find a plain service by name."""
+    service = document.services_by_name.get(ids.ServiceName(name))
+    if service is None or service.kind is not types.ServiceKind.PLAIN_SERVICE:
+        return result.Failure(
+            problems.not_found(f'no plain service is named {name!r}')
+        )
+    return result.Success(service)
--- /dev/null
+++ b/hornbeamrudder/entry/problems.py
@@ -0,0 +1,87 @@
+"""Errors towards callers as problem details (RFC 9457)."""
+
+import math
+
+import orjson
+import werkzeug
+
+from ..core import errors
+from ..core import ids
+from ..core import types
+
+CONTENT_TYPE = 'application/problem+json'
+DEFAULT_RETRY_AFTER_S = 1.0
+
+STATUS_BY_KIND = {
+    errors.FailureKind.INVALID: 400,
+    errors.FailureKind.UNAUTHORIZED: 401,
+    errors.FailureKind.NOT_FOUND: 404,
+    errors.FailureKind.CONFLICT: 422,
+    errors.FailureKind.OVERLOADED: 429,
+    errors.FailureKind.DEADLINE: 503,
+    errors.FailureKind.NOT_CONNECTED: 503,
+    errors.FailureKind.TIMEOUT: 504,
+    errors.FailureKind.INTERRUPTED: 502,
+    errors.FailureKind.UNAVAILABLE: 503,
+    errors.FailureKind.REFUSED: 503,
+}
+RETRY_STATUSES = frozenset((429, 503))
+
+
+def status_of(failure: errors.Failure) -> int:
+    """HTTP status of an error."""
+    return STATUS_BY_KIND[failure.kind]
+
+
+def body_of(
+    failure: errors.Failure, request_id: ids.RequestId | None
+) -> bytes:
+    """JSON body of an error."""
+    problem = {
+        'type': 'about:blank',
+        'title': failure.kind.value,
+        'status': status_of(failure),
+        'detail': failure.detail,
+        'outcome': failure.outcome.value,
+        'step': failure.step.value,
+        'peer': failure.peer,
+    }
+    if request_id:
+        problem['request_id'] = request_id
+    return orjson.dumps(problem)
+
+
+def to_response(
+    failure: errors.Failure, request_id: ids.RequestId | None = None
+) -> werkzeug.Response:
+    """Make the response for an error.
+
+    A refusal that the caller may try again carries `Retry-After` in whole
+    seconds.
+    """
+    status = status_of(failure)
+    response = werkzeug.Response(
+        body_of(failure, request_id), status, content_type=CONTENT_TYPE
+    )
+    if request_id:
+        response.headers['X-Request-Id'] = request_id
+    if status in RETRY_STATUSES and failure.outcome is types.Outcome.NOT_RUN:
+        wait_s = failure.retry_after_s or DEFAULT_RETRY_AFTER_S
+        response.headers['Retry-After'] = str(math.ceil(wait_s))
+    if status == 401:
+        response.headers['WWW-Authenticate'] = 'Bearer'
+    return response
+
+
+def invalid(detail: str) -> errors.Failure:
+    """Error for a malformed request."""
+    return errors.Failure(
+        errors.FailureKind.INVALID, errors.Step.READ_REQUEST, '', detail
+    )
+
+
+def not_found(detail: str) -> errors.Failure:
+    """Error for a path, service or request that is not there."""
+    return errors.Failure(
+        errors.FailureKind.NOT_FOUND, errors.Step.READ_REQUEST, '', detail
+    )
--- /dev/null
+++ b/hornbeamrudder/entry/server.py
@@ -0,0 +1,64 @@
+"""The HTTP server of a node: cheroot with bounded threads."""
+
+import threading
+from typing import Any, Callable, Iterable
+
+from cheroot import wsgi
+
+from ..core import types
+from ..settings import schema
+
+CONNECTION_KEY = 'hornbeamrudder.connection'
+LISTEN_BACKLOG = 1024
+MAX_IDLE_CONNECTIONS = 2048
+SERVER_NAME = 'hornbeamrudder'
+
+WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Gives the application access to the caller's connection."""
+
+    def get_environ(self) -> Any:
+        environ = super().get_environ()
+        environ[CONNECTION_KEY] = self.req.conn.socket
+        return environ
+
+
+class CallerServer:
+    """Listens for callers and runs each request on a thread."""
+
+    def __init__(
+        self,
+        application: WsgiApp,
+        listen: schema.Endpoint,
+        limits: schema.Limits,
+    ) -> None:
+        self._server = wsgi.Server(
+            (listen.ip, listen.port),
+            application,
+            numthreads=limits.threads,
+            max=limits.threads,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=limits.idle_timeout_s,
+            server_name=SERVER_NAME,
+        )
+        self._server.gateway = _Gateway
+        self._server.max_request_header_size = limits.header_bytes
+        self._server.max_request_body_size = limits.body_bytes
+        self._server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
+        self._server.prepare()
+        ip, port = self._server.bind_addr[:2]
+        self.address = types.Address(str(ip), int(port))
+        self._thread = threading.Thread(
+            target=self._server.serve, name='callers', daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin to take connections."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop listening and end the threads."""
+        self._server.stop()
+        self._thread.join()
--- /dev/null
+++ b/hornbeamrudder/settings/load.py
@@ -0,0 +1,74 @@
+"""Reads YAML settings files into checked models."""
+
+import pathlib
+from typing import TypeVar
+
+import pydantic
+from returns import result
+import yaml
+
+MAX_FILE_BYTES = 1024 * 1024
+
+Model = TypeVar('Model', bound=pydantic.BaseModel)
+
+
+def load(
+    path: str, model: type[Model]
+) -> result.Result[Model, tuple[str, ...]]:
+    """Read and check a settings file.
+
+    Returns
+    -------
+    Result of model, or of messages with file, key and reason
+    """
+    try:
+        if pathlib.Path(path).stat().st_size > MAX_FILE_BYTES:
+            return result.Failure((f'{path}: over {MAX_FILE_BYTES} bytes',))
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+        value = yaml.safe_load(text)
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        return result.Failure((f'{path}: {error}',))
+    except RecursionError:
+        return result.Failure((f'{path}: nested too deeply',))
+    try:
+        return result.Success(model.model_validate(value or {}))
+    except pydantic.ValidationError as error:
+        return result.Failure(
+            tuple(
+                f'{path}:{_line_of(text, item["loc"])}:'
+                f' {".".join(map(str, item["loc"])) or "settings"}:'
+                f' {item["msg"]}'
+                for item in error.errors(include_url=False)
+            )
+        )
+
+
+def _line_of(text: str, location: tuple[int | str, ...]) -> int:
+    """Line of the deepest part of `location` that the file has."""
+    node = yaml.compose(text, Loader=yaml.SafeLoader)
+    line = 1
+    for part in location:
+        child = _child(node, part)
+        if child is None:
+            break
+        line, node = child
+    return line
+
+
+def _child(
+    node: yaml.Node | None, part: int | str
+) -> tuple[int, yaml.Node] | None:
+    match node:
+        case yaml.MappingNode():
+            return next(
+                (
+                    (key.start_mark.line + 1, value)
+                    for key, value in node.value
+                    if key.value == str(part)
+                ),
+                None,
+            )
+        case yaml.SequenceNode() if isinstance(part, int):
+            value = node.value[part]
+            return value.start_mark.line + 1, value
+    return None
--- /dev/null
+++ b/hornbeamrudder/settings/schema.py
@@ -0,0 +1,152 @@
+"""Settings of a node, checked by pydantic; unknown keys are refused."""
+
+import enum
+import ipaddress
+import pathlib
+from typing import Annotated
+
+import pydantic
+
+from ..core import types
+
+
+def _check_ip(value: str) -> str:
+    return str(ipaddress.IPv4Address(value))
+
+
+IpNumber = Annotated[str, pydantic.AfterValidator(_check_ip)]
+Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
+Name = Annotated[
+    str, pydantic.Field(pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$')
+]
+
+
+class Section(pydantic.BaseModel):
+    """Base of all parts of the settings."""
+
+    model_config = pydantic.ConfigDict(
+        frozen=True, extra='forbid', allow_inf_nan=False
+    )
+
+
+class Endpoint(Section):
+    """IP number and port, written as two keys."""
+
+    ip: IpNumber
+    port: Port
+
+    def address(self) -> types.Address:
+        """The same as a core type."""
+        return types.Address(self.ip, self.port)
+
+    def __str__(self) -> str:
+        return f'{self.ip}:{self.port}'
+
+
+class TraceExporter(enum.Enum):
+    """Where spans go."""
+
+    NONE = 'none'
+    FILE = 'file'
+
+
+class Tracing(Section):
+    """Export of trace spans.
+
+    Attributes
+    ----------
+    file : str
+        JSON lines are appended here; for the `file` exporter.
+    sample_share : float
+        Share of the requests without a sampled `traceparent` to trace.
+    """
+
+    exporter: TraceExporter = TraceExporter.NONE
+    file: str = ''
+    sample_share: Annotated[float, pydantic.Field(ge=0, le=1)] = 1.0
+
+
+class Tls(Section):
+    """Certificate and key in PEM files, read again when they change.
+
+    Attributes
+    ----------
+    peer_ca_file : str
+        Authority of the other nodes' certificates.
+    """
+
+    certificate_file: str
+    key_file: str
+    peer_ca_file: str = ''
+
+
+class Limits(Section):
+    """Limits on what a node takes from callers.
+
+    Attributes
+    ----------
+    threads : int
+        Requests served at once; a stream occupies one thread.
+    header_bytes, body_bytes : int
+        Largest request head and body.
+    idle_timeout_s : float
+        A caller's connection without traffic is closed after this.
+    kept_answer_s : float
+        How long an answer is kept for a caller that lost its connection.
+    """
+
+    threads: Annotated[int, pydantic.Field(ge=4, le=4096)] = 256
+    header_bytes: Annotated[int, pydantic.Field(ge=1024)] = 32 * 1024
+    body_bytes: Annotated[int, pydantic.Field(ge=1024)] = 1024 * 1024
+    idle_timeout_s: Annotated[int, pydantic.Field(ge=1)] = 30
+    kept_answer_s: Annotated[float, pydantic.Field(ge=0)] = 30.0
+
+
+class NodeSettings(Section):
+    """Settings of one node daemon.
+
+    Attributes
+    ----------
+    listen, peer_listen : Endpoint
+        Where callers and other nodes connect.
+    seeds : tuple of Endpoint
+        Peer addresses of entry hosts that may be up.
+    table, objects, cloud, host_list : Endpoint
+        The platform's services.
+    peer_key_file : str
+        File with the key by which nodes authenticate each other.
+    stop_timeout_s : float
+        Longest wait for work in progress on a graceful stop.
+    """
+
+    node_id: Name
+    region: Name
+    data_centre: Name
+    listen: Endpoint
+    peer_listen: Endpoint
+    table: Endpoint
+    objects: Endpoint | None = None
+    cloud: Endpoint | None = None
+    host_list: Endpoint | None = None
+    host_id: Name | None = None
+    document_file: str = ''
+    seeds: tuple[Endpoint, ...] = ()
+    peer_key_file: str
+    fleet_control: bool = False
+    log_level: Annotated[
+        str, pydantic.Field(pattern='^(debug|info|warning|error)$')
+    ] = 'info'
+    stop_timeout_s: Annotated[float, pydantic.Field(gt=0)] = 600.0
+    limits: Limits = Limits()
+    tracing: Tracing = Tracing()
+    tls: Tls | None = None
+
+    def peer_key(self) -> bytes:
+        """Read the peer key.
+
+        Raises
+        ------
+        OSError
+            The file can't be read.
+        """
+        return pathlib.Path(self.peer_key_file).read_bytes().strip()
--- /dev/null
+++ b/hornbeamrudder/standins/engine.py
@@ -0,0 +1,280 @@
+"""Stand-in of a model engine: streams, cache events, load, orders."""
+
+import collections
+import hmac
+import random
+import threading
+import time
+from typing import Any, Iterator
+
+import msgpack
+import orjson
+import queue
+import werkzeug
+
+from . import engine_batch
+from . import server
+
+LOAD_SAMPLE_INTERVAL_S = 0.05
+DEFAULT_MAX_TOKENS = 64
+KEPT_LOAD_SAMPLES = 400
+
+
+class Settings(server.ListenSettings):
+    """Settings of the model engine stand-in; times in seconds."""
+
+    threads: int = 128
+    worker_id: str = 'engine'
+    models: tuple[str, ...] = ('house-assistant',)
+    max_batch: int = 16
+    step_s: float = 0.010
+    step_per_sequence_s: float = 0.0005
+    prefill_per_token_s: float = 0.0002
+    cache_blocks: int = 2048
+    load_lag_s: float = 0.5
+    event_lag_s: float = 1.0
+    event_gap_share: float = 0.1
+    seed: int = 1
+    checks_fencing: bool = False
+    sender_token: str = ''
+
+
+class Engine:
+    """State of one engine process."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.batch = engine_batch.Batch(
+            engine_batch.BatchLimits(
+                max_batch=settings.max_batch,
+                step_s=settings.step_s,
+                step_per_sequence_s=settings.step_per_sequence_s,
+                prefill_per_token_s=settings.prefill_per_token_s,
+                cache_blocks=settings.cache_blocks,
+            )
+        )
+        self._samples: collections.deque[tuple[float, dict[str, Any]]] = (
+            collections.deque(maxlen=KEPT_LOAD_SAMPLES)
+        )
+        self._lock = threading.Lock()
+        self.highest_fencing = 0
+        self.target: dict[str, Any] = {'models': list(settings.models)}
+        threading.Thread(target=self._sample_load, daemon=True).start()
+
+    def load(self) -> dict[str, Any]:
+        """Return the load as it was `load_lag_s` ago."""
+        seen_until = time.monotonic() - self.settings.load_lag_s
+        with self._lock:
+            seen = [sample for at, sample in self._samples if at <= seen_until]
+        return seen[-1] if seen else self._load_now()
+
+    def totals(self) -> dict[str, int]:
+        """Return token counts since the start, without lag."""
+        return {
+            'generated_tokens': self.batch.generated_tokens,
+            'recomputed_tokens': self.batch.recomputed_tokens,
+            'prefilled_tokens': self.batch.prefilled_tokens,
+            'cached_tokens': self.batch.cached_tokens,
+        }
+
+    def cache_events(self, after: int) -> list[dict[str, Any]]:
+        """Return events past `after`, late and with gaps."""
+        seen_until = time.monotonic() - self.settings.event_lag_s
+        return [
+            {
+                'number': event.number,
+                'kind': event.kind,
+                'block': str(event.block),
+            }
+            for event in tuple(self.batch.cache.events)
+            if event.number > after
+            and event.at <= seen_until
+            and not self._in_gap(event.number)
+        ]
+
+    def order(self, fencing: int, order: dict[str, Any]) -> tuple[int, str]:
+        """Set the target state; return an HTTP status and a reason."""
+        with self._lock:
+            if self.settings.checks_fencing and fencing < self.highest_fencing:
+                return 409, 'fencing number is stale'
+            if order['expires_at'] < time.time():
+                return 410, 'order has expired'
+            self.highest_fencing = max(self.highest_fencing, fencing)
+            self.target = order['target']
+            return 200, 'accepted'
+
+    def _in_gap(self, number: int) -> bool:
+        draw = random.Random(f'{self.settings.seed}:{number}').random()
+        return draw < self.settings.event_gap_share
+
+    def _load_now(self) -> dict[str, Any]:
+        running, waiting, outstanding = self.batch.sizes()
+        return {
+            'running': running,
+            'waiting': waiting,
+            'outstanding_tokens': outstanding,
+            'slots': self.settings.max_batch,
+            'incarnation': 1,
+            'target': self.target,
+        }
+
+    def _sample_load(self) -> None:
+        while True:
+            sample = self._load_now()
+            with self._lock:
+                self._samples.append((time.monotonic(), sample))
+            time.sleep(LOAD_SAMPLE_INTERVAL_S)
+
+
+def make_application(engine: Engine) -> server.WsgiApp:
+    """Make the WSGI application of the engine."""
+
+    @werkzeug.Request.application
+    def application(request: werkzeug.Request) -> werkzeug.Response:
+        try:
+            return _answer(engine, request)
+        except (KeyError, TypeError, ValueError) as error:
+            return server.json_response({'error': repr(error)}, 400)
+
+    return application
+
+
+def _answer(engine: Engine, request: werkzeug.Request) -> werkzeug.Response:
+    match request.method, request.path:
+        case 'POST', '/v1/chat/completions':
+            return _complete(engine, request)
+        case 'POST', '/v1/cancel':
+            payload = orjson.loads(request.get_data())
+            cancelled = engine.batch.cancel(
+                payload['request_id'], payload.get('attempt')
+            )
+            return server.json_response({'cancelled': cancelled})
+        case 'POST', '/v1/kv/export':
+            return _export(engine, orjson.loads(request.get_data()))
+        case 'POST', '/v1/kv/import':
+            blob = msgpack.unpackb(request.get_data())
+            engine.batch.imported_tokens_by_request[blob['request_id']] = int(
+                blob['tokens']
+            )
+            return server.json_response({'imported': blob['tokens']})
+        case 'GET', '/v1/load':
+            return server.json_response(engine.load())
+        case 'GET', '/totals':
+            return server.json_response(engine.totals())
+        case 'GET', '/v1/cache-events':
+            return server.json_response(
+                {'events': engine.cache_events(int(request.args['after']))}
+            )
+        case 'POST', '/v1/orders':
+            return _order(engine, request)
+    return server.json_response({'error': 'not found'}, 404)
+
+
+def _complete(engine: Engine, request: werkzeug.Request) -> werkzeug.Response:
+    payload = orjson.loads(request.get_data())
+    request_id = request.headers['X-Request-Id']
+    attempt = int(request.headers['X-Attempt'])
+    sequence = engine_batch.EngineSequence(
+        request_id=request_id,
+        attempt=attempt,
+        prompt=_prompt(payload['messages']),
+        max_tokens=int(payload.get('max_tokens') or DEFAULT_MAX_TOKENS),
+        next_offset=int(request.headers.get('X-Resume-Offset', 0)),
+        priority=int(request.headers.get('X-Priority', 1)),
+        output=queue.SimpleQueue(),
+    )
+    engine.batch.submit(sequence)
+    return werkzeug.Response(
+        _events(engine, sequence),
+        mimetype='text/event-stream',
+        headers={'X-Request-Id': request_id, 'X-Attempt': str(attempt)},
+    )
+
+
+def _events(
+    engine: Engine, sequence: engine_batch.EngineSequence
+) -> Iterator[bytes]:
+    finished = False
+    try:
+        while (offset := sequence.output.get()) is not None:
+            yield _event(
+                sequence,
+                offset,
+                engine_batch.token_text(sequence.prompt, offset),
+            )
+        finished = not sequence.cancelled
+        if finished:
+            yield _final_event(sequence)
+    finally:
+        if not finished:
+            sequence.cancelled = True
+
+
+def _event(
+    sequence: engine_batch.EngineSequence, offset: int, text: str
+) -> bytes:
+    return (
+        f'id: {sequence.request_id}:{offset}\n'
+        f'data: {{"id":"{sequence.request_id}",'
+        '"object":"chat.completion.chunk","choices":[{"index":0,'
+        f'"delta":{{"content":"{text}"}}}}]}}\n\n'
+    ).encode()
+
+
+def _final_event(sequence: engine_batch.EngineSequence) -> bytes:
+    usage = {
+        'id': sequence.request_id,
+        'object': 'chat.completion.chunk',
+        'choices': [{'index': 0, 'delta': {}, 'finish_reason': 'length'}],
+        'usage': {
+            'prompt_tokens': len(sequence.prompt.split()),
+            'completion_tokens': sequence.max_tokens,
+            'cached_tokens': sequence.cached_tokens,
+            'recomputed_tokens': sequence.recomputed_tokens,
+        },
+    }
+    event_id = f'{sequence.request_id}:{sequence.max_tokens}'
+    return (
+        f'id: {event_id}\n'.encode()
+        + b'data: '
+        + orjson.dumps(usage)
+        + b'\n\ndata: [DONE]\n\n'
+    )
+
+
+def _prompt(messages: list[dict[str, Any]]) -> str:
+    return '\n'.join(
+        f'{message["role"]}: {message["content"]}' for message in messages
+    )
+
+
+def _export(engine: Engine, payload: Any) -> werkzeug.Response:
+    sequence = engine.batch.find(payload['request_id'])
+    if sequence is None:
+        return server.json_response({'error': 'request is not here'}, 404)
+    blob = msgpack.packb(
+        {'request_id': sequence.request_id, 'tokens': sequence.next_offset}
+    )
+    return werkzeug.Response(blob, mimetype='application/msgpack')
+
+
+def _order(engine: Engine, request: werkzeug.Request) -> werkzeug.Response:
+    token = engine.settings.sender_token
+    given = request.headers.get('Authorization', '')
+    if token and not hmac.compare_digest(given, f'Bearer {token}'):
+        return server.json_response({'error': 'sender is not known'}, 403)
+    status, reason = engine.order(
+        int(request.headers.get('X-Fencing', 0)),
+        orjson.loads(request.get_data()),
+    )
+    return server.json_response({'reason': reason}, status)
+
+
+def run(settings: Settings) -> int:
+    """Serve the stand-in until it is told to stop."""
+    return server.serve(
+        make_application(Engine(settings)),
+        settings.ip,
+        settings.port,
+        settings.threads,
+    )
--- /dev/null
+++ b/hornbeamrudder/standins/service.py
@@ -0,0 +1,103 @@
+"""Stand-in of a plain service that counts the runs of each key."""
+
+import collections
+import threading
+import time
+from typing import Any
+
+import orjson
+import werkzeug
+
+from . import server
+
+
+class Settings(server.ListenSettings):
+    """Settings of the plain service stand-in."""
+
+    threads: int = 16
+    slots: int = 8
+    latency_s: float = 0.02
+
+
+class PlainService:
+    """Runs calls and counts them by idempotency key or request id."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._lock = threading.Lock()
+        self._slots = threading.Semaphore(settings.slots)
+        self._running = 0
+        self.runs_by_key: collections.Counter[str] = collections.Counter()
+
+    def run(self, key: str, method: str, path: str, body: bytes) -> Any:
+        """Carry out one call; the effect comes before the answer."""
+        with self._lock:
+            self._running += 1
+        try:
+            with self._slots:
+                with self._lock:
+                    self.runs_by_key[key] += 1
+                    number = sum(self.runs_by_key.values())
+                time.sleep(self._settings.latency_s)
+        finally:
+            with self._lock:
+                self._running -= 1
+        return {
+            'number': number,
+            'key': key,
+            'method': method,
+            'path': path,
+            'body_bytes': len(body),
+        }
+
+    def load(self) -> dict[str, Any]:
+        """Return the current load."""
+        with self._lock:
+            running = min(self._running, self._settings.slots)
+            return {
+                'running': running,
+                'waiting': self._running - running,
+                'outstanding_tokens': self._running,
+                'slots': self._settings.slots,
+                'incarnation': 1,
+            }
+
+
+def make_application(service: PlainService) -> server.WsgiApp:
+    """Make the WSGI application of the service."""
+
+    @werkzeug.Request.application
+    def application(request: werkzeug.Request) -> werkzeug.Response:
+        match request.path:
+            case '/v1/load':
+                answer = service.load()
+            case '/runs':
+                answer = dict(service.runs_by_key)
+            case _:
+                request_id = request.headers.get('X-Request-Id', '')
+                answer = service.run(
+                    request.headers.get('Idempotency-Key', request_id),
+                    request.method,
+                    request.path,
+                    request.get_data(),
+                )
+        return werkzeug.Response(
+            orjson.dumps(answer),
+            mimetype='application/json',
+            headers={
+                'X-Request-Id': request.headers.get('X-Request-Id', ''),
+                'X-Attempt': request.headers.get('X-Attempt', ''),
+            },
+        )
+
+    return application
+
+
+def run(settings: Settings) -> int:
+    """Serve the stand-in until it is told to stop."""
+    return server.serve(
+        make_application(PlainService(settings)),
+        settings.ip,
+        settings.port,
+        settings.threads,
+    )
--- /dev/null
+++ b/hornbeamrudder/standins/table.py
@@ -0,0 +1,185 @@
+"""Stand-in of the transactional table service."""
+
+import dataclasses
+import threading
+import time
+from typing import Any
+
+import orjson
+import werkzeug
+
+from . import server
+
+MAX_ITEMS_PER_WRITE = 100
+ROWS_PER_READ_UNIT = 100
+
+
+class Settings(server.ListenSettings):
+    """Settings of the table service stand-in; rates are per second."""
+
+    threads: int = 32
+    writes_per_s: float = 400
+    reads_per_s: float = 2000
+    latency_s: float = 0.002
+
+
+class RateLimit:
+    """Token bucket that holds one second's worth of tokens."""
+
+    def __init__(self, rate_per_s: float) -> None:
+        self._rate_per_s = rate_per_s
+        self._tokens = rate_per_s
+        self._updated_at = time.monotonic()
+
+    def take(self, count: int) -> bool:
+        """Take `count` tokens, or none where they are not there."""
+        now = time.monotonic()
+        refill = (now - self._updated_at) * self._rate_per_s
+        self._tokens = min(self._rate_per_s, self._tokens + refill)
+        self._updated_at = now
+        if self._tokens < count:
+            return False
+        self._tokens -= count
+        return True
+
+
+@dataclasses.dataclass(slots=True)
+class StoredRow:
+    """A row; a deleted row keeps its version so that it never repeats."""
+
+    version: int
+    value: Any
+
+
+class Table:
+    """Rows in memory with compare-and-set; safe to use from any thread."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._lock = threading.Lock()
+        self._rows_by_key: dict[str, StoredRow] = {}
+        self._writes = RateLimit(settings.writes_per_s)
+        self._reads = RateLimit(settings.reads_per_s)
+        self.counts_by_name = {
+            'writes': 0,
+            'items': 0,
+            'reads': 0,
+            'refused': 0,
+        }
+
+    def write(self, items: list[dict[str, Any]]) -> list[dict[str, Any]]:
+        """Apply each item by itself; the batch counts as one write."""
+        with self._lock:
+            self.counts_by_name['writes'] += 1
+            self.counts_by_name['items'] += len(items)
+            return [self._put(item) for item in items]
+
+    def read(self, keys: list[str]) -> list[dict[str, Any]]:
+        """Read rows by key."""
+        with self._lock:
+            return [self._row(key) for key in keys]
+
+    def scan(
+        self, prefix: str, after: str, limit: int
+    ) -> list[dict[str, Any]]:
+        """Read existing rows by key prefix, in key order."""
+        with self._lock:
+            keys = sorted(
+                key
+                for key, row in self._rows_by_key.items()
+                if key.startswith(prefix)
+                and key > after
+                and row.value is not None
+            )
+            return [self._row(key) for key in keys[:limit]]
+
+    def allows_write(self) -> bool:
+        """Take one write from the rate limit."""
+        return self._allows(self._writes, 1, 'writes')
+
+    def allows_read(self, units: int) -> bool:
+        """Take reads from the rate limit."""
+        return self._allows(self._reads, units, 'reads')
+
+    def _allows(self, limit: RateLimit, units: int, name: str) -> bool:
+        with self._lock:
+            allowed = limit.take(units)
+            if not allowed:
+                self.counts_by_name['refused'] += 1
+            elif name == 'reads':
+                self.counts_by_name['reads'] += units
+            return allowed
+
+    def _put(self, item: dict[str, Any]) -> dict[str, Any]:
+        key = item['key']
+        row = self._rows_by_key.get(key)
+        current = 0 if row is None or row.value is None else row.version
+        applied = current == item['expect_version']
+        if applied:
+            last_version = 0 if row is None else row.version
+            self._rows_by_key[key] = StoredRow(last_version + 1, item['value'])
+        return {'ok': applied, **self._row(key)}
+
+    def _row(self, key: str) -> dict[str, Any]:
+        row = self._rows_by_key.get(key)
+        if row is None or row.value is None:
+            return {'key': key, 'version': 0, 'value': None}
+        return {'key': key, 'version': row.version, 'value': row.value}
+
+
+def make_application(table: Table, latency_s: float) -> server.WsgiApp:
+    """Make the WSGI application of the table service."""
+
+    @werkzeug.Request.application
+    def application(request: werkzeug.Request) -> werkzeug.Response:
+        time.sleep(latency_s)
+        if request.path == '/counts':
+            return server.json_response(table.counts_by_name)
+        try:
+            payload = orjson.loads(request.get_data())
+            return _answer(table, request.path, payload)
+        except (KeyError, TypeError, ValueError) as error:
+            return server.json_response({'error': repr(error)}, 400)
+
+    return application
+
+
+def _answer(table: Table, path: str, payload: Any) -> werkzeug.Response:
+    match path:
+        case '/v1/write':
+            items = payload['items']
+            if len(items) > MAX_ITEMS_PER_WRITE:
+                return server.json_response({'error': 'too many items'}, 400)
+            if not table.allows_write():
+                return server.json_response(
+                    {'error': 'write rate exceeded'}, 429
+                )
+            return server.json_response({'results': table.write(items)})
+        case '/v1/read':
+            if not table.allows_read(len(payload['keys'])):
+                return server.json_response(
+                    {'error': 'read rate exceeded'}, 429
+                )
+            return server.json_response({'rows': table.read(payload['keys'])})
+        case '/v1/scan':
+            limit = int(payload.get('limit', 1000))
+            if not table.allows_read(-(-limit // ROWS_PER_READ_UNIT)):
+                return server.json_response(
+                    {'error': 'read rate exceeded'}, 429
+                )
+            rows = table.scan(
+                payload['prefix'], payload.get('after', ''), limit
+            )
+            return server.json_response({'rows': rows})
+    return server.json_response({'error': 'not found'}, 404)
+
+
+def run(settings: Settings) -> int:
+    """Serve the stand-in until it is told to stop."""
+    table = Table(settings)
+    return server.serve(
+        make_application(table, settings.latency_s),
+        settings.ip,
+        settings.port,
+        settings.threads,
+    )
--- /dev/null
+++ b/hornbeamrudder/telemetry/metrics.py
@@ -0,0 +1,78 @@
+"""Metrics of a node, kept and rendered by aioprometheus."""
+
+from typing import Iterable
+
+import aioprometheus
+from aioprometheus import renderer
+
+SECONDS_BUCKETS = [
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+]
+
+
+class NodeMetrics:
+    """Counters, gauges and histograms of one node."""
+
+    def __init__(self) -> None:
+        self.registry = aioprometheus.Registry()
+        self.requests = self._counter(
+            'requests_total', 'Requests by rank, service and result'
+        )
+        self.refusals = self._counter(
+            'refusals_total', 'Refused requests by step and kind'
+        )
+        self.attempts = self._counter(
+            'backend_attempts_total', 'Attempts at backend servers by result'
+        )
+        self.retries = self._counter(
+            'retries_total', 'Retries by service, granted or not'
+        )
+        self.recomputed_tokens = self._counter(
+            'recomputed_tokens_total', 'Tokens computed again after a loss'
+        )
+        self.tokens = self._counter('tokens_total', 'Tokens relayed')
+        self.dropped_pieces = self._counter(
+            'dropped_pieces_total', 'Late, doubled or foreign answer pieces'
+        )
+        self.handovers = self._counter(
+            'handovers_total', 'Requests passed to or taken from a peer'
+        )
+        self.first_token_s = self._histogram(
+            'first_token_seconds', 'Time to the first token by rank'
+        )
+        self.request_s = self._histogram(
+            'request_seconds', 'Time to the whole answer by rank'
+        )
+        self.gauges = aioprometheus.Gauge(
+            'hornbeamrudder_state',
+            'Current values by name and label',
+            registry=self.registry,
+        )
+
+    def render(self, accepts: Iterable[str]) -> tuple[bytes, dict[str, str]]:
+        """Render for `/metrics`; returns body and headers."""
+        return renderer.render(self.registry, list(accepts))
+
+    def _counter(self, name: str, text: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(
+            f'hornbeamrudder_{name}', text, registry=self.registry
+        )
+
+    def _histogram(self, name: str, text: str) -> aioprometheus.Histogram:
+        return aioprometheus.Histogram(
+            f'hornbeamrudder_{name}',
+            text,
+            registry=self.registry,
+            buckets=SECONDS_BUCKETS,
+        )
