Prove that answers are whole and their own under engine faults

Cause: the scenarios for engine faults failed: an end mark that followed a foreign event, or the loss of the last pieces, completed a cut answer, and pieces of an attempt whose response named another attempt were passed on.

Change: an answer is complete only where its last event carries the finish reason; a reader for each attempt checks the identity before the first piece and stops at a foreign one. An answer whose end mark alone is lost is whole and not asked for again, so that scenario now expects 1 attempt, not 2.

Conclusion: end marks are not evidence of wholeness without the finish reason.

--- a/hornbeamrudder/answers/buffer.py
+++ b/hornbeamrudder/answers/buffer.py
@@ -2,6 +2,7 @@
 
 import enum
 import threading
+import time
 from typing import Callable
 
 from ..core import errors
@@ -43,6 +44,7 @@
         self._failure: errors.Failure | None = None
         self._sink: Sink | None = None
         self.dropped_pieces = 0
+        self.first_event_at: float | None = None
 
     @property
     def state(self) -> AnswerState:
@@ -82,6 +84,8 @@
                 self._out_of_order_by_offset[piece.offset] = piece.event
                 return
             first = len(self._events)
+            if first == 0:
+                self.first_event_at = time.monotonic()
             self._events.append(piece.event)
             while self._out_of_order_by_offset:
                 following = self._out_of_order_by_offset.pop(
@@ -96,12 +100,18 @@
                 self._changed.notify_all()
 
     def complete(self, attempt: int) -> bool:
-        """Take the end mark; False where pieces are missing before it."""
+        """End the answer where it is whole; False where pieces are missing.
+
+        The last event must have the finish reason: an end mark alone would
+        not show that the last pieces before it were lost.
+        """
         with self._changed:
             if attempt != self._attempt or self._ended():
                 return False
             if self._out_of_order_by_offset or not self._events:
                 return False
+            if not events.has_finish_reason(self._events[-1]):
+                return False
             self._end(AnswerState.COMPLETE)
             return True
 
--- a/hornbeamrudder/answers/events.py
+++ b/hornbeamrudder/answers/events.py
@@ -8,6 +8,8 @@
 import dataclasses
 from typing import Union
 
+import orjson
+
 from ..core import ids
 
 EVENT_END = b'\n\n'
@@ -67,3 +69,15 @@
         except ValueError:
             return Foreign(f'event id is {event[:line_end][:80]!r}')
         return Token(offset, event + EVENT_END)
+
+
+def has_finish_reason(event: bytes) -> bool:
+    """Whether an event carries the `finish_reason` of a whole answer."""
+    _, separator, data = event.partition(b'\ndata: ')
+    if not separator:
+        return False
+    try:
+        choices = orjson.loads(data).get('choices', ())
+        return any(choice.get('finish_reason') for choice in choices)
+    except (orjson.JSONDecodeError, AttributeError, TypeError):
+        return False
--- /dev/null
+++ b/hornbeamrudder/answers/features/steps/generation_steps.py
@@ -0,0 +1,226 @@
+"""Steps that run generations against engines in this process."""
+
+from concurrent import futures
+import random
+import threading
+import time
+
+import behave
+import orjson
+from returns import result
+import werkzeug
+
+from hornbeamrudder.answers import buffer
+from hornbeamrudder.answers import generation
+from hornbeamrudder.backends import client as backends_client
+from hornbeamrudder.core import ids
+from hornbeamrudder.core import types
+from hornbeamrudder.entry import chat
+from hornbeamrudder.platform import http
+from hornbeamrudder.standins import engine
+from hornbeamrudder.standins import engine_batch
+from hornbeamrudder.standins import server
+
+TOKENS = 10
+FAULT_AT = 4
+BODY = {
+    'messages': [{'role': 'user', 'content': 'which chime fits'}],
+    'max_tokens': TOKENS,
+}
+PROMPT = 'user: which chime fits'
+
+
+def worker(name, address):
+    return types.Worker(
+        ids.WorkerId(name),
+        ids.ServiceName('modele-atelier'),
+        ids.HostId(f'host-{name}'),
+        ids.DataCentreName('levis-est'),
+        address,
+        16,
+    )
+
+
+class Pool:
+    """Chooses workers in a fixed order, failed ones last."""
+
+    def __init__(self, workers):
+        self._workers = workers
+        self.open = 0
+
+    def choose(self, request, excluded):
+        self.open += 1
+        preferred = [item for item in self._workers if item.id not in excluded]
+        return result.Success((preferred or self._workers)[0])
+
+    def ended(self, request, worker, reason):
+        self.open -= 1
+
+    def may_retry(self, request):
+        return True
+
+
+def faulty_engine(fault):
+    """An engine that shows one fault after some tokens."""
+
+    @werkzeug.Request.application
+    def application(request):
+        if request.path != '/v1/chat/completions':
+            return werkzeug.Response('{}')
+        if fault == 'bad request':
+            return werkzeug.Response('no such model', 400)
+        if fault == 'server error':
+            return werkzeug.Response('out of memory', 500)
+        request_id = request.headers['X-Request-Id']
+        attempt = request.headers['X-Attempt']
+        return werkzeug.Response(
+            faulty_events(fault, request_id),
+            mimetype='text/event-stream',
+            headers={
+                'X-Request-Id': request_id,
+                'X-Attempt': '99' if fault == 'wrong attempt' else attempt,
+            },
+        )
+
+    return application
+
+
+def faulty_events(fault, request_id):
+    def event(offset, owner=request_id):
+        choice = {
+            'delta': {'content': engine_batch.token_text(PROMPT, offset)}
+        }
+        if offset == TOKENS:
+            choice = {'delta': {}, 'finish_reason': 'length'}
+        chunk = {'id': owner, 'choices': [choice]}
+        return (
+            f'id: {owner}:{offset}\n'.encode()
+            + b'data: '
+            + orjson.dumps(chunk)
+            + b'\n\n'
+        )
+
+    yield b''.join(event(offset) for offset in range(FAULT_AT))
+    match fault:
+        case 'cut':
+            raise ConnectionResetError
+        case 'end mark too soon':
+            yield event(FAULT_AT + 2) + b'data: [DONE]\n\n'
+        case 'lost last pieces':
+            yield b'data: [DONE]\n\n'
+        case 'no end mark':
+            yield b''.join(event(i) for i in range(FAULT_AT, TOKENS + 1))
+        case 'wrong attempt':
+            rest = range(FAULT_AT, TOKENS + 1)
+            yield b''.join(event(i) for i in rest) + b'data: [DONE]\n\n'
+        case 'foreign event':
+            yield event(FAULT_AT, 'n2-4567') + b'data: [DONE]\n\n'
+        case 'silent':
+            time.sleep(3)
+
+
+def serve(context, application):
+    running = server.Server(application, '127.0.0.1', threads=8)
+    context.add_cleanup(running.close)
+    return running.address
+
+
+def model_engine(step_s=0.001):
+    return engine.make_application(
+        engine.Engine(engine.Settings(step_s=step_s))
+    )
+
+
+def set_up(context, applications, body):
+    addresses = [serve(context, item) for item in applications]
+    context.client = http.HttpClient()
+    context.add_cleanup(context.client.close)
+    context.pool = Pool(
+        [worker(f'w{i}', item) for i, item in enumerate(addresses)]
+    )
+    context.executor = futures.ThreadPoolExecutor(4)
+    context.ended = threading.Event()
+    context.generation = generation.Generation(
+        generation.GenerationRequest(
+            ids.new_request_id(ids.NodeId('n1'), random.Random(7)),
+            ids.AccountId('fitters'),
+            ids.ServiceName('modele-atelier'),
+            types.Rank.URGENT,
+            orjson.dumps(body),
+            PROMPT,
+            body['max_tokens'],
+            time.monotonic() + 30,
+        ),
+        context.client,
+        context.pool,
+        context.executor,
+        lambda item: context.ended.set(),
+    )
+
+
+@behave.given('two engines, the first with the fault "{fault}"')
+def faulty_engines(context, fault):
+    before = backends_client.BETWEEN_TOKENS_TIMEOUT_S
+    backends_client.BETWEEN_TOKENS_TIMEOUT_S = 0.4
+    context.add_cleanup(
+        setattr, backends_client, 'BETWEEN_TOKENS_TIMEOUT_S', before
+    )
+    first = model_engine() if fault == 'none' else faulty_engine(fault)
+    set_up(context, (first, model_engine()), BODY)
+
+
+@behave.when('a request is sent to the first engine')
+def send(context):
+    context.generation.run_first_attempt()
+    assert context.ended.wait(20)
+
+
+@behave.then('its answer is whole and its own after {attempts:d} attempts')
+def check_whole(context, attempts):
+    check_content(context, TOKENS)
+    assert context.generation.attempts == attempts
+
+
+def check_content(context, tokens):
+    item = context.generation
+    assert item.buffer.state is buffer.AnswerState.COMPLETE, (
+        item.buffer.failure
+    )
+    found = chat.completion(item.buffer.events_from(0))
+    assert found['choices'][0]['message']['content'] == ''.join(
+        engine_batch.token_text(PROMPT, offset) for offset in range(tokens)
+    )
+    assert context.pool.open == 0, context.pool.open
+
+
+@behave.then('it fails after {attempts:d} attempt')
+def check_failed(context, attempts):
+    item = context.generation
+    assert item.buffer.state is buffer.AnswerState.FAILED
+    assert item.attempts == attempts
+
+
+@behave.given('two model engines that compute {tokens:d} tokens')
+def two_engines(context, tokens):
+    applications = (model_engine(0.01), model_engine(0.001))
+    set_up(context, applications, BODY | {'max_tokens': tokens})
+
+
+@behave.when(
+    'the first one is leaving after some tokens and the KV cache is {use}'
+)
+def leave(context, use):
+    item = context.generation
+    item.run_first_attempt()
+    item.buffer.wait(5, 10)
+    item.leave_worker(use == 'exported')
+    assert context.ended.wait(20)
+
+
+@behave.then(
+    'the answer is whole and {counted} tokens are counted as recomputed'
+)
+def check_moved(context, counted):
+    check_content(context, context.generation.request.max_tokens)
+    recomputed = context.generation.recomputed_tokens
+    assert (recomputed > 0) == (counted == 'some'), recomputed
--- a/hornbeamrudder/answers/generation.py
+++ b/hornbeamrudder/answers/generation.py
@@ -15,8 +15,8 @@
 from ..core import errors
 from ..core import ids
 from ..core import types
-from . import events
 from ..platform import http
+from . import reader
 
 MAX_ATTEMPTS = 8
 RETRY_PAUSE_S = 0.05
@@ -102,7 +102,6 @@
         self.request = request
         self.buffer = buffer.AnswerBuffer(request.id)
         self.accepted_at = time.monotonic()
-        self.first_token_at: float | None = None
         self.attempts = 0
         self.recomputed_tokens = 0
         self._client = client
@@ -113,6 +112,11 @@
         self._current: _Attempt | None = None
         self._failed_workers: frozenset[ids.WorkerId] = frozenset()
 
+    @property
+    def first_token_at(self) -> float | None:
+        """Monotonic time of the first token, None before it."""
+        return self.buffer.first_event_at
+
     @property
     def worker(self) -> types.Worker | None:
         """Worker of the current attempt."""
@@ -175,7 +179,11 @@
             offset = self.buffer.begin_attempt(number)
             if offset and not imported:
                 self.recomputed_tokens += offset
-            splitter = events.EventSplitter(self.request.id)
+            stream = reader.AttemptReader(
+                self.buffer,
+                number,
+                lambda detail: self._refuse_foreign(number, detail),
+            )
             call = self._client.start(
                 backends_client.engine_request(
                     worker,
@@ -188,9 +196,7 @@
                         self.request.traceparent,
                     ),
                 ),
-                lambda response, chunk: self._on_piece(
-                    number, splitter, response, chunk
-                ),
+                stream.feed,
             )
             self._current = _Attempt(number, worker, call)
         attempt = self._current
@@ -200,33 +206,6 @@
             )
         )
 
-    def _on_piece(
-        self,
-        attempt: int,
-        splitter: events.EventSplitter,
-        response: http.HttpResponse,
-        chunk: bytes,
-    ) -> None:
-        for event in splitter.feed(chunk):
-            match event:
-                case events.Token():
-                    if self.first_token_at is None:
-                        self.first_token_at = time.monotonic()
-                    self.buffer.accept(attempt, event)
-                case events.Done():
-                    if self._is_own(response, attempt):
-                        self.buffer.complete(attempt)
-                case events.Foreign(detail):
-                    self._refuse_foreign(attempt, detail)
-
-    def _is_own(self, response: http.HttpResponse, attempt: int) -> bool:
-        names = response.headers_by_name
-        return http.header(
-            names, 'X-Request-Id'
-        ) == self.request.id and http.header(names, 'X-Attempt') == str(
-            attempt
-        )
-
     def _refuse_foreign(self, number: int, detail: str) -> None:
         attempt = self._current
         if attempt is None or attempt.number != number:
@@ -247,6 +226,9 @@
     ) -> None:
         if not self._take_current(attempt):
             return
+        # An answer is whole with its finish reason, even where the end mark
+        # after it was lost.
+        self.buffer.complete(attempt.number)
         if self.buffer.state is buffer.AnswerState.COMPLETE:
             self._pool.ended(self.request, attempt.worker, EndReason.COMPLETE)
             self._on_end(self)
--- a/hornbeamrudder/standins/engine_batch.py
+++ b/hornbeamrudder/standins/engine_batch.py
@@ -203,6 +203,9 @@
                 sequence.output.put(None)
                 continue
             prefill_s += self._prefill(sequence)
+            if sequence.next_offset >= sequence.max_tokens:
+                sequence.output.put(None)
+                continue
             self._running.append(sequence)
         return prefill_s
 
