--- /dev/null
+++ b/hornbeamrudder/admission/deadline.py
@@ -0,0 +1,109 @@
+"""Early rejection of requests that cannot meet their deadline."""
+
+import math
+
+from ..core import errors
+from ..core import types
+from . import queue as queues
+
+MIN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 60.0
+
+
+def tokens_ahead(queue: queues.Queue, entry: queues.Entry) -> float:
+    """Expected tokens of the same rank that are served before `entry`."""
+    rank = queue.ranks[entry.rank]
+    flow = rank.flows_by_account.get(entry.account, queues.Flow())
+    start = max(flow.start_tag, rank.virtual_time)
+    if flow.entries:
+        start = flow.start_tag + flow.tokens / flow.weight
+    ahead = flow.tokens
+    for account, other in rank.flows_by_account.items():
+        if account != entry.account and other.entries:
+            before = max(0.0, start - other.start_tag) * other.weight
+            ahead += min(other.tokens, before)
+    return ahead
+
+
+def estimated_wait_s(
+    queue: queues.Queue, entry: queues.Entry, tokens_per_s: float
+) -> float:
+    """Estimate the wait for a slot while all slots are in use.
+
+    Parameters
+    ----------
+    tokens_per_s : float
+        Tokens per second of all slots of the service on this node.
+
+    Returns
+    -------
+    float
+        Seconds. More urgent work that arrives later is not included.
+    """
+    if tokens_per_s <= 0:
+        return math.inf
+    own = tokens_ahead(queue, entry)
+    more_urgent = sum(rank.tokens for rank in queue.ranks[: entry.rank])
+    owed_share = sum(
+        rank.floor
+        for index, rank in enumerate(queue.ranks)
+        if index != entry.rank and rank.length > 0
+    )
+    in_order = (own + more_urgent) / (1.0 - owed_share)
+    floor = queue.ranks[entry.rank].floor
+    if more_urgent > 0 and floor > 0:
+        in_order = min(in_order, own / floor)
+    return in_order / tokens_per_s
+
+
+def assess(
+    queue: queues.Queue,
+    entry: queues.Entry,
+    now: float,
+    free_slots: int,
+    tokens_per_s: float,
+) -> errors.Failure | None:
+    """Refuse an entry that would start after its latest start.
+
+    Returns
+    -------
+    Failure or None
+        The refusal, with the time after which a new try can succeed.
+    """
+    if now > entry.latest_start:
+        return refusal(
+            'the deadline cannot be met',
+            now - entry.latest_start,
+            errors.FailureKind.DEADLINE,
+        )
+    wait_s = 0.0
+    if free_slots <= queue.length:
+        wait_s = estimated_wait_s(queue, entry, tokens_per_s)
+    if now + wait_s <= entry.latest_start:
+        return None
+    return refusal(
+        'the estimated wait exceeds the deadline',
+        wait_s - (entry.latest_start - now),
+    )
+
+
+def refusal(
+    detail: str,
+    excess_s: float,
+    kind: errors.FailureKind = errors.FailureKind.OVERLOADED,
+) -> errors.Failure:
+    """Make the failure of a request that was refused and never ran.
+
+    Parameters
+    ----------
+    excess_s : float
+        Seconds by which the estimated wait is too long.
+    """
+    return errors.Failure(
+        kind,
+        errors.Step.ADMIT,
+        '',
+        detail,
+        types.Outcome.NOT_RUN,
+        min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, excess_s)),
+    )
--- /dev/null
+++ b/hornbeamrudder/admission/features/admission.feature
@@ -0,0 +1,56 @@
+Feature: Admission
+
+  Scenario: A free slot is never left idle while a request waits
+    # Guards against floors or fair queueing that hold back work.
+    Then any mix of arrivals, releases and capacities is work conserving
+
+  Scenario: No rank starves below its floor
+    # Guards against a flood of urgent work that stops bookings and batches.
+    Then every rank that always waits receives its floor within a few requests
+
+  Scenario: A rank that used idle capacity keeps its floor in a flood
+    # Guards against charging a rank for service that nobody else wanted.
+    Given 500 batch requests of 400 tokens were served while nothing else waited
+    When an urgent flood begins
+    Then batch has 5% of the next 200000 tokens within two requests
+
+  Scenario: Accounts of one rank share by weight
+    # Guards against one caller taking the slots of the others.
+    Then service by weight of any two waiting accounts differs by at most one request of each
+
+  Scenario: A full queue drops the work of the largest backlog
+    # Guards against one caller filling the queue and shutting the others out.
+    Given a queue of at most 20 entries filled by account "chain"
+    When account "shop" sends one request of 100 tokens
+    Then a request of "chain" is dropped and "shop" is served within 2 requests
+
+  Scenario: A request that cannot meet its deadline is refused at once
+    # Guards against callers who wait for an answer that comes too late.
+    Given a service with 2 slots at 10 tokens per second and 40 waiting requests of 100 tokens
+    When a request of 100 tokens with a deadline in 30 seconds is offered
+    Then it is refused as not run with a retry time between 1 and 60 seconds
+    And the same request with a deadline in 600 seconds is queued
+
+  Scenario: Expected tokens follow the observed answers
+    # Guards against charging every caller for the limit that it states.
+    Then 60 answers of 40 tokens move the expectation of a limit of 1000 below 45
+
+  Scenario: The controller grants, expires and counts
+    # Guards against futures that are never resolved and slots that leak.
+    Given a controller with one slot
+    When two requests are submitted and the second may wait 50 milliseconds
+    Then the first has the slot and the second fails with a deadline error
+    And releasing the slot twice leaves no slot in use
+    And closing the controller refuses a waiting request
+
+  Scenario: The controller keeps its slots under concurrent use
+    # Guards against races between submit, release and capacity changes.
+    Given a controller with 3 slots
+    When 8 threads submit and release 50 requests each
+    Then at most 3 slots were held at once and none is in use at the end
+
+  Scenario: A withdrawn request gives its slot back
+    # Guards against a slot held for a caller that has disconnected.
+    Given a controller with one slot
+    When a request is withdrawn before and after its grant
+    Then no slot is in use
--- /dev/null
+++ b/hornbeamrudder/routing/features/routing.feature
@@ -0,0 +1,55 @@
+Feature: Routing
+
+  Scenario: Shares never exceed the slots of a worker
+    # Guards against nodes that together overload a worker.
+    Then for any demand the shares of a worker add up to its slots unless nodes outnumber slots
+
+  Scenario: Shares are max-min fair
+    # Guards against a busy node taking slots that a modest one asks for.
+    Then no node gets less than it asks for while another gets more than it
+
+  Scenario: All nodes compute the same shares
+    # Guards against an order of messages that changes the result.
+    Then shares do not depend on the order in which demands are known
+
+  Scenario: The share of a dead node returns to the others
+    # Guards against slots that stay idle after an entry host is lost.
+    Given 9 workers with 16 slots and 7 nodes that each ask for 40 slots
+    When node "n3" is dead
+    Then the other nodes have all 144 slots and none has fewer than 20
+
+  Scenario: Rounding does not favour the same nodes on all workers
+    # Guards against a node that gets the rounded-down share of every worker.
+    Given 9 workers with 16 slots and 7 nodes that each ask for 40 slots
+    Then every node has between 16 and 26 slots
+
+  Scenario: Requests with the same prefix go to the same worker while it is not overloaded
+    # Guards against prompt prefixes that are recomputed on every worker.
+    Given 9 workers without load
+    Then 20 requests with one prefix go to one worker
+    And with 1000 tokens for each slot on that worker they go to others
+
+  Scenario: No worker far above the mean load is chosen
+    # Guards against a popular prefix that overloads its worker.
+    Then for any loads the chosen worker is within the bound where a free one is
+
+  Scenario: Leaving, tried and recently failed workers get no work
+    # Guards against sending a request to a host that is going away.
+    Given 9 workers without load
+    When workers 0 to 3 are leaving, worker 4 was tried and worker 5 failed 1 second ago
+    Then only workers 6 to 8 are chosen
+    And worker 5 is chosen again after 5 seconds
+
+  Scenario: Own work sent after a report counts
+    # Guards against herding on a worker whose report is old.
+    Given two workers with equal reports
+    When 5 requests of 100 tokens are sent to the first
+    Then the second is chosen until a newer report is known
+
+  Scenario: A gap in the cache events forgets what it may have hidden
+    # Guards against preferring a worker for blocks that it has evicted.
+    Then late, repeated and lost events never leave a block that the engine evicted before the last known event
+
+  Scenario: Losing a worker moves only its own prefixes
+    # Guards against a wave that empties the caches of the remaining workers.
+    Then removing a worker from the ring moves only the keys it held
