--- a/hornbeamrudder/core/hosts.py
+++ b/hornbeamrudder/core/hosts.py
@@ -91,3 +91,19 @@
     host: ids.HostId
     incarnation: ids.Incarnation
     seconds_left: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeavingHost:
+    """A leaving host as nodes report it to each other in heartbeats.
+
+    Attributes
+    ----------
+    seconds_left : float or None
+        Time until the host ends, counted from when the message was made;
+        None where it is unknown.
+    """
+
+    id: ids.HostId
+    incarnation: ids.Incarnation
+    seconds_left: float | None
