--- a/hornbeamrudder/fleet/features/steps/replace_steps.py
+++ b/hornbeamrudder/fleet/features/steps/replace_steps.py
@@ -118,7 +118,7 @@
             self.refuses = refused.__contains__
 
 
-def random_runs(settings=SETTINGS, seeds=12):
+def random_runs(settings=SETTINGS, seeds=8):
     for seed in range(seeds):
         run = Run(seed, settings)
         for _ in range(300):
--- /dev/null
+++ b/hornbeamrudder/fleet/features/steps/weight_steps.py
@@ -0,0 +1,155 @@
+"""Steps for weight loads."""
+
+import dataclasses
+
+import behave
+import hypothesis
+from hypothesis import strategies
+
+from hornbeamrudder.core import types
+from hornbeamrudder.fleet import weights
+
+BYTES = 60
+RATE = 2.0
+MODELS = ('quill', 'scribe', 'tags')
+
+
+def model(name, engines, rank=types.Rank.URGENT):
+    return weights.Model(name, 'quill-llm', rank, BYTES, engines)
+
+
+def plan(models, fleet, longest_s=60.0, busy=False):
+    return weights.plan(models, fleet, RATE, longest_s, busy)
+
+
+@behave.given(
+    '8 new engines and a weight store that loads 2 models in 60 seconds'
+)
+def give_new_engines(context):
+    context.fleet = [
+        weights.Engine(f'worker-{number}', 'quill', frozenset())
+        for number in range(8)
+    ]
+
+
+def ready_times(fleet, longest_s):
+    """Times at which engines have their weights, the rate being shared."""
+    left_by_engine = {}
+    fleet = {engine.id: engine for engine in fleet}
+    times = []
+    now = 0.0
+    while len(times) < len(fleet):
+        for name in plan([model('quill', 8)], fleet.values(), longest_s).load:
+            left_by_engine[name] = float(BYTES)
+            fleet[name] = dataclasses.replace(fleet[name], loading='quill')
+        rate = RATE / len(left_by_engine)
+        seconds = min(left_by_engine.values()) / rate
+        now += seconds
+        for name in tuple(left_by_engine):
+            left_by_engine[name] -= rate * seconds
+            if left_by_engine[name] <= 1e-9:
+                del left_by_engine[name]
+                times.append(now)
+                fleet[name] = dataclasses.replace(
+                    fleet[name], loading='', present=frozenset(['quill'])
+                )
+    return times
+
+
+@behave.then(
+    'with staggered loads the first engine serves after {seconds:d} seconds'
+)
+def check_staggered(context, seconds):
+    context.staggered = ready_times(context.fleet, 60.0)
+    assert context.staggered[0] == seconds, context.staggered
+
+
+@behave.then(
+    'with all loads at once the first engine serves after {seconds:d} seconds'
+)
+def check_at_once(context, seconds):
+    context.at_once = ready_times(context.fleet, 1e6)
+    assert context.at_once[0] == seconds, context.at_once
+
+
+@behave.then('in both cases the last engine serves after {seconds:d} seconds')
+def check_last(context, seconds):
+    last = (context.staggered[-1], context.at_once[-1])
+    assert last == (seconds, seconds), last
+
+
+@behave.given('an engine with the weights of "quill" and one without')
+def give_two(context):
+    context.fleet = [
+        weights.Engine('worker-1', 'tags', frozenset(['tags', 'quill'])),
+        weights.Engine('worker-2', 'tags', frozenset(['tags'])),
+    ]
+
+
+@behave.when('one more engine for "quill" is needed')
+def need_one(context):
+    context.plan = plan([model('quill', 1), model('tags', 1)], context.fleet)
+
+
+@behave.when('two more engines for "quill" are needed and the store is busy')
+def need_two(context):
+    context.plan = plan([model('quill', 2)], context.fleet, busy=True)
+
+
+@behave.then(
+    'the engine with the weights changes its role and nothing is loaded'
+)
+def check_role_change(context):
+    assert context.plan == weights.Plan({'worker-1': 'quill'}, {}), (
+        context.plan
+    )
+
+
+names = strategies.sampled_from(MODELS)
+engines = strategies.builds(
+    weights.Engine,
+    strategies.just(''),
+    names | strategies.just(''),
+    strategies.frozensets(names),
+    strategies.sampled_from(('', '', '', *MODELS)),
+)
+
+
+@behave.then('random plans keep the limits')
+def check_limits(_context):
+    @hypothesis.settings(
+        derandomize=True, database=None, deadline=None, max_examples=400
+    )
+    @hypothesis.given(
+        strategies.lists(engines, max_size=8),
+        strategies.tuples(*[strategies.integers(0, 4)] * len(MODELS)),
+    )
+    def check(given, wanted):
+        fleet = {
+            f'worker-{number}': dataclasses.replace(
+                engine, id=f'worker-{number}'
+            )
+            for number, engine in enumerate(given)
+        }
+        models = [
+            model(name, count, rank)
+            for name, count, rank in zip(
+                MODELS, wanted, types.Rank, strict=True
+            )
+        ]
+        found = plan(models, tuple(fleet.values()))
+        loading = sum(bool(engine.loading) for engine in given)
+        assert not found.load or loading + len(found.load) <= 2
+        for name, loaded in found.load.items():
+            assert loaded not in fleet[name].present
+            assert not fleet[name].loading
+        for item in models:
+            before = [
+                name
+                for name, engine in fleet.items()
+                if (engine.loading or engine.serves) == item.name
+            ]
+            after = [name for name in before if name not in found.serve]
+            assert len(after) >= min(len(before), item.engines)
+
+    check()
