Read the asset register and rules from files, with positions

Cause: operators keep their inventory in an asset register, and need every fault in it named with file, line, field and reason in one pass.

References to a section that could not be read completely are not reported, because they would hide the cause. A model offered by two services is refused, since a chat completion names only the model. examples/ holds both firms.

Conclusion: both example firms give a document of 13 hosts and 13 workers.

--- a/hornbeamrudder/inventory/cross_checks.py
+++ b/hornbeamrudder/inventory/cross_checks.py
@@ -82,6 +82,16 @@
     ]
 
 
+def _models(value: dict[str, Any]) -> list[Keyed]:
+    return [
+        ((*path, 'models', index), model)
+        for path, service in _items(value, 'services')
+        if isinstance(models := service.get('models'), list)
+        for index, model in enumerate(models)
+        if isinstance(model, str)
+    ]
+
+
 def _repeats(
     what: str,
     keyed: Sequence[Keyed],
@@ -100,6 +110,8 @@
 
 def _duplicates(value: dict[str, Any]) -> Iterator[problems.Finding]:
     yield from _repeats('name', _keyed(_items(value, 'services'), 'name'))
+    # A chat completion names only the model, which must lead to one service.
+    yield from _repeats('model', _models(value))
     for section in ('accounts', 'operators', 'hosts'):
         yield from _repeats('id', _keyed(_items(value, section), 'id'))
     yield from _repeats('worker id', _keyed(_workers(value), 'id'))
@@ -146,7 +158,9 @@
     ):
         for path, name in references:
             if name not in known:
-                yield problems.Finding(path, f'unknown {what} {name!r}')
+                yield problems.Finding(
+                    path, f'unknown {what} {name!r}', f'{what}s'
+                )
 
 
 def _floors(value: dict[str, Any]) -> Iterator[problems.Finding]:
--- /dev/null
+++ b/hornbeamrudder/inventory/difference.py
@@ -0,0 +1,158 @@
+"""Difference of two configuration documents by key.
+
+Keys are `services/<name>`, `accounts/<id>`, `operators/<id>`, `hosts/<id>`,
+`workers/<id>` and `rules/<name>[/<part>]`. Conflicts between operators and
+the history of versions use the same keys.
+"""
+
+import dataclasses
+from typing import Any, Mapping, Union
+
+from . import schema
+
+RULES_PREFIX = 'rules/'
+_ANY = '*'
+# Rules whose values are mappings with one key each.
+_NESTED_RULES = ('floors', 'admission')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Added:
+    """A key that only the new document has."""
+
+    key: str
+    new: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Removed:
+    """A key that only the old document has."""
+
+    key: str
+    old: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changed:
+    """A key whose value differs."""
+
+    key: str
+    old: Any
+    new: Any
+
+
+Change = Union[Added, Removed, Changed]
+
+
+def between(old: schema.Document, new: schema.Document) -> tuple[Change, ...]:
+    """Return all changes from `old` to `new`, ordered by key."""
+    old_by_key = values_by_key(old)
+    new_by_key = values_by_key(new)
+    changes: list[Change] = []
+    for key in sorted(old_by_key.keys() | new_by_key.keys()):
+        if key not in old_by_key:
+            changes.append(Added(key, new_by_key[key]))
+        elif key not in new_by_key:
+            changes.append(Removed(key, old_by_key[key]))
+        elif old_by_key[key] != new_by_key[key]:
+            changes.append(Changed(key, old_by_key[key], new_by_key[key]))
+    return tuple(changes)
+
+
+def values_by_key(document: schema.Document) -> dict[str, Any]:
+    """Return the parts of a document by their difference key."""
+    value = schema.to_json(document)
+    values = {f'services/{item["name"]}': item for item in value['services']}
+    for section in ('accounts', 'operators'):
+        values |= {f'{section}/{item["id"]}': item for item in value[section]}
+    for host in value['hosts']:
+        workers = host.pop('workers')
+        values[f'hosts/{host["id"]}'] = host
+        values |= {
+            f'workers/{worker["id"]}': worker | {'host': host['id']}
+            for worker in workers
+        }
+    return values | _rules_by_key(value['rules'])
+
+
+def _rules_by_key(rules: dict[str, Any]) -> dict[str, Any]:
+    values: dict[str, Any] = {}
+    for name, value in rules.items():
+        if name in _NESTED_RULES:
+            values |= {
+                f'{RULES_PREFIX}{name}/{inner}': item
+                for inner, item in value.items()
+            }
+        elif isinstance(value, list):
+            values |= {
+                f'{RULES_PREFIX}{name}/{_rule_key(item)}': item
+                for item in value
+            }
+        else:
+            values[RULES_PREFIX + name] = value
+    return values
+
+
+def _rule_key(item: Mapping[str, Any]) -> str:
+    parts = [
+        item[name] or _ANY
+        for name in ('service', 'account', 'method', 'path_prefix')
+        if name in item
+    ]
+    return ' '.join(parts)
+
+
+def to_text(changes: tuple[Change, ...]) -> str:
+    """Render changes with one line for each key or changed field."""
+    if not changes:
+        return 'no difference'
+    return '\n'.join(line for change in changes for line in _lines(change))
+
+
+def to_json(changes: tuple[Change, ...]) -> list[dict[str, Any]]:
+    """Return changes as JSON objects with `change`, `key`, `old`, `new`."""
+    return [
+        {'change': type(change).__name__.lower()} | dataclasses.asdict(change)
+        for change in changes
+    ]
+
+
+def _lines(change: Change) -> list[str]:
+    match change:
+        case Added(key, new):
+            return [f'+ {key}: {_flat(new)}']
+        case Removed(key, old):
+            return [f'- {key}: {_flat(old)}']
+        case Changed(key, dict() as old, dict() as new):
+            return [
+                f'~ {key} {name}: {_flat(old.get(name))}'
+                f' -> {_flat(new.get(name))}'
+                for name in sorted(old.keys() | new.keys())
+                if old.get(name) != new.get(name)
+            ]
+        case Changed(key, old, new):
+            return [f'~ {key}: {_flat(old)} -> {_flat(new)}']
+
+
+def _flat(value: Any) -> str:
+    match value:
+        case dict():
+            flat_by_name = {
+                name: _flat(item)
+                for name, item in value.items()
+                if item is not None
+            }
+            return ', '.join(
+                f'{name}=({text})'
+                if isinstance(value[name], dict)
+                else f'{name}={text}'
+                for name, text in flat_by_name.items()
+                if text
+            )
+        case list():
+            return '[' + ', '.join(_flat(item) for item in value) + ']'
+        case None:
+            return 'none'
+        case bool():
+            return str(value).lower()
+    return str(value)
--- a/hornbeamrudder/inventory/features/document.feature
+++ b/hornbeamrudder/inventory/features/document.feature
@@ -15,6 +15,7 @@
       | surplus                 | 1                                  |
       | hosts.0.workers.0.port  | "80"                               |
       | hosts.0.workers.1.service | "none"                           |
+      | services.1.models       | ["m"]                              |
       | hosts.1.id              | "h1"                               |
       | hosts.1.workers.1.ip    | "10.0.0.1"                         |
       | accounts.1.token_sha256 | "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" |
@@ -27,6 +28,7 @@
       | surplus                   | Extra inputs      |
       | hosts[0].workers[0].port  | valid integer     |
       | hosts[0].workers[1].service | unknown service |
+      | services[1].models[0]     | duplicate model m |
       | hosts[1].id               | duplicate id h1   |
       | hosts[1].workers[1].port  | duplicate address |
       | accounts[1].token_sha256  | duplicate token   |
--- /dev/null
+++ b/hornbeamrudder/inventory/features/files.feature
@@ -0,0 +1,109 @@
+Feature: Register and rules files
+
+  Scenario Outline: The example firms are read straight from their files
+    # Guards against a register format of one firm that cannot be mapped.
+    Given a copy of the example "<firm>"
+    When the files are checked
+    Then the document has 13 hosts, 13 workers, 2 services and 5 accounts
+    And worker <worker> costs <price> an hour and checks fencing: <fencing>
+
+    Examples:
+      | firm       | worker    | price | fencing |
+      | beaudoin   | bd-gpu-01 | 2.40  | yes     |
+      | blue-mahoe | quill-03  | 0.62  | no      |
+
+  Scenario: All problems of all files are reported in one go with their place
+    # Guards against files that are applied in part, and against problems
+    # without a place where the operator can correct them.
+    Given a copy of the example "blue-mahoe"
+    When these texts are replaced
+      | file          | old                             | new                               |
+      | hosts.csv     | gpu-24g,spot,0.62,active        | gpu-24g,spot,cheap,active         |
+      | hosts.csv     | bm-gpu-09,                      | bm-gpu-08,                        |
+      | hosts.csv     | kingston-a,cpu-4,spot,0.05      | kingston-a,cpu-4,lent,0.05        |
+      | processes.csv | quill-04,bm-gpu-04              | quill-04,bm-gpu-77                |
+      | processes.csv | 10.30.1.14,8100                 | 10.30.1.10,8100                   |
+      | processes.csv | 10.30.3.42,8200,32              | 10.30.3.42,82000,                 |
+      | processes.csv | 10.30.4.17,8100,16,yes          | 10.30.4.17,8100,16                |
+      | services.yaml | [quill-8b]                      | {quill-8b: 1}                     |
+      | accounts.csv  | workshop,                       | work shop,                        |
+      | rules.yaml    | buyers-counter, rank: urgent    | buyers-desk, rank: urgent         |
+      | rules.yaml    | path_prefix: /notes, rank       | path_prefix: notes, rank          |
+      | rules.yaml    | {standard: 0.15, batch: 0.05}   | {standard: 0.95, batch: 0.1}      |
+      | rules.yaml    | order_retention_s               | order_retention                   |
+    And the files are checked
+    Then these problems are found and no document
+      | file          | line | field                         | reason                     |
+      | hosts.csv     | 2    | usd_per_hour                  | 'cheap' is not a number    |
+      | hosts.csv     | 10   | asset_tag                     | duplicate id bm-gpu-08     |
+      | hosts.csv     | 11   | contract                      | 'reclaimable' or           |
+      | processes.csv | 5    | asset_tag                     | unknown host 'bm-gpu-77'   |
+      | processes.csv | 6    | port                          | duplicate address          |
+      | processes.csv | 9    | row                           | 6 cells, 7 expected        |
+      | processes.csv | 10   | asset_tag                     | unknown host 'bm-gpu-09'   |
+      | processes.csv | 13   | port                          | less than or equal         |
+      | processes.csv | 13   | slots                         | is empty                   |
+      | services.yaml | 4    | models                        | single value or a list     |
+      | accounts.csv  | 6    | account                       | match pattern              |
+      | rules.yaml    | 4    | ranks[0].account              | unknown account            |
+      | rules.yaml    | 8    | ranks[4].path_prefix          | match pattern              |
+      | rules.yaml    | 12   | floors                        | add up to 1.05             |
+      | rules.yaml    | 19   | order_retention               | Extra inputs               |
+
+  Scenario Outline: A faulty file is refused with the line of the fault
+    # Guards against YAML that expands without bound, silently loses a key or
+    # turns text into another number, and against unmapped columns.
+    Given a copy of the example "blue-mahoe"
+    When "<old>" is replaced by "<new>" in <file>
+    And the files are checked
+    Then the first problem is at <place> line <line>, field <field>: <reason>
+
+    Examples:
+      | file         | old            | new               | place        | line | field               | reason                  |
+      | rules.yaml   | ranks:         | ranks: &a         | rules.yaml   | 12   | document            | alias *a                |
+      | rules.yaml   | deadline_s: 25 | deadline_s: 1:25  | rules.yaml   | 6    | ranks[2].deadline_s | '1:25' is not a decimal |
+      | rules.yaml   | default_rank:  | floors:           | rules.yaml   | 12   | floors              | duplicate key, first on |
+      | rules.yaml   | rank: batch    | rank: [batch      | rules.yaml   | 8    | document            | not YAML                |
+      | rules.yaml   | standard: 0.15 | standard: !x 0.15 | rules.yaml   | 12   | floors.standard     | unsupported YAML type   |
+      | mapping.yaml | asset_tag      | tag_of_asset      | hosts.csv    | 1    | tag_of_asset        | column is missing       |
+      | mapping.yaml | port: port     | ports: port       | mapping.yaml | 27   | sources[4]          | unknown fields ports    |
+      | mapping.yaml | hosts.csv      | absent.csv        | absent.csv   | 1    | file                | is absent               |
+      | hosts.csv    | status         | site,status       | hosts.csv    | 1    | site                | more than once          |
+      | accounts.csv | workshop       | work\xffshop      | accounts.csv | 6    | file                | not valid utf-8         |
+      | accounts.csv | workshop,      | "workshop,        | accounts.csv | 6    | row                 | not CSV                 |
+
+  Scenario: A file over the size limit is refused
+    # Guards against an input that fills the memory.
+    Given a copy of the example "blue-mahoe"
+    When accounts.csv grows over the size limit
+    And the files are checked
+    Then the first problem is at accounts.csv line 1, field file: is larger than
+
+  Scenario: Several rows about one entry have to agree
+    # Guards against a register that contradicts itself unnoticed.
+    Given a copy of the example "beaudoin"
+    When "entries: hosts" is replaced by "entries: hosts\n    repeated: true" in mapping.yaml
+    And "bd-gpu-02;beauport-n;gpu-moyen" is replaced by "bd-gpu-01;beauport-n;gpu-moyen" in registre.csv
+    And the files are checked
+    Then the first problem is at registre.csv line 3, field Centre: differs from line 2
+
+  Scenario: A change of the rules keeps the inventory, and is shown by key
+    # Guards against an apply that reverts the inventory, and against a
+    # difference that hides a change.
+    Given a copy of the example "blue-mahoe"
+    When the files are checked
+    And these texts are replaced
+      | file       | old                                 | new                                  |
+      | rules.yaml | buyers-counter, rank: urgent, deadline_s: 5 | buyers-counter, rank: urgent, deadline_s: 6 |
+      | rules.yaml | path_prefix: /quotations            | path_prefix: /quotes                 |
+    And the rules alone are checked against the document
+    Then the difference is
+      """
+      - rules/non_idempotent/ledger-app POST /quotations: service=ledger-app, method=POST, path_prefix=/quotations
+      + rules/non_idempotent/ledger-app POST /quotes: service=ledger-app, method=POST, path_prefix=/quotes
+      ~ rules/ranks/quill-llm buyers-counter * * deadline_s: 5.0 -> 6.0
+      """
+
+  Scenario: No content of a file makes the check raise
+    # Guards against a traceback in place of a list of problems.
+    Then arbitrary and altered files give a document or complete problems
--- /dev/null
+++ b/hornbeamrudder/inventory/features/steps/file_steps.py
@@ -0,0 +1,214 @@
+"""Steps for register and rules files."""
+
+import pathlib
+import random
+import shutil
+import tempfile
+
+import behave
+import hypothesis
+from hypothesis import strategies
+from returns import pipeline
+
+from hornbeamrudder.inventory import check
+from hornbeamrudder.inventory import difference
+from hornbeamrudder.inventory import files
+from hornbeamrudder.inventory import schema
+
+EXAMPLES = pathlib.Path(__file__).resolve().parents[4] / 'examples'
+
+
+def copy_example(firm):
+    folder = tempfile.TemporaryDirectory()
+    shutil.copytree(EXAMPLES / firm, folder.name, dirs_exist_ok=True)
+    return folder
+
+
+def check_folder(folder):
+    path = pathlib.Path(folder)
+    return check.check_files(path / 'mapping.yaml', path / 'rules.yaml')
+
+
+def replace(context, file, old, new):
+    path = pathlib.Path(context.folder) / file
+    content = path.read_text()
+    assert old in content, (file, old)
+    new = new.replace('\\n', '\n')
+    if file == 'rules.yaml' and '&a' in new:
+        content = content.replace('{standard', '*a #')
+    if '"workshop' in new:
+        content = content.rstrip()
+    encoding = 'latin-1' if '\\xff' in new else 'utf-8'
+    new = new.replace('\\xff', '\xff')
+    path.write_bytes(content.replace(old, new, 1).encode(encoding))
+
+
+@behave.given('a copy of the example "{firm}"')
+def example(context, firm):
+    folder = copy_example(firm)
+    context.add_cleanup(folder.cleanup)
+    context.folder = folder.name
+
+
+@behave.when('the files are checked')
+def check_all(context):
+    context.checked = check_folder(context.folder)
+
+
+@behave.when('these texts are replaced')
+def replace_texts(context):
+    for row in context.table:
+        replace(context, row['file'], row['old'], row['new'])
+
+
+@behave.when('"{old}" is replaced by "{new}" in {file}')
+def replace_text(context, old, new, file):
+    replace(context, file, old, new)
+
+
+@behave.when('{file} grows over the size limit')
+def grow(context, file):
+    with (pathlib.Path(context.folder) / file).open('ab') as stream:
+        stream.write(b'\n' * (files.MAX_FILE_BYTES + 1))
+
+
+@behave.then(
+    'the document has {hosts:d} hosts, {workers:d} workers,'
+    ' {services:d} services and {accounts:d} accounts'
+)
+def check_counts(context, hosts, workers, services, accounts):
+    document = context.checked.unwrap()
+    found = (
+        len(document.hosts),
+        len(document.workers_by_id),
+        len(document.services),
+        len(document.accounts),
+    )
+    assert found == (hosts, workers, services, accounts), found
+
+
+@behave.then(
+    'worker {worker} costs {price:f} an hour and checks fencing: {fencing}'
+)
+def check_worker_price(context, worker, price, fencing):
+    document = context.checked.unwrap()
+    found = document.workers_by_id[worker]
+    host = next(host for host in document.hosts if host.id == found.host)
+    assert host.price_per_hour == price
+    assert found.checks_fencing == (fencing == 'yes')
+
+
+@behave.then('these problems are found and no document')
+def check_problems(context):
+    found = context.checked.failure()
+    wanted = [tuple(row) for row in context.table]
+    text = '\n'.join(str(problem) for problem in found)
+    for file, line, field, reason in wanted:
+        assert any(
+            pathlib.Path(problem.file).name == file
+            and problem.line == int(line)
+            and problem.field == field
+            and reason in problem.reason
+            for problem in found
+        ), (file, line, field, reason, text)
+    assert len(found) == len(wanted), text
+
+
+@behave.then(
+    'the first problem is at {file} line {line:d}, field {field}: {reason}'
+)
+def check_first(context, file, line, field, reason):
+    found = context.checked.failure()
+    first = found[0]
+    text = '\n'.join(str(problem) for problem in found)
+    assert pathlib.Path(first.file).name == file, text
+    assert first.line == line, text
+    assert first.field == field, text
+    assert reason in first.reason, text
+
+
+@behave.when('the rules alone are checked against the document')
+def check_rules(context):
+    context.changed = check.check_change(
+        context.checked.unwrap(),
+        None,
+        pathlib.Path(context.folder) / 'rules.yaml',
+    ).unwrap()
+
+
+@behave.then('the difference is')
+def check_difference(context):
+    old = context.checked.unwrap()
+    changes = difference.between(old, context.changed)
+    assert difference.to_text(changes) == context.text, changes
+    assert context.changed.hosts == old.hosts
+    assert difference.between(old, old) == ()
+    shown = difference.to_json(changes)
+    assert [item['change'] for item in shown] == [
+        'removed',
+        'added',
+        'changed',
+    ]
+
+
+@behave.then(
+    'arbitrary and altered files give a document or complete problems'
+)
+def fuzz_files(context):
+    with copy_example('beaudoin') as first, copy_example('blue-mahoe') as two:
+        paths = sorted(
+            path
+            for folder in (first, two)
+            for path in pathlib.Path(folder).glob('*.[cy]*')
+        )
+        fuzz_paths(paths)
+
+
+def fuzz_paths(paths):
+    content_by_path = {path: path.read_bytes() for path in paths}
+
+    def check_with(path, content):
+        path.write_bytes(content)
+        try:
+            checked = check_folder(path.parent)
+        finally:
+            path.write_bytes(content_by_path[path])
+        if pipeline.is_successful(checked):
+            assert schema.parse_document(schema.to_json(checked.unwrap()))
+            return
+        assert checked.failure()
+        for problem in checked.failure():
+            assert problem.file and problem.line >= 1, problem
+            assert problem.field and problem.reason, problem
+
+    fuzz = hypothesis.settings(
+        max_examples=250, derandomize=True, deadline=None, database=None
+    )
+
+    @fuzz
+    @hypothesis.given(
+        strategies.sampled_from(paths),
+        strategies.binary(max_size=60)
+        | strategies.text(
+            alphabet='-: []{}&*!|>\'"%@#,;\n\tab0.~?', max_size=40
+        ).map(str.encode),
+    )
+    def arbitrary(path, content):
+        check_with(path, content)
+
+    @fuzz
+    @hypothesis.given(
+        strategies.sampled_from(paths),
+        strategies.integers(0, 2**32),
+        strategies.binary(max_size=6)
+        | strategies.sampled_from([b'"', b'\n', b',', b': ', b'[', b'\0']),
+    )
+    def altered(path, seed, piece):
+        content = bytearray(content_by_path[path])
+        rng = random.Random(seed)
+        start = rng.randrange(len(content))
+        content[start : start + rng.randrange(12)] = piece
+        check_with(path, bytes(content))
+
+    arbitrary()
+    altered()
--- a/hornbeamrudder/inventory/problems.py
+++ b/hornbeamrudder/inventory/problems.py
@@ -36,10 +36,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finding:
-    """A fault at a path in a document, before its position is known."""
+    """A fault at a path in a document, before its position is known.
+
+    Attributes
+    ----------
+    refers_to : str
+        Section of the document that lacks the entry named at `path`.
+    """
 
     path: Path
     reason: str
+    refers_to: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,7 +56,8 @@
     Attributes
     ----------
     field : str
-        Column that the value comes from; empty to name the document path.
+        Column, or path in the file, that the value comes from; empty to
+        name the path in the document.
     """
 
     file: str
@@ -72,8 +80,10 @@
     for length in range(len(finding.path), -1, -1):
         position = position_by_path.get(finding.path[:length])
         if position is not None:
-            # A column names the value only where the path ends at it.
-            exact = position.field and length == len(finding.path)
-            field = position.field if exact else path_text(finding.path)
-            return Problem(position.file, position.line, field, finding.reason)
+            path = finding.path
+            if position.field:
+                path = (position.field, *path[length:])
+            return Problem(
+                position.file, position.line, path_text(path), finding.reason
+            )
     return Problem('', 0, path_text(finding.path), finding.reason)
