Add configuration state machine and connections between nodes

Cause: a version has to be in force everywhere before an operator is told so, through cuts, pauses, restarts and outages of the table service.

Change: configuration/ holds the version row, the right to admit, acceptance, proposals and membership as one pure state machine per node, with a thin executor. peers/ holds messages, codec, member view and authenticated connections. A virtual-time simulation checks the promises.

--- /dev/null
+++ b/hornbeamrudder/configuration/features/exploration.py
@@ -0,0 +1,259 @@
+"""Random fault schedules and scripted interleavings for the simulation."""
+
+import os
+import random
+
+from hornbeamrudder.configuration import events
+from hornbeamrudder.configuration.features import simulation
+from hornbeamrudder.configuration import publish
+from hornbeamrudder.configuration import state
+
+LONG_FACTOR = 20
+SETTLE_S = 60.0
+
+
+def seeds(count):
+    """Fixed seeds; the long form has more of them."""
+    if os.environ.get('HORNBEAMRUDDER_PROOFS') == 'long':
+        count *= LONG_FACTOR
+    return range(1, count + 1)
+
+
+def started(seed, names, **options):
+    """Nodes that have all joined."""
+    run = simulation.Simulation(seed, **options)
+    for name in names:
+        run.start(name)
+    run.run(12)
+    assert {len(run.row.members), run.row.version} == {len(names)}
+    return run
+
+
+def random_run(seed):
+    """Run one random schedule, then heal everything and check progress."""
+    rng = random.Random(seed)
+    names = [f'n{index}' for index in range(rng.randint(3, 7))]
+    run = simulation.Simulation(
+        seed,
+        loss=rng.choice((0.0, 0.05, 0.3)),
+        late=rng.choice((0.0, 0.05, 0.3)),
+        drift=simulation.drift_bound(),
+    )
+    for name in names:
+        run.start(name)
+    run.run(rng.uniform(3, 8))
+    for index in range(rng.randint(10, 40)):
+        _random_fault(run, rng, index)
+        run.run(rng.choice((0.02, 0.1, 0.5, 2.0, 5.0)))
+    _heal(run)
+    run.run(SETTLE_S)
+    _check_progress(run)
+    return run
+
+
+def _random_fault(run, rng, index):
+    live = [process.name for process in run.live()]
+    every = [*run.processes_by_name, simulation.TABLE]
+    name = rng.choice(live)
+    match rng.choice(_FAULTS):
+        case 'propose':
+            run.propose(name, f'edit{index}', rng.choice('abc'))
+        case 'race':
+            for other in rng.sample(live, min(2, len(live))):
+                run.propose(other, f'edit{index}-{other}', rng.choice('ab'))
+        case 'cut':
+            run.cuts |= {tuple(rng.sample(every, 2)) for _ in range(6)}
+        case 'partition':
+            rng.shuffle(every)
+            middle = rng.randint(1, len(every) - 1)
+            run.partition(every[:middle], every[middle:])
+        case 'reconnect':
+            run.cuts = set()
+        case 'pause':
+            run.pause(name, rng.choice((0.5, 2.9, 3.2, 6.0)))
+        case 'restart':
+            run.kill(name)
+            run.at(rng.choice((0.01, 1.0, 4.0)), lambda: run.start(name))
+        case 'kill' if len(live) > 2:
+            run.kill(name)
+        case 'join' if len(live) < 7:
+            run.start(f'j{index}')
+        case 'leave' if len(live) > 2:
+            run.tell(name, events.ReleaseSelf())
+            run.at(rng.choice((0.0, 1.0, 5.0)), lambda: run.kill(name))
+        case 'outage':
+            run.table_down = not run.table_down
+        case 'lost responses':
+            run.response_loss = rng.choice((0.0, 0.5, 1.0))
+    if not run.live():
+        run.start(name)
+
+
+_FAULTS = (
+    *('propose',) * 5,
+    *('race', 'partition', 'reconnect', 'restart', 'outage') * 2,
+    *('cut', 'pause', 'kill', 'join', 'leave', 'lost responses'),
+)
+
+
+def _heal(run):
+    run.cuts, run.table_down = set(), False
+    run.loss = run.late = run.response_loss = 0.0
+    run.run(15)
+    for process in run.live():
+        if process.state.knowledge.stopping:
+            run.kill(process.name)
+    if not run.live():
+        run.start('last')
+    alive = {(item.name, item.incarnation) for item in run.live()}
+    # The platform reports the hosts that have ended.
+    for process in run.live():
+        for electorate in state.all_electorates(run.row) if run.row else ():
+            for voter in electorate:
+                if voter not in alive:
+                    run.tell(process.name, events.Ended(voter))
+
+
+def _check_progress(run):
+    """After faults end, all live nodes admit and a change is accepted."""
+    for process in run.live():
+        if not run.admits(process.name):
+            run.fail(f'{process.name} does not admit after recovery')
+    run.propose(run.live()[0].name, 'final', 'final')
+    run.run(6)
+    if not isinstance(run.result_by_attempt.get('final'), publish.Accepted):
+        run.fail('no change is accepted within 6 s after recovery')
+    if {run.version(process.name) for process in run.live()} != {
+        run.row.version
+    }:
+        run.fail('a node does not follow after recovery')
+    run.check_outcomes()
+
+
+def silent_node_run():
+    """Node c is cut off just after a confirmation, then a change is made."""
+    run = started(1, 'abc')
+    run.partition('ab' + 'T', 'c')
+    run.cuts |= {('c', simulation.TABLE)}
+    run.propose('a', 'edit', 'key')
+    run.run(8)
+    return run
+
+
+def partition_run():
+    """Nodes d and e hear only each other while a change is made."""
+    run = started(2, 'abcde')
+    run.partition('abc', 'de')
+    run.cuts |= {('d', simulation.TABLE), ('e', simulation.TABLE)}
+    run.run(1)
+    run.propose('a', 'edit', 'key')
+    run.run(20)
+    return run
+
+
+def restart_run():
+    """Node a acknowledges a version and restarts among nodes without it.
+
+    The restarted process is confirmed by c, d and e at the version before;
+    then e acknowledges, and b counts b, a and e as a majority.
+    """
+    run = started(3, 'abcde')
+    run.cuts = {('b', 'c'), ('b', 'd'), ('b', 'e')}
+    run.cuts |= {('a', other) for other in 'cde'}
+    run.cuts |= {(name, simulation.TABLE) for name in 'acde'}
+    run.propose('b', 'edit', 'key')
+    while run.version('a') < 6:
+        run.run(0.005)
+    run.run(0.05)
+    run.table_down = True
+    run.kill('a')
+    run.start('a')
+    run.cuts = {('b', 'c'), ('b', 'd'), ('a', 'b'), ('b', 'a')}
+    run.cuts |= {('b', 'e')}
+    run.run(2)
+    run.cuts = {('b', 'c'), ('b', 'd'), ('a', 'b'), ('b', 'a')}
+    run.cuts |= {('e', other) for other in 'acd'}
+    run.run(20)
+    return run
+
+
+def stale_answer_run():
+    """As `restart_run`, but all others acknowledge within a second."""
+    run = started(4, 'abcde')
+    run.cuts = {('b', 'c'), ('b', 'd'), ('b', 'e')}
+    run.cuts |= {('a', other) for other in 'cde'}
+    run.cuts |= {(name, simulation.TABLE) for name in 'acde'}
+    run.propose('b', 'edit', 'key')
+    while run.version('a') < 6:
+        run.run(0.005)
+    run.run(0.05)
+    run.table_down = True
+    run.kill('a')
+    run.start('a')
+    run.cuts = {('b', other) for other in 'acde'} | {('a', 'b')}
+    while not run.admits('a'):
+        run.run(0.01)
+    run.cuts = {(one, 'a') for one in 'bcde'} | {('a', 'b')}
+    run.run(20)
+    return run
+
+
+def member_chain_run():
+    """Nodes a and b miss four joins, and then a change is made.
+
+    They are a majority of the three members that they know, and the five
+    other nodes are a majority of the seven current members.
+    """
+    run = started(5, 'abc')
+    run.cuts = {(simulation.TABLE, 'a'), (simulation.TABLE, 'b')}
+    run.cuts |= {('a', simulation.TABLE), ('b', simulation.TABLE)}
+    for name in 'defg':
+        run.cuts |= {(one, other) for one in 'cdefg' for other in 'ab'}
+        run.start(name)
+        run.run(3)
+    run.propose('g', 'edit', 'key')
+    run.run(20)
+    return run
+
+
+def lost_response_run():
+    """The response to a write is lost, and the write takes effect late."""
+    run = started(6, 'abc')
+    run.response_loss = 1.0
+    run.propose('a', 'edit', 'key')
+    run.run(3)
+    run.response_loss = 0.0
+    run.run(20)
+    run.check_outcomes()
+    return run
+
+
+def paused_node_run():
+    """Node c is paused while a change is accepted, and wakes up later."""
+    run = started(7, 'abc')
+    run.pause('c', 9.0)
+    run.propose('a', 'edit', 'key')
+    run.run(15)
+    return run
+
+
+def released_restart_run():
+    """Node a releases, restarts, and is confirmed below a new version."""
+    run = started(8, 'abcde')
+    run.cuts = {('a', simulation.TABLE)}
+    run.run(3)
+    run.tell('a', events.ReleaseSelf())
+    run.run(3)
+    run.cuts = {('b', 'c'), ('b', 'd'), ('b', 'e')}
+    run.cuts |= {(name, simulation.TABLE) for name in 'acde'}
+    run.propose('b', 'edit', 'key')
+    run.run(0.1)
+    run.table_down = True
+    run.kill('a')
+    run.start('a')
+    run.cuts = {('b', other) for other in 'acde'} | {('a', 'b')}
+    while not run.admits('a'):
+        run.run(0.01)
+    run.cuts = {(one, 'a') for one in 'bcde'} | {('a', 'b')}
+    run.run(20)
+    return run
--- /dev/null
+++ b/hornbeamrudder/configuration/features/steps/service_steps.py
@@ -0,0 +1,197 @@
+"""Steps for the service, with real connections and time."""
+
+import threading
+import time
+
+import behave
+from returns import result
+
+from hornbeamrudder.configuration import publish
+from hornbeamrudder.configuration import service
+from hornbeamrudder.configuration import state
+from hornbeamrudder.configuration import store
+from hornbeamrudder.core import errors
+from hornbeamrudder.core import types
+from hornbeamrudder.platform import table
+
+FAILED = result.Failure(
+    errors.Failure(
+        errors.FailureKind.TIMEOUT, errors.Step.READ_TABLE, 'fake', 'down'
+    )
+)
+
+
+class FakeTable:
+    """Transactional rows in memory; may be down or lose one response."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.rows_by_key = {}
+        self.down = False
+        self.lose_response = False
+
+    def read(self, keys):
+        if self.down:
+            return FAILED
+        with self.lock:
+            return result.Success(tuple(self.get(key) for key in keys))
+
+    def get(self, key):
+        return self.rows_by_key.get(key, table.Row(key, 0, None))
+
+    def write(self, puts):
+        if self.down:
+            return FAILED
+        with self.lock:
+            results = tuple(self.put(item) for item in puts)
+        if self.lose_response and puts[0].key == state.CURRENT_KEY:
+            self.lose_response = False
+            return FAILED
+        return result.Success(results)
+
+    def put(self, item):
+        applied = self.get(item.key).version == item.expect_version
+        if applied:
+            self.rows_by_key[item.key] = table.Row(
+                item.key, item.expect_version + 1, item.value
+            )
+        return table.PutResult(applied, self.get(item.key))
+
+
+def _wait(condition, seconds):
+    until = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < until, 'condition not met in time'
+        time.sleep(0.01)
+
+
+def _edit(context, document, base=None):
+    node = context.nodes[0]
+    base = node.current().row.version if base is None else base
+    return node.apply(document, base, 'ann').result(15)
+
+
+@behave.given('4 services with an in-memory table service over loopback')
+def start_services(context):
+    context.rows = FakeTable()
+    context.nodes, seeds = [], ()
+    for name in 'abcd':
+        node = service.ConfigurationService(
+            name,
+            time.time_ns(),
+            types.Address('127.0.0.1', 0),
+            service.Peers(seeds, b'key'),
+            context.rows,
+        )
+        context.add_cleanup(node.close)
+        seeds = (*seeds, node.network.address)
+        context.nodes.append(node)
+
+
+@behave.then('all admit and have the same members')
+def check_members(context):
+    def joined():
+        return all(
+            node.may_admit() and len(node.current().row.members) == 4
+            for node in context.nodes
+        )
+
+    _wait(joined, 10)
+
+
+@behave.then("an edit is accepted and reaches every node's callback")
+def check_edit(context):
+    seen = []
+    for node in context.nodes:
+        node.on_change(lambda content: seen.append(content.document))
+    outcome = _edit(context, {'rules': 1})
+    assert isinstance(outcome, publish.Accepted), outcome
+    assert seen.count(b'{"rules":1}') == 4, seen
+    assert context.nodes[1].wait_in_force(outcome.version, 5)
+
+
+@behave.then('an edit based on the version before gets a conflict')
+def check_conflict(context):
+    base = context.nodes[0].current().row.version - 1
+    outcome = _edit(context, {'rules': 2}, base)
+    assert outcome.changes == (state.KeyConflict('rules', ('ann',)),), outcome
+
+
+@behave.then('a document above 64 KB is refused without an object store')
+def check_large(context):
+    outcome = _edit(context, {'rules': 'x' * 70_000})
+    assert isinstance(outcome, publish.Refused), outcome
+
+
+@behave.then(
+    'with the table service down all admit for 4 s and edits are refused'
+)
+def check_outage(context):
+    context.rows.down = True
+    until = time.monotonic() + 4
+    while time.monotonic() < until:
+        assert all(node.may_admit() for node in context.nodes)
+        time.sleep(0.05)
+    outcome = _edit(context, {'rules': 3})
+    assert isinstance(outcome, publish.Refused), outcome
+    context.rows.down = False
+
+
+@behave.then(
+    'a write whose response is lost is accepted after it is read back'
+)
+def check_lost_response(context):
+    context.rows.lose_response = True
+    outcome = _edit(context, {'rules': 4})
+    assert not context.rows.lose_response
+    assert isinstance(outcome, publish.Accepted), outcome
+
+
+@behave.then('after one node stops without notice an edit is accepted')
+def check_stopped_node(context):
+    context.nodes.pop().close()
+    outcome = _edit(context, {'rules': 5})
+    assert isinstance(outcome, publish.Accepted), outcome
+
+
+@behave.then('a node that releases stops admitting and leaves the members')
+def check_release(context):
+    left = context.nodes.pop()
+    assert left.release()
+    assert not left.may_admit()
+    names = [
+        member['node']
+        for member in context.rows.get(state.CURRENT_KEY).value['members']
+    ]
+    assert names == ['a', 'b', 'c'], names
+
+
+@behave.given('a table service whose content row is damaged')
+def damage(context):
+    context.rows = FakeTable()
+    planned = publish.plan(
+        publish.Proposal('p', 'ann', 0.0, 0, b'{"rules":1}'),
+        publish.TableState(0, None, None),
+        publish.currency.Knowledge('a', 1),
+        0,
+        0.0,
+    )
+    store.write(context.rows, None, planned)
+    context.key = planned.content.row.content_key
+    read = store.read(context.rows, None, None).unwrap()
+    assert read.document == b'{"rules":1}'
+    context.rows.rows_by_key[context.key] = table.Row(context.key, 2, '{}')
+
+
+@behave.then('reading it gives the row without a document')
+def check_damaged(context):
+    read = store.read(context.rows, None, None).unwrap()
+    assert read.row.version == 1 and read.document is None, read
+
+
+@behave.then('a damaged version row is a failure')
+def check_damaged_row(context):
+    key = state.CURRENT_KEY
+    context.rows.rows_by_key[key] = table.Row(key, 2, {'version': '1'})
+    read = store.read(context.rows, None, None)
+    assert isinstance(read, result.Failure), read
--- /dev/null
+++ b/hornbeamrudder/configuration/service.py
@@ -0,0 +1,364 @@
+"""Runs the state machine of a node against its peers and the table."""
+
+from concurrent import futures
+import dataclasses
+import queue
+import random
+import ssl
+import threading
+import time
+from typing import Any, Callable, Iterable
+
+from returns import result
+import structlog
+
+from ..core import errors
+from ..core import ids
+from ..core import types
+from . import events
+from . import node as node_module
+from . import node_state
+from ..peers import link
+from ..peers import messages
+from ..peers import view as peer_view
+from . import proposals
+from . import publish
+from . import state
+from . import store
+
+TICK_S = 0.1
+PRUNE_S = 10.0
+RELEASE_TIMEOUT_S = 6.0
+
+ChangeCallback = Callable[[state.Content], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Peers:
+    """How a node reaches its peers.
+
+    Attributes
+    ----------
+    seeds : tuple of Address
+        Peers to contact at first.
+    key : bytes
+        Shared key of the nodes.
+    """
+
+    seeds: tuple[types.Address, ...]
+    key: bytes = dataclasses.field(repr=False)
+    server_tls: ssl.SSLContext | None = None
+    client_tls: ssl.SSLContext | None = None
+
+
+def boot_clock() -> float:
+    """Clock that also counts the time for which the machine is suspended.
+
+    `time.monotonic` stops during a suspension, and a node that wakes up
+    would consider its right to admit as still valid.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class ConfigurationService:
+    """Current configuration of one node and its right to admit.
+
+    Parameters
+    ----------
+    incarnation : int
+        Number above that of every earlier process of this node, such as
+        the start time in nanoseconds.
+    on_message : callable, optional
+        Gets the messages of other slices, and may return the answer.
+    """
+
+    def __init__(
+        self,
+        node: ids.NodeId,
+        incarnation: ids.Incarnation,
+        address: types.Address,
+        peers: Peers,
+        table: store.Table,
+        objects: store.Objects | None = None,
+        on_message: link.Handler | None = None,
+        clock: Callable[[], float] = boot_clock,
+    ) -> None:
+        self._table = table
+        self._objects = objects
+        self._on_message = on_message
+        self._clock = clock
+        self._random = random.SystemRandom()
+        self._log = structlog.get_logger().bind(node=node)
+        self._events: queue.SimpleQueue[events.Event | None] = (
+            queue.SimpleQueue()
+        )
+        self._callbacks: list[ChangeCallback] = []
+        self._futures_by_attempt: dict[
+            ids.AttemptId, futures.Future[publish.Result]
+        ] = {}
+        self._changed = threading.Condition()
+        self._started = threading.Event()
+        self._closing = False
+        self.network = link.PeerNetwork(
+            node,
+            incarnation,
+            address,
+            peers.seeds,
+            peers.key,
+            self._handle,
+            peers.server_tls,
+            peers.client_tls,
+        )
+        self._state = node_state.start(
+            node, incarnation, self.network.address, clock()
+        )
+        self._next_tick_at = 0.0
+        self._next_prune_at = 0.0
+        # One read and one write may wait for the table at the same time.
+        self._pool = futures.ThreadPoolExecutor(
+            3, thread_name_prefix='configuration'
+        )
+        self._loop = self._pool.submit(self._run)
+
+    def current(self) -> state.Content | None:
+        """Version in force on this node, with its document."""
+        return self._state.content
+
+    def settled(self) -> ids.Version:
+        """Highest version known to be in force everywhere."""
+        return self._state.settled
+
+    def view(self) -> peer_view.View:
+        """What the peers have reported; times are of this node's clock."""
+        return self._state.view
+
+    def may_admit(self, now: float | None = None) -> bool:
+        """Whether this node may admit a request.
+
+        Parameters
+        ----------
+        now : float, optional
+            Time of the check by the node's clock; read here if absent.
+        """
+        state_now = self._state
+        return node_state.may_admit(
+            state_now, self._clock() if now is None else now
+        )
+
+    def apply(
+        self, document: Any, base: ids.Version, author: ids.OperatorId
+    ) -> 'futures.Future[publish.Result]':
+        """Propose a document in place of that of version `base`."""
+        future: futures.Future[publish.Result] = futures.Future()
+        body = state.canonical(document)
+        if isinstance(body, result.Failure):
+            future.set_result(publish.Refused(body.failure()))
+            return future
+        attempt = ids.new_attempt_id(self._state.knowledge.node, self._random)
+        with self._changed:
+            if self._closing:
+                future.set_result(_closed())
+                return future
+            self._futures_by_attempt[attempt] = future
+        self._events.put(
+            events.Propose(
+                publish.Proposal(
+                    attempt, author, time.time(), base, body.unwrap()
+                )
+            )
+        )
+        return future
+
+    def wait_in_force(self, version: ids.Version, timeout_s: float) -> bool:
+        """Wait until a version is in force everywhere."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: self._state.settled >= version or self._closing,
+                timeout_s,
+            ) and (self._state.settled >= version)
+
+    def on_change(self, callback: ChangeCallback) -> None:
+        """Call back for each new version, on the service's thread."""
+        self._callbacks.append(callback)
+
+    def report(
+        self,
+        demand: Iterable[tuple[ids.ServiceName, float]],
+        leaving: Iterable[ids.HostId],
+    ) -> None:
+        """Set what the next heartbeats tell about demand and hosts."""
+        self._events.put(events.Report(tuple(demand), tuple(leaving)))
+
+    def confirm_ended(
+        self, node: ids.NodeId, incarnation: ids.Incarnation
+    ) -> None:
+        """Tell that a process has ended, as the platform reports.
+
+        The report must be certain: it stands in for an acknowledgement.
+        """
+        self._events.put(events.Ended((node, incarnation)))
+
+    def release(self, timeout_s: float = RELEASE_TIMEOUT_S) -> bool:
+        """Stop admitting for good and leave the member set.
+
+        Returns
+        -------
+        bool
+            Whether the member set was changed in time; peers know of the
+            release in any case where they are reachable.
+        """
+        self._events.put(events.ReleaseSelf())
+        with self._changed:
+            return self._changed.wait_for(self._has_left, timeout_s)
+
+    def close(self) -> None:
+        """End the threads; open proposals end as pending."""
+        with self._changed:
+            self._closing = True
+            waiting = dict(self._futures_by_attempt)
+            self._futures_by_attempt.clear()
+            self._changed.notify_all()
+        self._events.put(None)
+        for future in waiting.values():
+            if future.set_running_or_notify_cancel():
+                future.set_result(
+                    publish.Pending(ids.Version(0), False, (), 'node closed')
+                )
+        self.network.close()
+        self._pool.shutdown(wait=True, cancel_futures=True)
+
+    def _has_left(self) -> bool:
+        knowledge = self._state.knowledge
+        return (
+            knowledge.released
+            and knowledge.row is not None
+            and (knowledge.node, knowledge.incarnation)
+            not in state.voters(knowledge.row)
+        )
+
+    def _handle(self, envelope: messages.Envelope) -> messages.Message | None:
+        match envelope.message:
+            case (
+                messages.Heartbeat()
+                | messages.ConfigurationPush()
+                | messages.ConfigurationAck()
+                | messages.Release()
+            ):
+                self._events.put(
+                    events.Received(
+                        envelope.sender,
+                        envelope.incarnation,
+                        envelope.message,
+                    )
+                )
+                return None
+            case _ if self._on_message is not None:
+                return self._on_message(envelope)
+            case _:
+                return None
+
+    def _run(self) -> None:
+        while not self._closing:
+            try:
+                self._run_once()
+            except Exception as error:
+                # Without this thread the right to admit would expire and
+                # the node would stay useless.
+                self._log.error('configuration step failed', error=repr(error))
+
+    def _run_once(self) -> None:
+        now = self._clock()
+        event: events.Event | None
+        if now >= self._next_tick_at:
+            self._next_tick_at = now + TICK_S
+            self._prune(now)
+            event = events.Tick(self.network.connected(), time.time())
+        else:
+            try:
+                event = self._events.get(timeout=self._next_tick_at - now)
+            except queue.Empty:
+                return
+        if event is None:
+            return
+        # The clock is read after the event was taken, so that an answer is
+        # never older than its event.
+        self._state, effects = node_module.step(
+            self._state, event, self._clock()
+        )
+        for effect in effects:
+            self._run_effect(effect)
+        with self._changed:
+            self._changed.notify_all()
+
+    def _prune(self, now: float) -> None:
+        if now < self._next_prune_at:
+            return
+        self._next_prune_at = now + PRUNE_S
+        row = self._state.knowledge.row
+        self.network.prune(
+            {member.address for member in row.members} if row else set()
+        )
+
+    def _run_effect(self, effect: events.Effect) -> None:
+        match effect:
+            case events.Send(node, message):
+                self.network.send(node, message)
+            case events.ReadTable(sent_at):
+                self._pool.submit(self._read, sent_at, self._state.content)
+            case events.WriteTable(attempt, write):
+                self._pool.submit(self._write, attempt, write)
+            case events.Finish(attempt, outcome):
+                self._finish(attempt, outcome)
+            case events.InForce(version):
+                self._log.info('version in force everywhere', version=version)
+            case events.Installed(content):
+                self._installed(content)
+
+    def _installed(self, content: state.Content) -> None:
+        row = content.row
+        self._log.info(
+            'version installed', version=row.version, author=row.author
+        )
+        self.network.add_peers(
+            member.address
+            for member in row.members
+            if member.node != self._state.knowledge.node
+        )
+        for callback in self._callbacks:
+            try:
+                callback(content)
+            except Exception as error:
+                self._log.error('change callback failed', error=repr(error))
+
+    def _finish(self, attempt: ids.AttemptId, outcome: publish.Result) -> None:
+        with self._changed:
+            future = self._futures_by_attempt.pop(attempt, None)
+        self._log.info(
+            'proposal finished',
+            attempt=attempt,
+            result=type(outcome).__name__,
+        )
+        if future is not None and future.set_running_or_notify_cancel():
+            future.set_result(outcome)
+
+    def _read(self, sent_at: float, known: state.Content | None) -> None:
+        table = None
+        try:
+            table = store.read(self._table, self._objects, known).value_or(
+                None
+            )
+        finally:
+            self._events.put(events.RowRead(sent_at, table))
+
+    def _write(self, attempt: ids.AttemptId, write: publish.Write) -> None:
+        outcome, detail = events.WriteOutcome.UNKNOWN, 'write failed'
+        try:
+            outcome, detail = store.write(self._table, self._objects, write)
+        finally:
+            if detail:
+                self._log.warning('version row not written', detail=detail)
+            self._events.put(events.WriteDone(attempt, outcome))
+
+
+def _closed() -> publish.Refused:
+    return proposals.refusal(errors.FailureKind.INTERRUPTED, 'node closed')
--- /dev/null
+++ b/hornbeamrudder/configuration/state.py
@@ -0,0 +1,223 @@
+"""Content and version row of the configuration; pure."""
+
+import dataclasses
+from typing import Any, Mapping
+
+import orjson
+import pydantic
+from returns import result
+
+from ..core import errors
+from ..core import hashing
+from ..core import ids
+from ..core import types
+
+CURRENT_KEY = 'config/current'
+CONTENT_PREFIX = 'config/content/'
+# Larger documents go to the object store.
+MAX_ROW_CONTENT_BYTES = 64 * 1024
+# Changes named in the row, from which a conflict tells the authors.
+RECENT_CHANGES = 16
+# Member sets that may still confirm nodes below the current version.
+MAX_ELECTORATES = 32
+
+Voter = tuple[ids.NodeId, ids.Incarnation]
+Electorate = tuple[Voter, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """An entry node process that may admit requests."""
+
+    node: ids.NodeId
+    incarnation: ids.Incarnation
+    address: types.Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """What one version changed; no keys where only members changed."""
+
+    version: ids.Version
+    author: ids.OperatorId
+    keys: tuple[str, ...]
+    attempt: ids.AttemptId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionRow:
+    """Value of the row `config/current`.
+
+    Attributes
+    ----------
+    content_version : int
+        Version that last changed the document.
+    content_key : str
+        Row, or object where `in_objects`, that holds the document. It
+        contains the attempt id, so that a writer which lost the race
+        cannot replace the document of the winner.
+    digest : str
+        SHA-256 of the document.
+    wall : float
+        Time of the change for people, in seconds since 1970.
+    recent : tuple of Change
+        Latest changes, this one last.
+    electorates : tuple of Electorate
+        Member sets of earlier versions that were not known to be in force
+        everywhere when this version was written. A majority of each has to
+        acknowledge this version.
+    """
+
+    version: ids.Version
+    content_version: ids.Version
+    content_key: str
+    digest: str
+    members: tuple[Member, ...]
+    author: ids.OperatorId
+    changed_keys: tuple[str, ...]
+    attempt: ids.AttemptId
+    wall: float
+    recent: tuple[Change, ...] = ()
+    electorates: tuple[Electorate, ...] = ()
+    in_objects: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Content:
+    """A version with its document (JSON object, canonical bytes)."""
+
+    row: VersionRow
+    document: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyConflict:
+    """A key that differs from the base version, and who changed it."""
+
+    key: str
+    authors: tuple[ids.OperatorId, ...]
+
+
+_ROW = pydantic.TypeAdapter(VersionRow)
+
+
+def parse_row(body: bytes) -> result.Result[VersionRow, errors.Failure]:
+    """Read a version row from JSON."""
+    try:
+        return result.Success(_ROW.validate_json(body, strict=True))
+    except pydantic.ValidationError as error:
+        return _invalid(f'version row: {error.error_count()} errors')
+
+
+def dump_row(row: VersionRow) -> bytes:
+    """Write a version row as JSON."""
+    return orjson.dumps(row)
+
+
+def canonical(document: Any) -> result.Result[bytes, errors.Failure]:
+    """Canonical bytes of a document, which must be a JSON object."""
+    if not isinstance(document, dict):
+        return _invalid('configuration is not a JSON object')
+    try:
+        return result.Success(
+            orjson.dumps(document, option=orjson.OPT_SORT_KEYS)
+        )
+    except TypeError as error:
+        return _invalid(str(error))
+
+
+def parse_content(
+    row: VersionRow, document: bytes
+) -> result.Result[Content, errors.Failure]:
+    """Pair a row with its document, checked by digest."""
+    if hashing.digest(document) != row.digest:
+        return _invalid(f'document of version {row.version}: wrong digest')
+    return result.Success(Content(row, document))
+
+
+def newer(installed: Content | None, offered: Content) -> Content:
+    """Return the version to have in force; never a lower one."""
+    if installed is None or offered.row.version > installed.row.version:
+        return offered
+    return installed
+
+
+def differing_keys(base: bytes, current: bytes) -> tuple[str, ...]:
+    """Top-level keys whose values differ between two documents."""
+    before: Mapping[str, Any] = orjson.loads(base)
+    after: Mapping[str, Any] = orjson.loads(current)
+    absent = object()
+    return tuple(
+        sorted(
+            key
+            for key in before.keys() | after.keys()
+            if before.get(key, absent) != after.get(key, absent)
+        )
+    )
+
+
+def describe_conflict(
+    row: VersionRow, current: bytes, base: ids.Version, base_document: bytes
+) -> tuple[KeyConflict, ...]:
+    """Name the keys changed since `base`, with their authors.
+
+    Parameters
+    ----------
+    base_document : bytes
+        Document of the base version; empty where it is not known, and then
+        the changes listed in the row are named.
+    """
+    changes = [change for change in row.recent if change.version > base]
+    keys = (
+        differing_keys(base_document, current)
+        if base_document
+        else sorted({key for change in changes for key in change.keys})
+    )
+    return tuple(
+        KeyConflict(
+            key,
+            tuple(
+                dict.fromkeys(
+                    change.author for change in changes if key in change.keys
+                )
+            ),
+        )
+        for key in keys
+    )
+
+
+def voters(row: VersionRow) -> Electorate:
+    """Members of a version as voters."""
+    return tuple(
+        sorted((member.node, member.incarnation) for member in row.members)
+    )
+
+
+def all_electorates(row: VersionRow) -> tuple[Electorate, ...]:
+    """Member sets of which a majority has to acknowledge this version."""
+    return tuple(dict.fromkeys((*row.electorates, voters(row))))
+
+
+def next_electorates(
+    current: VersionRow, settled: ids.Version
+) -> tuple[Electorate, ...]:
+    """Earlier member sets that the version after `current` must carry.
+
+    Consecutive member sets may have majorities that do not intersect once
+    several changes are pending, so a set is dropped only when no node
+    below the current version can be confirmed any more.
+    """
+    if settled >= current.version:
+        return (voters(current),)
+    return all_electorates(current)
+
+
+def _invalid(detail: str) -> result.Result[Any, errors.Failure]:
+    return result.Failure(
+        errors.Failure(
+            errors.FailureKind.INVALID,
+            errors.Step.PUBLISH_CONFIGURATION,
+            '',
+            detail,
+        )
+    )
--- /dev/null
+++ b/hornbeamrudder/peers/tls.py
@@ -0,0 +1,88 @@
+"""TLS over a socket that one thread reads while another one writes."""
+
+import socket
+import ssl
+import threading
+
+READ_BYTES = 64 * 1024
+
+
+class TlsStream:
+    """Keeps the TLS state under a lock, which is not held during I/O.
+
+    `ssl.SSLSocket` of this Python version must not be used by two threads
+    at once: both would work on the same OpenSSL object without a lock.
+    """
+
+    def __init__(
+        self,
+        raw: socket.socket,
+        context: ssl.SSLContext,
+        server_side: bool,
+        name: str,
+    ) -> None:
+        self._raw = raw
+        self._received = ssl.MemoryBIO()
+        self._to_send = ssl.MemoryBIO()
+        self._tls = context.wrap_bio(
+            self._received,
+            self._to_send,
+            server_side=server_side,
+            server_hostname=name or None,
+        )
+        self._state_lock = threading.Lock()
+        # Keeps records on the wire in the order of their encryption.
+        self._write_lock = threading.Lock()
+        self._handshake()
+
+    def recv(self, limit: int) -> bytes:
+        """Read up to `limit` bytes; empty at the end of the stream."""
+        while True:
+            with self._state_lock:
+                try:
+                    return self._tls.read(limit)
+                except ssl.SSLWantReadError:
+                    pass
+                except ssl.SSLZeroReturnError:
+                    return b''
+            self._flush()
+            if not self._receive():
+                return b''
+
+    def sendall(self, data: bytes) -> None:
+        """Write all bytes."""
+        view = memoryview(data)
+        with self._write_lock:
+            while view:
+                with self._state_lock:
+                    written = self._tls.write(view)
+                    records = self._to_send.read()
+                view = view[written:]
+                self._raw.sendall(records)
+
+    def _handshake(self) -> None:
+        while True:
+            try:
+                self._tls.do_handshake()
+            except ssl.SSLWantReadError:
+                self._flush()
+                if not self._receive():
+                    raise ConnectionResetError(
+                        'connection closed in the TLS handshake'
+                    ) from None
+            else:
+                self._flush()
+                return
+
+    def _flush(self) -> None:
+        with self._write_lock:
+            with self._state_lock:
+                records = self._to_send.read()
+            if records:
+                self._raw.sendall(records)
+
+    def _receive(self) -> bool:
+        records = self._raw.recv(READ_BYTES)
+        with self._state_lock:
+            self._received.write(records)
+        return bool(records)
