Delete replaced documents and guard against stale reads

Cause: each change left a content row behind, and a proposal could be planned on a row older than the installed version.

Change: the writer deletes the replaced document after its write; a reader that misses a document reads the row again. A proposal waits for a row that is not behind the installed version. One more interleaving: a restart next to a node that missed a version.

Conclusion: content rows no longer grow with the number of changes, except by one for a write whose response was lost.

--- a/hornbeamrudder/configuration/features/acceptance.feature
+++ b/hornbeamrudder/configuration/features/acceptance.feature
@@ -9,15 +9,16 @@
     And with "<fault>" the check finds "<violation>"
 
     Examples:
-      | run                          | fault                               | violation             |
-      | a silent node                | no wait for rights to expire        | admits at version     |
-      | a minority partition         | majorities that do not intersect    | admits at version     |
-      | a restart after acknowledging | a restarted process counted as voter | admits at version    |
-      | all acknowledged, one restarted | acceptance on old acknowledgements | admits at version    |
-      | joins missed by two members  | only the latest member set counted  | admits at version     |
-      | a restart after a release | a release taken as an answer | admits at version |
-      | a lost response              | a timeout taken as a refusal        | refused but written   |
-      | a node paused past its right | the right checked before the pause  | admits at version     |
+      | run                              | fault                                    | violation           |
+      | a silent node                    | no wait for rights to expire             | admits at version   |
+      | a minority partition             | majorities that do not intersect         | admits at version   |
+      | a restart after acknowledging    | a restarted process counted as voter     | admits at version   |
+      | all acknowledged, one restarted  | acceptance on old acknowledgements       | admits at version   |
+      | joins missed by two members      | only the latest member set counted       | admits at version   |
+      | a restart next to a lagging node | any peer's version taken after a restart | admits at version   |
+      | a restart after a release        | a release taken as an answer             | admits at version   |
+      | a lost response                  | a timeout taken as a refusal             | refused but written |
+      | a node paused past its right     | the right checked before the pause       | admits at version   |
 
   Scenario: Random faults break no promise and leave no lasting damage
     # Guards against interleavings that nobody thought of: cuts, pauses,
--- a/hornbeamrudder/configuration/features/exploration.py
+++ b/hornbeamrudder/configuration/features/exploration.py
@@ -257,3 +257,16 @@
     run.cuts = {(one, 'a') for one in 'bcde'} | {('a', 'b')}
     run.run(20)
     return run
+
+
+def lagging_peer_run():
+    """Node a restarts where it hears only d, which missed a version."""
+    run = started(9, 'abcde')
+    run.partition('bce', 'ad')
+    run.cuts |= {('a', simulation.TABLE), ('d', simulation.TABLE)}
+    run.propose('b', 'edit', 'key')
+    run.run(6)
+    run.kill('a')
+    run.start('a')
+    run.run(10)
+    return run
--- a/hornbeamrudder/configuration/features/steps/acceptance_steps.py
+++ b/hornbeamrudder/configuration/features/steps/acceptance_steps.py
@@ -22,6 +22,7 @@
     'a restart after acknowledging': exploration.restart_run,
     'all acknowledged, one restarted': exploration.stale_answer_run,
     'joins missed by two members': exploration.member_chain_run,
+    'a restart next to a lagging node': exploration.lagging_peer_run,
     'a restart after a release': exploration.released_restart_run,
     'a lost response': exploration.lost_response_run,
     'a node paused past its right': exploration.paused_node_run,
@@ -36,6 +37,22 @@
     return publish.has_acknowledged(knowledge, voter, row.version)
 
 
+_confirmed_by_peers_at = currency._confirmed_by_peers_at
+
+
+def _any_peer_confirms(knowledge, now):
+    if currency.is_voter(
+        state.voters(knowledge.row) if knowledge.row else (),
+        knowledge.node,
+        knowledge.incarnation,
+    ):
+        return _confirmed_by_peers_at(knowledge, now)
+    return max(
+        (heard.echoed_at for heard in knowledge.heard_by_node.values()),
+        default=-1e9,
+    )
+
+
 _answered_since = publish._answered_since
 
 
@@ -57,6 +74,11 @@
         'is_voter',
         _has_node,
     ),
+    "any peer's version taken after a restart": (
+        currency,
+        '_confirmed_by_peers_at',
+        _any_peer_confirms,
+    ),
     'acceptance on old acknowledgements': (
         publish,
         '_answered_since',
--- a/hornbeamrudder/configuration/features/steps/service_steps.py
+++ b/hornbeamrudder/configuration/features/steps/service_steps.py
@@ -164,6 +164,10 @@
         for member in context.rows.get(state.CURRENT_KEY).value['members']
     ]
     assert names == ['a', 'b', 'c'], names
+    rows = [key for key in context.rows.rows_by_key if 'content' in key]
+    live = [key for key in rows if context.rows.get(key).value is not None]
+    # The deletion after a write without response is left out.
+    assert len(live) <= 2, live
 
 
 @behave.given('a table service whose content row is damaged')
--- a/hornbeamrudder/configuration/proposals.py
+++ b/hornbeamrudder/configuration/proposals.py
@@ -74,6 +74,8 @@
                     errors.FailureKind.UNAVAILABLE, 'version row not read'
                 ),
             )
+        case publish.Phase.READING if _is_behind(node, table):
+            return node, ()
         case publish.Phase.READING:
             return _write(node, active, table, now)
         case publish.Phase.READING_BACK if table is not None:
@@ -203,6 +205,20 @@
     )
 
 
+def _is_behind(
+    node: node_state.NodeState, table: publish.TableState | None
+) -> bool:
+    """Whether a read is older than the version installed since.
+
+    A change on top of it would lose its race or, where the table service
+    has lost rows, use a version number twice.
+    """
+    installed = node.knowledge.row
+    if installed is None or table is None:
+        return False
+    return table.row is None or table.row.version < installed.version
+
+
 def _write(
     node: node_state.NodeState,
     active: publish.Publication,
--- a/hornbeamrudder/configuration/service.py
+++ b/hornbeamrudder/configuration/service.py
@@ -358,6 +358,8 @@
             if detail:
                 self._log.warning('version row not written', detail=detail)
             self._events.put(events.WriteDone(attempt, outcome))
+        if outcome is events.WriteOutcome.APPLIED and write.replaced_key:
+            store.delete_document(self._table, write.replaced_key)
 
 
 def _closed() -> publish.Refused:
--- a/hornbeamrudder/configuration/store.py
+++ b/hornbeamrudder/configuration/store.py
@@ -11,6 +11,8 @@
 from . import publish
 from . import state
 
+READ_ATTEMPTS = 2
+
 
 class Table(Protocol):
     """The part of the table client that is used here."""
@@ -48,21 +50,16 @@
     known : Content or None
         Its document is used where the row still refers to it.
     """
-    answer = rows.read([state.CURRENT_KEY])
-    if isinstance(answer, result.Failure):
-        return answer
-    current = answer.unwrap()[0]
-    if current.value is None:
-        return result.Success(publish.TableState(current.version, None, None))
-    parsed = _parse(current.value)
-    if isinstance(parsed, result.Failure):
-        return parsed
-    row = parsed.unwrap()
-    if known is not None and known.row.content_key == row.content_key:
-        document: bytes | None = known.document
-    else:
-        document = _read_document(rows, objects, row)
-    return result.Success(publish.TableState(current.version, row, document))
+    # A document is deleted soon after its version is replaced; a reader in
+    # between reads the row again.
+    for _ in range(READ_ATTEMPTS):
+        answer = _read_once(rows, objects, known)
+        table_state = answer.value_or(None)
+        if table_state is None or table_state.row is None:
+            break
+        if table_state.document is not None:
+            break
+    return answer
 
 
 def write(
@@ -99,6 +96,33 @@
             return events.WriteOutcome.UNKNOWN, 'no result'
 
 
+def delete_document(rows: Table, key: str) -> None:
+    """Delete the row of a replaced document; a failure leaves it."""
+    answer = rows.read([key]).value_or(None)
+    if answer and answer[0].value is not None:
+        rows.write([table.Put(key, answer[0].version, None)])
+
+
+def _read_once(
+    rows: Table, objects: Objects | None, known: state.Content | None
+) -> result.Result[publish.TableState, errors.Failure]:
+    answer = rows.read([state.CURRENT_KEY])
+    if isinstance(answer, result.Failure):
+        return answer
+    current = answer.unwrap()[0]
+    if current.value is None:
+        return result.Success(publish.TableState(current.version, None, None))
+    parsed = _parse(current.value)
+    if isinstance(parsed, result.Failure):
+        return parsed
+    row = parsed.unwrap()
+    if known is not None and known.row.content_key == row.content_key:
+        document: bytes | None = known.document
+    else:
+        document = _read_document(rows, objects, row)
+    return result.Success(publish.TableState(current.version, row, document))
+
+
 def _parse(value: Any) -> result.Result[state.VersionRow, errors.Failure]:
     return state.parse_row(orjson.dumps(value))
 
