--- a/hornbeamrudder/configuration/currency.py
+++ b/hornbeamrudder/configuration/currency.py
@@ -53,6 +53,11 @@
         Processes that have stopped admitting, with their last version.
     ended : frozenset of voter
         Processes that the platform or an operator reports as ended.
+    stopping : bool
+        The process no longer admits, but still votes, so that its own
+        removal can be accepted.
+    released : bool
+        The process neither admits nor votes, and stays at its version.
     """
 
     node: ids.NodeId
@@ -66,6 +71,7 @@
         default_factory=dict
     )
     ended: frozenset[state.Voter] = frozenset()
+    stopping: bool = False
     released: bool = False
 
 
@@ -116,7 +122,7 @@
     was paused past its right does not admit on waking.
     """
     row = knowledge.row
-    if row is None or knowledge.released:
+    if row is None or knowledge.stopping or knowledge.released:
         return False
     # A version may be accepted without the answer of a node that its member
     # set does not name.
--- a/hornbeamrudder/configuration/membership.py
+++ b/hornbeamrudder/configuration/membership.py
@@ -5,14 +5,18 @@
 from ..core import ids
 from . import currency
 from . import node_state
+from ..peers import view as peer_view
 from . import publish
 from . import state
 
 CHECK_S = 1.0
 # A read older than this may describe members that have changed.
 TABLE_FRESH_S = 2.0
-# Longer than a restart takes, shorter than the mean time between losses.
-FORGET_S = 30.0
+# Lost members count against the majority until they are removed; a member
+# removed by mistake, after a long pause or cut, joins again.
+FORGET_S = 10.0
+# What a node that is no member has told is dropped after this silence.
+KEEP_DEPARTED_S = 120.0
 AUTHOR = ids.OperatorId('members')
 
 
@@ -24,7 +28,7 @@
         return node
     node = dataclasses.replace(node, next_member_check_at=now + CHECK_S)
     if (
-        node.knowledge.released
+        node.knowledge.stopping
         or node.active is not None
         or node.queue
         or node.table is None
@@ -54,19 +58,56 @@
     )
     live = [voter for voter in electorate if voter not in lost]
     # One proposer avoids races between all members.
-    if lost and live[0] == own:
+    if lost and live[:1] == [own]:
         return _propose(node, remove=lost)
     return node
 
 
-def propose_leave(
+def propose_leave(node: node_state.NodeState) -> node_state.NodeState:
+    """Queue the removal of this process."""
+    own = (node.knowledge.node, node.knowledge.incarnation)
+    return _propose(node, remove=(own,))
+
+
+def forget_departed(
     node: node_state.NodeState, now: float
 ) -> node_state.NodeState:
-    """Queue the removal of this process where the table is reachable."""
-    if node.table is None or now - node.table_at > TABLE_FRESH_S:
+    """Drop what is known of nodes that left the member set long ago."""
+    row = node.knowledge.row
+    if row is None:
         return node
-    own = (node.knowledge.node, node.knowledge.incarnation)
-    return _propose(node, remove=(own,))
+    kept = {
+        name
+        for electorate in state.all_electorates(row)
+        for name, _ in electorate
+    }
+    departed = {
+        name
+        for name, heard in node.knowledge.heard_by_node.items()
+        if name not in kept and now - heard.received_at > KEEP_DEPARTED_S
+    }
+    if not departed:
+        return node
+    view = node.view
+    for name in departed:
+        view = peer_view.forget(view, name)
+    node = dataclasses.replace(
+        node,
+        view=view,
+        pushed_at_by_node={
+            name: at
+            for name, at in node.pushed_at_by_node.items()
+            if name not in departed
+        },
+    )
+    return node_state.know(
+        node,
+        heard_by_node={
+            name: heard
+            for name, heard in node.knowledge.heard_by_node.items()
+            if name not in departed
+        },
+    )
 
 
 def _is_lost(
--- a/hornbeamrudder/configuration/node.py
+++ b/hornbeamrudder/configuration/node.py
@@ -20,6 +20,8 @@
 # A peer that lags gets the document again after this time.
 PUSH_AGAIN_S = 1.0
 MAX_RELEASES = 64
+# A read that has not ended after this time is taken as lost.
+READ_LOST_S = 10.0
 
 Effects = node_state.Effects
 
@@ -48,7 +50,7 @@
         case events.Propose(proposal):
             node, effects = proposals.enqueue(node, proposal), ()
         case events.ReleaseSelf():
-            node, effects = _release(node, now)
+            node, effects = _stop(node), ()
         case events.Ended(voter):
             ended = node.knowledge.ended | {voter}
             node, effects = node_state.know(node, ended=ended), ()
@@ -58,7 +60,8 @@
     node, started = proposals.start_next(node, now)
     node, read = _read_when_due(node, now)
     node, told = _evaluate(node, now)
-    return node, (*effects, *started, *read, *told)
+    node, released = _release_when_done(node)
+    return node, (*effects, *started, *read, *told, *released)
 
 
 def _tick(
@@ -68,7 +71,9 @@
     if now >= node.next_heartbeat_at:
         beats = _heartbeats(node, now)
         node = dataclasses.replace(node, next_heartbeat_at=now + HEARTBEAT_S)
-    node = membership.propose_when_due(node, now)
+    node = membership.forget_departed(
+        membership.propose_when_due(node, now), now
+    )
     node, late = proposals.expire(node, now)
     return node, (*beats, *late)
 
@@ -273,12 +278,25 @@
     return node, (*installed, *effects)
 
 
-def _release(
-    node: node_state.NodeState, now: float
+def _stop(node: node_state.NodeState) -> node_state.NodeState:
+    if node.knowledge.stopping:
+        return node
+    return membership.propose_leave(node_state.know(node, stopping=True))
+
+
+def _release_when_done(
+    node: node_state.NodeState,
 ) -> tuple[node_state.NodeState, Effects]:
-    if node.knowledge.released:
+    """Release once the removal is in force, refused, or late."""
+    if (
+        not node.knowledge.stopping
+        or node.knowledge.released
+        or node.active is not None
+        or node.queue
+        or node.distributing
+    ):
         return node, ()
-    node = membership.propose_leave(node_state.know(node, released=True), now)
+    node = node_state.know(node, released=True)
     release = messages.Release(_version(node))
     return node, tuple(
         events.Send(peer, release) for peer in node_state.recipients(node)
@@ -288,9 +306,11 @@
 def _read_when_due(
     node: node_state.NodeState, now: float
 ) -> tuple[node_state.NodeState, Effects]:
-    if node.reading_since is not None or (
-        now < node.next_read_at and not proposals.needs_read(node)
-    ):
+    reading = (
+        node.reading_since is not None
+        and now - node.reading_since < READ_LOST_S
+    )
+    if reading or (now < node.next_read_at and not proposals.needs_read(node)):
         return node, ()
     node = dataclasses.replace(
         node, reading_since=now, next_read_at=now + POLL_S
--- a/hornbeamrudder/peers/handshake.py
+++ b/hornbeamrudder/peers/handshake.py
@@ -56,7 +56,7 @@
     nonce = secrets.token_bytes(NONCE_BYTES)
     mac = _mac(own, LISTENING, hello.nonce, nonce)
     _write(opened, own, messages.Hello(own.address, nonce, mac))
-    opened.max_frame_bytes = codec.MAX_FRAME_BYTES
+    opened.authenticated()
     return Peer(envelope.sender, envelope.incarnation, hello.address)
 
 
@@ -69,7 +69,7 @@
     envelope, hello = _read(opened)
     if not _is_valid(own.key, LISTENING, nonce, envelope, hello):
         return None
-    opened.max_frame_bytes = codec.MAX_FRAME_BYTES
+    opened.authenticated()
     return Peer(envelope.sender, envelope.incarnation, hello.address)
 
 
--- a/hornbeamrudder/peers/link.py
+++ b/hornbeamrudder/peers/link.py
@@ -7,7 +7,7 @@
 import ssl
 import threading
 import time
-from typing import Callable, Iterable
+from typing import Callable, Container, Iterable
 
 from returns import result
 import structlog
@@ -29,7 +29,9 @@
 MAX_OPEN_REQUESTS = 10_000
 LISTEN_BACKLOG = 128
 ACCEPT_POLL_S = 0.5
-STOP_TIMEOUT_S = 5.0
+# Longer than a restart takes; without a limit, the addresses of replaced
+# hosts would use up MAX_PEERS.
+GIVE_UP_S = 60.0
 
 Answer = result.Result[messages.Message, errors.Failure]
 # Gets each message on the thread of its connection and must not block for
@@ -94,8 +96,9 @@
         self._pool = futures.ThreadPoolExecutor(
             1 + MAX_INCOMING + 2 * MAX_PEERS, thread_name_prefix='peers'
         )
-        self._accepting = self._pool.submit(self._accept)
-        self.add_peers(seeds)
+        self._pool.submit(self._accept)
+        self._seeds = frozenset(seeds)
+        self.add_peers(self._seeds)
 
     def add_peers(self, addresses: Iterable[types.Address]) -> None:
         """Keep a connection to each of these addresses from now on."""
@@ -118,13 +121,19 @@
                     self._pool,
                 )
 
-    def remove_peers(self, addresses: Iterable[types.Address]) -> None:
-        """Close the connections to these addresses."""
+    def prune(self, keep: Container[types.Address]) -> None:
+        """Give up addresses that have not answered for `GIVE_UP_S`.
+
+        Seeds and the addresses in `keep` stay. A peer that comes back is
+        added again by its own connection.
+        """
         with self._lock:
             removed = [
                 self._senders_by_address.pop(address)
-                for address in addresses
-                if address in self._senders_by_address
+                for address, item in tuple(self._senders_by_address.items())
+                if address not in keep
+                and address not in self._seeds
+                and item.silent_s() > GIVE_UP_S
             ]
         for item in removed:
             item.close()
--- a/hornbeamrudder/peers/sender.py
+++ b/hornbeamrudder/peers/sender.py
@@ -6,6 +6,7 @@
 import socket
 import ssl
 import threading
+import time
 
 import structlog
 
@@ -47,6 +48,7 @@
         self._queue_bytes = 0
         self._opened: connection.Connection | None = None
         self._closing = False
+        self._lost_at = time.monotonic()
         pool.submit(self._run)
 
     def put(self, body: bytes) -> bool:
@@ -63,6 +65,10 @@
             self._changed.notify()
         return True
 
+    def silent_s(self) -> float:
+        """Seconds since the last connection ended, 0 while connected."""
+        return 0.0 if self.peer else time.monotonic() - self._lost_at
+
     def close(self) -> None:
         """End the connection and the threads."""
         with self._changed:
@@ -115,10 +121,22 @@
     def _use(self, opened: connection.Connection) -> None:
         self._counters.add('connections_opened')
         self._log.info('connected to peer', peer=self.peer)
-        reader = self._pool.submit(self._watch, opened)
+        with self._changed:
+            if self._closing:
+                opened.close()
+                return
+            reader = self._pool.submit(self._watch, opened)
+        keepalive_at = 0.0
         try:
             while self._opened is opened and not self._closing:
                 body = self._take()
+                now = time.monotonic()
+                # Under load too: the peer answers only keepalives.
+                if body and now - keepalive_at >= connection.KEEPALIVE_S:
+                    opened.write(codec.frame(b''))
+                    keepalive_at = now
+                elif not body:
+                    keepalive_at = now
                 opened.write(codec.frame(body))
                 self._counters.add('bytes_sent', len(body) + 4)
                 if body:
@@ -163,6 +181,7 @@
             self._queue.clear()
             self._queue_bytes = 0
             lost, self.peer = self.peer, None
+            self._lost_at = time.monotonic()
             self._opened = None
         if dropped:
             self._counters.add('dropped_connection_lost', dropped)
