Test the limits on rows and depth, and files that cannot be read

Cause: in trials on a scratch copy, three changes were not noticed by any test: no limit on rows, no limit on the depth of YAML, and unknown references reported although their section could not be read.

Change: scenarios for these three cases.

Conclusion: each of these limits now has a test.

--- a/hornbeamrudder/inventory/features/files.feature
+++ b/hornbeamrudder/inventory/features/files.feature
@@ -71,6 +71,30 @@
       | hosts.csv    | status         | site,status       | hosts.csv    | 1    | site                | more than once          |
       | accounts.csv | workshop       | work\xffshop      | accounts.csv | 6    | file                | not valid utf-8         |
       | accounts.csv | workshop,      | "workshop,        | accounts.csv | 6    | row                 | not CSV                 |
+      | rules.yaml | ranks: | ranks: [[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[ | rules.yaml | 3 | document | nested more than |
+
+  Scenario Outline: A file that cannot be read hides no cause
+    # Guards against thousands of unknown references that bury the one problem
+    # they come from.
+    Given a copy of the example "blue-mahoe"
+    When "<old>" is replaced by "<new>" in <file>
+    And the files are checked
+    Then the only problem is at <file>
+
+    Examples:
+      | file          | old        | new             |
+      | services.yaml | services:  | services: [     |
+      | accounts.csv  | token_sha  | digest_of_token |
+      | hosts.csv     | asset_tag  | tag             |
+      | rules.yaml    | ranks:     | ranks: [        |
+      | mapping.yaml  | hosts.csv  | absent.csv      |
+
+  Scenario: A file with too many rows is refused
+    # Guards against a small file that makes a very large document.
+    Given a copy of the example "blue-mahoe"
+    When accounts.csv gets one row more than the limit
+    And the files are checked
+    Then the first problem is at accounts.csv line 100002, field row: more than 100000 rows
 
   Scenario Outline: A file over the size limit is refused
     # Guards against an input that fills the memory.
--- a/hornbeamrudder/inventory/features/steps/file_steps.py
+++ b/hornbeamrudder/inventory/features/steps/file_steps.py
@@ -13,6 +13,7 @@
 from hornbeamrudder.inventory import check
 from hornbeamrudder.inventory import difference
 from hornbeamrudder.inventory import files
+from hornbeamrudder.inventory import records
 from hornbeamrudder.inventory import schema
 
 EXAMPLES = pathlib.Path(__file__).resolve().parents[4] / 'examples'
@@ -72,6 +73,20 @@
         stream.write(b'\n' * (files.MAX_FILE_BYTES + 1))
 
 
+@behave.when('{file} gets one row more than the limit')
+def add_rows(context, file):
+    with (pathlib.Path(context.folder) / file).open('a') as stream:
+        stream.write('a,b,1,\n' * (records.MAX_ROWS - 4))
+
+
+@behave.then('the only problem is at {file}')
+def check_only(context, file):
+    found = context.checked.failure()
+    if file == 'mapping.yaml':
+        file = 'absent.csv'
+    assert [pathlib.Path(item.file).name for item in found] == [file], found
+
+
 @behave.then(
     'the document has {hosts:d} hosts, {workers:d} workers,'
     ' {services:d} services and {accounts:d} accounts'
