--- a/hornbeamrudder/orders/committer.py
+++ b/hornbeamrudder/orders/committer.py
@@ -4,9 +4,10 @@
 import dataclasses
 import threading
 import time
-from typing import Union
+from typing import Callable, TypeVar, Union
 
 from returns import result
+import structlog
 
 from ..core import errors
 from ..core import ids
@@ -29,6 +30,9 @@
     )
 )
 
+LOG = structlog.get_logger(__name__)
+Rows = TypeVar('Rows')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Committed:
@@ -199,34 +203,43 @@
     """
     match answer:
         case result.Success(rows):
-            pairs = tuple(zip(items, rows))
-            unchanged = tuple(
-                dataclasses.replace(item, read_back=False, not_before=now)
-                for item, row in pairs
-                if not _is_own(item, row)
-                and row.version == item.put.expect_version
-            )
-            again = frozenset(item.number for item in unchanged)
-            settled = tuple(
-                Settled(
-                    item.number,
-                    result.Success(
-                        Committed(row) if _is_own(item, row) else Conflict(row)
-                    ),
-                )
-                for item, row in pairs
-                if item.number not in again
-            )
-            return _put_back(state, unchanged), settled
+            row_by_key = {row.key: row for row in rows}
+            settled: list[Settled] = []
+            again: list[Item] = []
+            for item in items:
+                row = row_by_key.get(item.put.key)
+                if row is None:
+                    again.append(_delayed(item, now))
+                elif _is_own(item, row):
+                    settled.append(
+                        Settled(item.number, result.Success(Committed(row)))
+                    )
+                elif row.version == item.put.expect_version:
+                    again.append(
+                        dataclasses.replace(
+                            item, read_back=False, not_before=now
+                        )
+                    )
+                else:
+                    settled.append(
+                        Settled(item.number, result.Success(Conflict(row)))
+                    )
+            return _put_back(state, tuple(again)), tuple(settled)
         case result.Failure():
-            later = tuple(
-                dataclasses.replace(item, not_before=now + RETRY_DELAY_S)
-                for item in items
-            )
+            later = tuple(_delayed(item, now) for item in items)
             return _put_back(state, later), ()
     raise TypeError(answer)
 
 
+def submit(state: CommitState, item: Item) -> CommitState:
+    """Add an item to those that wait for a batch."""
+    return _put_back(state, (item,))
+
+
+def _delayed(item: Item, now: float) -> Item:
+    return dataclasses.replace(item, not_before=now + RETRY_DELAY_S)
+
+
 def _commit(item: Item, put_result: table.PutResult) -> Commit:
     if put_result.applied or (item.in_doubt and _is_own(item, put_result.row)):
         return Committed(put_result.row)
@@ -302,6 +315,8 @@
             effect; with outcome UNKNOWN it may still take effect.
         """
         future: futures.Future[CommitResult] = futures.Future()
+        # A caller cannot cancel a write that may be in flight.
+        future.set_running_or_notify_cancel()
         with self._changed:
             item = Item(self._next_number, put, attempt, deadline)
             if self._closing:
@@ -309,7 +324,7 @@
                 return future
             self._next_number += 1
             self._futures_by_number[item.number] = future
-            self._state = _put_back(self._state, (item,))
+            self._state = submit(self._state, item)
             self._changed.notify()
         return future
 
@@ -343,17 +358,20 @@
         )
 
     def _call(self, batch: Batch) -> tuple[Settled, ...]:
+        puts = [item.put for item in batch.items]
         if batch.reading:
             self.batches_read_back += 1
-            rows = self._client.read([item.put.key for item in batch.items])
+            rows = _guarded(
+                lambda: self._client.read([put.key for put in puts])
+            )
             with self._changed:
                 self._state, settled = on_read(
                     self._state, batch.items, rows, time.monotonic()
                 )
             return settled
         self.batches_written += 1
-        self.items_written += len(batch.items)
-        answer = self._client.write([item.put for item in batch.items])
+        self.items_written += len(puts)
+        answer = _guarded(lambda: self._client.write(puts))
         with self._changed:
             self._state, settled = on_written(
                 self._state, batch.items, answer, time.monotonic()
@@ -365,3 +383,24 @@
             with self._changed:
                 future = self._futures_by_number.pop(item.number)
             future.set_result(item.commit)
+
+
+def _guarded(
+    call: Callable[[], result.Result[Rows, errors.Failure]],
+) -> result.Result[Rows, errors.Failure]:
+    """Turn an exception into a failure that leaves the outcome open.
+
+    An exception would end the thread, and with it all orders of the node.
+    """
+    try:
+        return call()
+    except Exception as error:
+        LOG.exception('call of the table service raised an exception')
+        return result.Failure(
+            errors.Failure(
+                errors.FailureKind.INVALID,
+                errors.Step.WRITE_TABLE,
+                '',
+                repr(error),
+            )
+        )
--- a/hornbeamrudder/orders/execute.py
+++ b/hornbeamrudder/orders/execute.py
@@ -40,6 +40,8 @@
         self.execution = execution
         self.lock = threading.Lock()
         self.reply: futures.Future[messages.Reply] = futures.Future()
+        # The order goes on where the caller no longer waits.
+        self.reply.set_running_or_notify_cancel()
 
 
 class OrderExecutor:
@@ -87,9 +89,10 @@
         capacity : Future
             Where it is already granted, the record starts in `dispatching`.
         """
-        if len(request.body) > MAX_BODY_BYTES:
+        unfit = _unfit(request, idempotency_key)
+        if unfit:
             refused: futures.Future[messages.Reply] = futures.Future()
-            refused.set_result(_too_large(len(request.body)))
+            refused.set_result(_invalid(unfit))
             return refused
         wall = time.time()
         draft = record.OrderRecord(
@@ -235,14 +238,34 @@
     )
 
 
-def _too_large(size: int) -> messages.Reply:
+def _unfit(request: record.StoredRequest, idempotency_key: str) -> str:
+    """Why a request cannot be recorded, '' where it can."""
+    size = len(request.body)
+    if size > MAX_BODY_BYTES:
+        return f'body of {size} bytes, the limit is {MAX_BODY_BYTES}'
+    texts = (
+        idempotency_key,
+        request.service,
+        request.method,
+        request.path,
+        *itertools.chain.from_iterable(request.headers),
+    )
+    try:
+        ''.join(texts).encode()
+    except UnicodeEncodeError as error:
+        # Such a text cannot be written as JSON; the batch would fail.
+        return f'request text: {error.reason}'
+    return ''
+
+
+def _invalid(detail: str) -> messages.Reply:
     return messages.Reply(
         result.Failure(
             errors.Failure(
                 errors.FailureKind.INVALID,
                 errors.Step.RECORD_ORDER,
                 '',
-                f'body of {size} bytes, the limit is {MAX_BODY_BYTES}',
+                detail,
             )
         ),
         recorded=False,
--- a/hornbeamrudder/orders/features/records.feature
+++ b/hornbeamrudder/orders/features/records.feature
@@ -22,7 +22,12 @@
     Given a table in memory that loses every third answer to a write
     When two nodes execute 40 orders each under the same keys
     Then each order ran once and both nodes gave its answer
-    And at most one batch of each node was in flight
+
+  Scenario: Answers and texts that cannot be stored
+    # Guards against a row or a batch that the table service refuses.
+    Given a table in memory that loses every third answer to a write
+    Then a large answer is given to its caller and recorded as unknown
+    And a request with unencodable text is refused as not run
 
   Scenario: A send that waited too long is not made
     # Guards against a send window that ends where the thread pool begins.
--- a/hornbeamrudder/orders/features/simulation.py
+++ b/hornbeamrudder/orders/features/simulation.py
@@ -283,8 +283,8 @@
             callback(commit)
 
         node.on_settled[number] = settle
-        node.commits = committer._put_back(
-            node.commits, (committer.Item(number, put, attempt, deadline),)
+        node.commits = committer.submit(
+            node.commits, committer.Item(number, put, attempt, deadline)
         )
         self.pump(name)
 
--- a/hornbeamrudder/orders/state.py
+++ b/hornbeamrudder/orders/state.py
@@ -20,6 +20,9 @@
 FINAL_WRITE_LIMIT_S = 10.0
 MAX_POLL_S = 0.5
 POLL_GROWTH = 1.5
+# A larger answer is given to the caller and its record becomes `unknown`:
+# later calls with the key learn that it has no stored answer.
+MAX_RESULT_BYTES = 256 * 1024
 
 Decision = tuple[messages.Execution, tuple[messages.Effect, ...]]
 
@@ -169,10 +172,13 @@
     attempt = state.draft.holder.attempt
     match answer:
         case result.Success(stored):
+            storable = len(stored.body) <= MAX_RESULT_BYTES
             return _finish(
                 state,
-                record.Finish(attempt, stored),
-                messages.Reply(answer, True),
+                record.Finish(attempt, stored)
+                if storable
+                else record.GiveUp(),
+                messages.Reply(answer, storable),
                 now,
                 wall,
             )
