Let the table of the thread test raise exceptions

Cause: no test showed that an exception of the table client leaves the committer running.

Change: the table in memory loses the first of four answers and raises at the second; the test demands that all answers are recorded.

Conclusion: the test finds a committer that has stopped.

--- a/hornbeamrudder/orders/features/records.feature
+++ b/hornbeamrudder/orders/features/records.feature
@@ -18,20 +18,21 @@
     Then the batches have at most 100 items with distinct rows, in order
 
   Scenario: Two nodes receive the same order at once
-    # Guards against threads and clocks that differ from the decisions.
-    Given a table in memory that loses every third answer to a write
+    # Guards against threads and clocks that differ from the decisions, and
+    # against an exception of the table client that ends the committer.
+    Given a table in memory that loses or damages some answers to writes
     When two nodes execute 40 orders each under the same keys
     Then each order ran once and both nodes gave its answer
 
   Scenario: Answers and texts that cannot be stored
     # Guards against a row or a batch that the table service refuses.
-    Given a table in memory that loses every third answer to a write
+    Given a table in memory that loses or damages some answers to writes
     Then a large answer is given to its caller and recorded as unknown
     And a request with unencodable text is refused as not run
 
   Scenario: A send that waited too long is not made
     # Guards against a send window that ends where the thread pool begins.
-    Given a table in memory that loses every third answer to a write
+    Given a table in memory that loses or damages some answers to writes
     When an order waits for a thread past its send window
     Then it did not run and its caller is told so
 
--- a/hornbeamrudder/orders/features/steps/record_steps.py
+++ b/hornbeamrudder/orders/features/steps/record_steps.py
@@ -148,10 +148,10 @@
             )
 
     def write(self, puts):
-        """Apply compare-and-sets; each third answer is lost."""
+        """Apply compare-and-sets; some answers are lost or damaged."""
         with self.lock:
             self.writes += 1
-            lost = self.writes % 3 == 0
+            lost = self.writes % 4 == 1
             answers = []
             for put in puts:
                 version, value = self.row_by_key.get(put.key, (0, None))
@@ -161,6 +161,8 @@
                     self.row_by_key[put.key] = (version, value)
                 row = table.Row(put.key, version, value)
                 answers.append(table.PutResult(applied, row))
+        if self.writes % 4 == 2:
+            raise OSError('damaged answer')
         if lost:
             return result.Failure(
                 errors.Failure(
@@ -170,7 +172,7 @@
         return result.Success(tuple(answers))
 
 
-@behave.given('a table in memory that loses every third answer to a write')
+@behave.given('a table in memory that loses or damages some answers to writes')
 def make_table(context):
     context.memory = MemoryTable()
     context.runs = []
@@ -207,7 +209,7 @@
         for index, executor in enumerate(executors)
     ]
     context.replies = [
-        [future.result(15).answer for future in node] for node in waiting
+        [future.result(15) for future in node] for node in waiting
     ]
     for executor, group in zip(executors, groups):
         executor.close()
@@ -219,7 +221,9 @@
     assert len(context.runs) == len(set(context.runs)) == 40
     first, second = context.replies
     assert first == second
-    assert all(isinstance(answer, result.Success) for answer in first)
+    # An answer that is not recorded shows a committer that has stopped.
+    assert all(reply.recorded for reply in first)
+    assert all(isinstance(reply.answer, result.Success) for reply in first)
 
 
 @behave.when('an order waits for a thread past its send window')
