--- a/hornbeamrudder/answers/features/steps/generation_steps.py
+++ b/hornbeamrudder/answers/features/steps/generation_steps.py
@@ -12,6 +12,7 @@
 
 from hornbeamrudder.answers import buffer
 from hornbeamrudder.answers import generation
+from hornbeamrudder.answers import scheduler
 from hornbeamrudder.backends import client as backends_client
 from hornbeamrudder.core import ids
 from hornbeamrudder.core import types
@@ -53,6 +54,10 @@
         preferred = [item for item in self._workers if item.id not in excluded]
         return result.Success((preferred or self._workers)[0])
 
+    def claim(self, request, worker):
+        self.open += 1
+        return True
+
     def ended(self, request, worker, reason):
         self.open -= 1
 
@@ -149,11 +154,13 @@
             orjson.dumps(body),
             PROMPT,
             body['max_tokens'],
+            body['max_tokens'],
             time.monotonic() + 30,
         ),
         context.client,
         context.pool,
         context.executor,
+        scheduler.Scheduler(context.executor),
         lambda item: context.ended.set(),
     )
 
@@ -186,7 +193,7 @@
     assert item.buffer.state is buffer.AnswerState.COMPLETE, (
         item.buffer.failure
     )
-    found = chat.completion(item.buffer.events_from(0))
+    found = chat.completion(b''.join(item.buffer.events_from(0)))
     assert found['choices'][0]['message']['content'] == ''.join(
         engine_batch.token_text(PROMPT, offset) for offset in range(tokens)
     )
--- a/hornbeamrudder/answers/generation.py
+++ b/hornbeamrudder/answers/generation.py
@@ -17,9 +17,15 @@
 from ..core import types
 from ..platform import http
 from . import reader
+from . import scheduler
 
 MAX_ATTEMPTS = 8
 RETRY_PAUSE_S = 0.05
+# An answer that has begun is worth more than its deadline: the caller has
+# read a part of it. Past this time it is given up.
+RESUME_GRACE_S = 60.0
+# Number of no attempt; pieces of all attempts are dropped.
+PAUSED_ATTEMPT = -1
 
 log = structlog.get_logger()
 
@@ -30,8 +36,10 @@
 
     Attributes
     ----------
+    expected_tokens : float
+        Tokens that the answer is expected to have.
     deadline : float
-        Monotonic time in seconds after which no attempt is started.
+        Monotonic time in seconds after which no first token is worth it.
     prompt_key : str
         Prompt text by which a worker with a cached prefix is found.
     """
@@ -43,6 +51,7 @@
     body: bytes
     prompt_key: str
     max_tokens: int
+    expected_tokens: float
     deadline: float
     traceparent: str = ''
 
@@ -65,6 +74,9 @@
     ) -> result.Result[types.Worker, errors.Failure]:
         """Choose a worker and count the request as sent to it."""
 
+    def claim(self, request: GenerationRequest, worker: types.Worker) -> bool:
+        """Count the request as sent to this worker, if it takes new work."""
+
     def ended(
         self,
         request: GenerationRequest,
@@ -97,6 +109,7 @@
         client: http.HttpClient,
         pool: WorkerPool,
         executor: futures.Executor,
+        waits: scheduler.Scheduler,
         on_end: Callable[['Generation'], None],
     ) -> None:
         self.request = request
@@ -107,10 +120,13 @@
         self._client = client
         self._pool = pool
         self._executor = executor
+        self._waits = waits
         self._on_end = on_end
         self._lock = threading.Lock()
         self._current: _Attempt | None = None
         self._failed_workers: frozenset[ids.WorkerId] = frozenset()
+        self._paused = False
+        self._told_end = False
 
     @property
     def first_token_at(self) -> float | None:
@@ -123,10 +139,6 @@
         current = self._current
         return None if current is None else current.worker
 
-    def start(self) -> None:
-        """Start the first attempt on the executor."""
-        self._executor.submit(self._start_attempt)
-
     def run_first_attempt(self) -> None:
         """Start the first attempt on the calling thread."""
         self._start_attempt()
@@ -135,13 +147,70 @@
         """End the answer with `failure` and stop the engine's work."""
         self.buffer.fail(failure)
         self._abandon(EndReason.FAILED)
-        self._on_end(self)
+        self._tell_end()
+
+    def pause(self) -> types.Worker | None:
+        """Stop the current attempt and accept no more pieces.
+
+        The KV cache is put back at the worker under the request's id, so
+        that the node that goes on with the answer resumes there without
+        computing it again.
 
-    def hand_over(self) -> None:
-        """Stop here, as another node goes on with the answer."""
+        Returns
+        -------
+        Worker or None
+            Worker of the attempt that was stopped.
+        """
+        with self._lock:
+            self._paused = True
+            attempt = self._current
+        self.buffer.begin_attempt(PAUSED_ATTEMPT)
+        if attempt is None:
+            return None
+        blob = self._export_cache(attempt)
+        if not self._abandon(EndReason.MOVED, attempt):
+            return None
+        if blob:
+            self._import_cache(attempt.worker, blob)
+        return attempt.worker
+
+    def unpause(self) -> None:
+        """Go on here after `pause`, as no other node took the answer."""
+        with self._lock:
+            self._paused = False
+        self._start_attempt()
+
+    def finish_handover(self) -> None:
+        """End here, as another node goes on with the answer."""
         self.buffer.move()
-        self._abandon(EndReason.MOVED)
-        self._on_end(self)
+        self._tell_end()
+
+    def continue_from(
+        self,
+        stored: list[bytes],
+        attempts: int,
+        worker: types.Worker | None,
+    ) -> None:
+        """Go on with an answer that another node handed over.
+
+        Parameters
+        ----------
+        stored : list of bytes
+            Events of the answer so far, from offset 0.
+        attempts : int
+            Attempts made so far.
+        worker : Worker or None
+            Worker that holds the KV cache.
+        """
+        self.buffer.load(stored)
+        self.attempts = attempts
+        self._executor.submit(self._resume_at, worker)
+
+    def _resume_at(self, worker: types.Worker | None) -> None:
+        if worker is not None and self._pool.claim(self.request, worker):
+            self._send(worker, imported=True)
+        else:
+            self._start_attempt()
 
     def leave_worker(self, use_cache_export: bool) -> None:
         """Go on at another worker, as the current one is leaving.
@@ -162,17 +231,32 @@
             self._start_attempt(blob)
 
     def _start_attempt(self, cache_blob: bytes = b'') -> None:
-        if self.buffer.state is not buffer.AnswerState.RUNNING:
+        running = self.buffer.state is buffer.AnswerState.RUNNING
+        if self._paused or not running:
             return
         chosen = self._pool.choose(self.request, self._failed_workers)
         match chosen:
             case result.Success(worker):
-                self._send(worker, cache_blob)
+                imported = bool(cache_blob) and self._import_cache(
+                    worker, cache_blob
+                )
+                self._send(worker, imported)
             case result.Failure(failure):
-                self._end_with(failure)
+                self._wait_for_worker(failure)
 
-    def _send(self, worker: types.Worker, cache_blob: bytes) -> None:
-        imported = bool(cache_blob) and self._import_cache(worker, cache_blob)
+    def _wait_for_worker(self, failure: errors.Failure) -> None:
+        """Try again later where the answer has begun, else refuse."""
+        if self.attempts == 0 or time.monotonic() > self._latest_start():
+            self._end_with(failure)
+            return
+        self._failed_workers = frozenset()
+        self._waits.run_after(RETRY_PAUSE_S, self._start_attempt)
+
+    def _latest_start(self) -> float:
+        grace_s = RESUME_GRACE_S if self.buffer.next_offset else 0.0
+        return self.request.deadline + grace_s
+
+    def _send(self, worker: types.Worker, imported: bool) -> None:
         with self._lock:
             self.attempts += 1
             number = self.attempts
@@ -231,28 +315,39 @@
         self.buffer.complete(attempt.number)
         if self.buffer.state is buffer.AnswerState.COMPLETE:
             self._pool.ended(self.request, attempt.worker, EndReason.COMPLETE)
-            self._on_end(self)
+            self._tell_end()
             return
         self._pool.ended(self.request, attempt.worker, EndReason.FAILED)
         self._failed_workers |= {attempt.worker.id}
         failure = _attempt_failure(outcome, attempt.worker)
         if self._may_go_on(failure):
-            time.sleep(RETRY_PAUSE_S)
-            self._start_attempt()
+            self._waits.run_after(RETRY_PAUSE_S, self._start_attempt)
         else:
             self._end_with(failure)
 
     def _may_go_on(self, failure: errors.Failure) -> bool:
-        return (
-            failure.kind is not errors.FailureKind.INVALID
-            and self.attempts < MAX_ATTEMPTS
-            and time.monotonic() < self.request.deadline
-            and self._pool.may_retry(self.request)
+        if (
+            failure.kind is errors.FailureKind.INVALID
+            or self.attempts >= MAX_ATTEMPTS
+            or time.monotonic() > self._latest_start()
+        ):
+            return False
+        # Only attempts without a token come out of the retry budget: an
+        # answer that has begun was accepted, and each one resumes at most
+        # once for each worker that it loses.
+        return self.buffer.next_offset > 0 or self._pool.may_retry(
+            self.request
         )
 
     def _end_with(self, failure: errors.Failure) -> None:
         self.buffer.fail(failure)
-        self._on_end(self)
+        self._tell_end()
+
+    def _tell_end(self) -> None:
+        with self._lock:
+            first, self._told_end = not self._told_end, True
+        if first:
+            self._on_end(self)
 
     def _take_current(self, attempt: _Attempt) -> bool:
         with self._lock:
--- a/hornbeamrudder/answers/service.py
+++ b/hornbeamrudder/answers/service.py
@@ -10,6 +10,7 @@
 from ..core import types
 from . import generation
 from ..platform import http
+from . import scheduler
 
 EXECUTOR_THREADS = 16
 SWEEP_INTERVAL_S = 1.0
@@ -24,8 +25,6 @@
     ----------
     kept_answer_s : float
         An answer whose caller is gone is kept this long, in seconds.
-    on_end : callable
-        Called once for each generation that ends, for metrics.
     """
 
     def __init__(
@@ -33,15 +32,14 @@
         client: http.HttpClient,
         pool: generation.WorkerPool,
         kept_answer_s: float,
-        on_end: EndCallback,
     ) -> None:
         self._client = client
         self._pool = pool
         self._kept_answer_s = kept_answer_s
-        self._on_end_callback = on_end
         self._executor = futures.ThreadPoolExecutor(
             EXECUTOR_THREADS, thread_name_prefix='answers'
         )
+        self._waits = scheduler.Scheduler(self._executor)
         self._lock = threading.Lock()
         self._generations_by_request_id: dict[
             ids.RequestId, generation.Generation
@@ -55,11 +53,16 @@
         self._sweeper.start()
 
     def create(
-        self, request: generation.GenerationRequest
+        self, request: generation.GenerationRequest, on_end: EndCallback
     ) -> generation.Generation:
         """Register a generation that the caller will start.
 
         A request id that is already here returns its generation.
+
+        Parameters
+        ----------
+        on_end : callable
+            Called once when the generation ends on this node.
         """
         with self._lock:
             existing = self._generations_by_request_id.get(request.id)
@@ -70,7 +73,8 @@
                 self._client,
                 self._pool,
                 self._executor,
-                self._on_end,
+                self._waits,
+                on_end,
             )
             self._generations_by_request_id[request.id] = created
             self._unread_since_by_request_id[request.id] = time.monotonic()
@@ -93,14 +97,8 @@
             self._readers_by_request_id[request_id] = readers + 1
             self._unread_since_by_request_id.pop(request_id, None)
 
-    def closed(self, request_id: ids.RequestId, delivered: bool) -> None:
-        """Note that a caller has stopped reading.
-
-        Parameters
-        ----------
-        delivered : bool
-            The caller has the whole answer.
-        """
+    def closed(self, request_id: ids.RequestId) -> None:
+        """Note that a caller has stopped reading."""
         with self._lock:
             readers = self._readers_by_request_id.pop(request_id, 1) - 1
             if readers > 0:
@@ -108,6 +106,12 @@
             else:
                 self._unread_since_by_request_id[request_id] = time.monotonic()
 
+    def touch(self, request_id: ids.RequestId) -> None:
+        """Note that a peer reads an answer on behalf of its caller."""
+        with self._lock:
+            if request_id in self._unread_since_by_request_id:
+                self._unread_since_by_request_id[request_id] = time.monotonic()
+
     def generations(self) -> tuple[generation.Generation, ...]:
         """Return all generations that are kept here."""
         with self._lock:
@@ -138,11 +142,9 @@
     def close(self) -> None:
         """Stop the threads of the service."""
         self._stop.set()
+        self._waits.close()
         self._executor.shutdown(wait=False, cancel_futures=True)
 
-    def _on_end(self, ended: generation.Generation) -> None:
-        self._on_end_callback(ended)
-
     def _sweep_loop(self) -> None:
         while not self._stop.wait(SWEEP_INTERVAL_S):
             self._sweep(time.monotonic())
--- a/hornbeamrudder/backends/client.py
+++ b/hornbeamrudder/backends/client.py
@@ -12,7 +12,7 @@
 FIRST_TOKEN_TIMEOUT_S = 10.0
 BETWEEN_TOKENS_TIMEOUT_S = 2.0
 CONTROL_TIMEOUT_S = 1.0
-HOP_BY_HOP_HEADERS = frozenset(
+NOT_FORWARDED_HEADERS = frozenset(
     (
         'connection',
         'keep-alive',
@@ -27,6 +27,8 @@
         'authorization',
         'expect',
         'cookie',
+        'idempotency-key',
+        'traceparent',
     )
 )
 
@@ -92,13 +94,7 @@
     worker: types.Worker, call: ServiceCall
 ) -> http.HttpRequest:
     """Build the request of one attempt; non-idempotent ones are sent once."""
-    passed_on = tuple(
-        (name, value)
-        for name, value in call.headers
-        if name.lower() not in HOP_BY_HOP_HEADERS
-        and not name.lower().startswith('x-')
-        and name.lower() not in ('idempotency-key', 'traceparent')
-    )
+    passed_on = forwarded_headers(call.headers)
     own = (
         ('X-Request-Id', call.request_id),
         ('X-Attempt', str(call.attempt)),
@@ -120,6 +116,18 @@
     )
 
 
+def forwarded_headers(
+    headers: tuple[tuple[str, str], ...],
+) -> tuple[tuple[str, str], ...]:
+    """Headers of a caller that a plain service gets as they are."""
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in NOT_FORWARDED_HEADERS
+        and not name.lower().startswith('x-')
+    )
+
+
 def cancel_request(
     worker: types.Worker, request_id: ids.RequestId, attempt: int
 ) -> http.HttpRequest:
--- /dev/null
+++ b/hornbeamrudder/bench/balancer.py
@@ -0,0 +1,76 @@
+"""Address list of ready nodes, in place of the platform's balancer."""
+
+import random
+import threading
+from typing import Sequence
+
+from returns import result
+
+from ..core import errors
+from ..core import types
+from ..platform import http
+
+INTERVAL_S = 0.2
+TIMEOUT_S = 1.0
+
+
+class AddressList:
+    """Asks each node for its readiness and picks ready ones at random."""
+
+    def __init__(
+        self,
+        client: http.HttpClient,
+        addresses: Sequence[types.Address],
+        seed: int,
+    ) -> None:
+        self._client = client
+        self._addresses = tuple(addresses)
+        self._rng = random.Random(seed)
+        self._ready: tuple[types.Address, ...] = ()
+        self._stop = threading.Event()
+        self._update()
+        self._thread = threading.Thread(
+            target=self._run, name='balancer', daemon=True
+        )
+        self._thread.start()
+
+    @property
+    def ready(self) -> tuple[types.Address, ...]:
+        """Nodes that were ready at the last look."""
+        return self._ready
+
+    def pick(self) -> types.Address:
+        """Pick a node; any where none is ready."""
+        return self._rng.choice(self._ready or self._addresses)
+
+    def close(self) -> None:
+        """Stop the thread."""
+        self._stop.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stop.wait(INTERVAL_S):
+            self._update()
+
+    def _update(self) -> None:
+        calls = [
+            self._client.start(
+                http.HttpRequest(
+                    method='GET',
+                    peer=str(address),
+                    path='/readyz',
+                    step=errors.Step.PEER_EXCHANGE,
+                    connect_timeout_s=TIMEOUT_S,
+                    first_byte_timeout_s=TIMEOUT_S,
+                    total_timeout_s=TIMEOUT_S,
+                )
+            )
+            for address in self._addresses
+        ]
+        answers = [call.future.result() for call in calls]
+        self._ready = tuple(
+            address
+            for address, answer in zip(self._addresses, answers)
+            if isinstance(answer, result.Success)
+            and answer.unwrap().status == 200
+        )
--- a/hornbeamrudder/bench/callers.py
+++ b/hornbeamrudder/bench/callers.py
@@ -8,14 +8,13 @@
 import dataclasses
 import enum
 import itertools
-import random
 import time
-from typing import Sequence
 
 import orjson
 from returns import result
 
 from ..answers import events
+from . import balancer
 from ..core import errors
 from ..core import types
 from ..platform import http
@@ -132,12 +131,10 @@
     def __init__(
         self,
         client: http.HttpClient,
-        addresses: Sequence[types.Address],
-        seed: int,
+        addresses: balancer.AddressList,
     ) -> None:
         self._client = client
-        self._addresses = tuple(addresses)
-        self._rng = random.Random(seed)
+        self._addresses = addresses
 
     def stream(
         self,
@@ -235,7 +232,7 @@
         )
 
     def _address(self) -> types.Address:
-        return self._rng.choice(self._addresses)
+        return self._addresses.pick()
 
     def _follow(
         self,
@@ -250,7 +247,9 @@
         resumed = bool(stream.request_id)
         if resumed:
             last = f'{stream.request_id}:{stream.next_offset - 1}'
-            headers += (('Last-Event-ID', last),) * (stream.next_offset > 0)
+            headers += (('Accept', 'text/event-stream'),)
+            if stream.next_offset:
+                headers += (('Last-Event-ID', last),)
         return self._client.start(
             http.HttpRequest(
                 method='GET' if resumed else 'POST',
--- a/hornbeamrudder/bench/local.py
+++ b/hornbeamrudder/bench/local.py
@@ -8,7 +8,6 @@
 import signal
 import subprocess
 import sys
-import time
 from typing import Any, Iterator, Mapping, Sequence
 
 import orjson
@@ -85,15 +84,10 @@
         return self.start_many({name: (words, settings)})[0]
 
     def stop_all(self) -> None:
-        """End all processes, by force where they do not stop."""
+        """End all processes at once; a graceful stop is tested apart."""
         for item in self.by_name.values():
-            item.send(signal.SIGCONT)
-            item.send(signal.SIGTERM)
-        deadline = time.monotonic() + STOP_TIMEOUT_S
-        for item in self.by_name.values():
-            with contextlib.suppress(subprocess.TimeoutExpired):
-                item.wait(max(0.1, deadline - time.monotonic()))
             item.send(signal.SIGKILL)
+        for item in self.by_name.values():
             item.wait()
 
     def log_text(self, name: str) -> str:
--- a/hornbeamrudder/cli.py
+++ b/hornbeamrudder/cli.py
@@ -1,13 +1,17 @@
 """Command line of hornbeamrudder."""
 
 import argparse
+import pathlib
 import sys
 from typing import Any, Callable, Sequence
 
 import pydantic
 from returns import result
 
+from .bench import demo
 from .entry import daemon
+from .inventory import problems
+from .operators import commands as commands_of_operators
 from .settings import load
 from .settings import schema
 from .standins import cloud
@@ -38,8 +42,8 @@
     match load.load(path, model):
         case result.Success(settings):
             return run(settings)
-        case result.Failure(messages):
-            print('\n'.join(messages), file=sys.stderr)
+        case result.Failure(found):
+            print('\n'.join(map(str, found)), file=sys.stderr)
             return EXIT_PROBLEMS
     raise AssertionError
 
@@ -56,6 +60,14 @@
     )
 
 
+def _settings_problems(path: pathlib.Path) -> tuple[problems.Problem, ...]:
+    match load.load(str(path), schema.NodeSettings):
+        case result.Failure(found):
+            return found
+        case _:
+            return ()
+
+
 def make_parser() -> argparse.ArgumentParser:
     """Make the parser of the command line."""
     parser = argparse.ArgumentParser(
@@ -72,6 +84,14 @@
     standin.add_argument('role', choices=sorted(STANDINS_BY_ROLE))
     standin.add_argument('--settings', required=True, metavar='FILE')
     standin.set_defaults(run=_standin)
+    commands_of_operators.add_parsers(commands, _settings_problems)
+    demo_command = commands.add_parser(
+        'demo', help='run a whole deployment on this machine'
+    )
+    demo_command.add_argument(
+        '--folder', help='folder for settings and logs of the processes'
+    )
+    demo_command.set_defaults(run=demo.main)
     return parser
 
 
--- a/hornbeamrudder/configuration/events.py
+++ b/hornbeamrudder/configuration/events.py
@@ -84,7 +84,7 @@
     """What the next heartbeats carry for other parts of the node."""
 
     demand: tuple[tuple[ids.ServiceName, float], ...]
-    leaving: tuple[ids.HostId, ...]
+    leaving: tuple[messages.Leaving, ...]
 
 
 Event = Union[
--- a/hornbeamrudder/configuration/node_state.py
+++ b/hornbeamrudder/configuration/node_state.py
@@ -59,7 +59,7 @@
     )
     connected: tuple[ids.NodeId, ...] = ()
     demand: tuple[tuple[ids.ServiceName, float], ...] = ()
-    leaving: tuple[ids.HostId, ...] = ()
+    leaving: tuple[messages.Leaving, ...] = ()
     sequence: int = 0
     wall: float = 0.0
 
--- a/hornbeamrudder/configuration/service.py
+++ b/hornbeamrudder/configuration/service.py
@@ -184,7 +184,7 @@
     def report(
         self,
         demand: Iterable[tuple[ids.ServiceName, float]],
-        leaving: Iterable[ids.HostId],
+        leaving: Iterable[messages.Leaving],
     ) -> None:
         """Set what the next heartbeats tell about demand and hosts."""
         self._events.put(events.Report(tuple(demand), tuple(leaving)))
--- a/hornbeamrudder/entry/application.py
+++ b/hornbeamrudder/entry/application.py
@@ -2,11 +2,10 @@
 
 import dataclasses
 import random
-import socket
-import ssl
 import threading
 import time
-from typing import Any, Callable, Iterable, Mapping, Protocol
+from typing import Any, Callable, Iterable, Mapping
+import urllib.parse
 
 from returns import result
 import structlog
@@ -15,19 +14,20 @@
 from werkzeug import routing
 
 from . import accounts
-from ..answers import generation
-from ..answers import service as answers_service
 from . import chat
+from . import chat_calls
 from . import chat_request
+from . import configured
 from ..core import errors
 from ..core import ids
 from ..core import types
+from . import gate as gates
 from ..inventory import schema
+from ..operators import api
+from ..operators import messages as operator_messages
 from . import problems
-from . import server
 from . import service_calls
 from ..telemetry import metrics as node_metrics
-from ..telemetry import traces
 
 log = structlog.get_logger()
 
@@ -44,33 +44,36 @@
         ),
         routing.Rule('/v1/services/<name>/', endpoint='service'),
         routing.Rule('/v1/services/<name>/<path:rest>', endpoint='service'),
+        routing.Rule('/v1/operator/<path:rest>', endpoint='operator'),
     ],
     merge_slashes=False,
 )
+EVENT_STREAM = 'text/event-stream'
+RETRY_AFTER_S = 1.0
 
-
-class Configuration(Protocol):
-    """What the application needs of the configuration in force."""
-
-    def document(self) -> schema.Document:
-        """Return the document in force."""
-
-    def may_admit(self) -> bool:
-        """Whether this node may admit new requests now."""
+Handler = Callable[..., werkzeug.Response]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Parts:
-    """The parts of a node that the application calls."""
+    """The parts of a node that the application calls.
+
+    Attributes
+    ----------
+    before_metrics : callable
+        Sets the gauges just before they are rendered.
+    """
 
     node_id: ids.NodeId
-    configuration: Configuration
-    answers: answers_service.AnswerService
+    configuration: configured.NodeConfiguration
+    chat: chat_calls.ChatCaller
     service_calls: service_calls.ServiceCaller
+    operators: api.Backend
+    gate: gates.Gate
     metrics: node_metrics.NodeMetrics
-    tracer: traces.Tracer
     rng: random.Random
     body_bytes: int
+    before_metrics: Callable[[], None]
 
 
 class Application:
@@ -79,17 +82,17 @@
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
         self._ready = False
+        self._refuses_new = False
         self._open_requests = 0
         self._lock = threading.Lock()
-        self._handlers_by_endpoint: Mapping[
-            str, Callable[..., werkzeug.Response]
-        ] = {
+        self._handlers_by_endpoint: Mapping[str, Handler] = {
             'health': self._health,
             'ready': self._readiness,
             'metrics': self._metrics,
             'chat': self._chat,
             'resume': self._resume,
             'service': self._service,
+            'operator': self._operator,
         }
 
     @property
@@ -101,6 +104,10 @@
         """Set what `/readyz` tells the balancer."""
         self._ready = ready
 
+    def refuse_new(self) -> None:
+        """Refuse new requests from now on, as this node is leaving."""
+        self._refuses_new = True
+
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
@@ -111,6 +118,8 @@
         request.max_content_length = self._parts.body_bytes
         response = self._respond(request, environ)
         response.call_on_close(self._closed)
+        if self._refuses_new:
+            response.headers['Connection'] = 'close'
         return response(environ, start_response)
 
     def _closed(self) -> None:
@@ -128,7 +137,7 @@
                 problems.not_found(f'no such path: {request.path[:200]!r}')
             )
         except exceptions.HTTPException as error:
-            return self._http_error(error)
+            return _http_error(error)
         except Exception:
             log.exception('request failed by an internal error')
             return problems.to_response(
@@ -141,15 +150,6 @@
                 )
             )
 
-    def _http_error(
-        self, error: exceptions.HTTPException
-    ) -> werkzeug.Response:
-        response = problems.to_response(
-            problems.invalid(error.description or error.name)
-        )
-        response.status_code = error.code or 400
-        return response
-
     def _health(self, request: werkzeug.Request) -> werkzeug.Response:
         return werkzeug.Response('ok\n')
 
@@ -160,97 +160,51 @@
         )
 
     def _metrics(self, request: werkzeug.Request) -> werkzeug.Response:
+        self._parts.before_metrics()
         body, headers = self._parts.metrics.render(
             request.headers.getlist('Accept')
         )
         return werkzeug.Response(body, headers=headers)
 
+    def _operator(
+        self, request: werkzeug.Request, rest: str
+    ) -> werkzeug.Response:
+        request.max_content_length = operator_messages.MAX_DOCUMENT_BYTES
+        return api.handle(request, self._parts.operators)
+
     def _chat(self, request: werkzeug.Request) -> werkzeug.Response:
         document = self._parts.configuration.document()
-        account = accounts.authenticate(
-            document, request.headers.get('Authorization', '')
-        )
-        match account:
-            case result.Failure(failure):
-                return self._refuse(failure)
-            case result.Success(found):
-                return self._chat_of(request, document, found)
-        raise AssertionError(account)
-
-    def _chat_of(
-        self,
-        request: werkzeug.Request,
-        document: schema.Document,
-        account: types.Account,
-    ) -> werkzeug.Response:
+        account = _account(request, document)
+        if isinstance(account, errors.Failure):
+            return self._refuse(account)
         last_event_id = request.headers.get('Last-Event-ID')
         if last_event_id:
             return self._resume_from(request, account, last_event_id)
-        match chat_request.parse(document, request.get_data()):
-            case result.Failure(failure):
-                return self._refuse(failure)
-            case result.Success(parsed):
-                return self._generate(request, document, account, parsed)
-        raise AssertionError
-
-    def _generate(
-        self,
-        request: werkzeug.Request,
-        document: schema.Document,
-        account: types.Account,
-        parsed: chat_request.ChatRequest,
-    ) -> werkzeug.Response:
-        refusal = self._refusal()
-        if refusal is not None:
-            return self._refuse(refusal)
-        rule = schema.rank_of(
-            document, account.id, parsed.service.name, 'POST', request.path
+        prepared = self._parts.chat.prepare(request, document, account)
+        if isinstance(prepared, result.Failure):
+            return self._refuse(prepared.failure())
+        accepted = prepared.unwrap()
+        return self._run_admitted(
+            accepted.rank,
+            lambda: self._parts.chat.complete(request, accepted),
         )
-        request_id = ids.new_request_id(self._parts.node_id, self._parts.rng)
-        with self._parts.tracer.span(
-            'generate',
-            request.headers.get('traceparent', ''),
-            request_id=request_id,
-            service=parsed.service.name,
-        ) as traceparent:
-            item = self._parts.answers.create(
-                generation.GenerationRequest(
-                    id=request_id,
-                    account=account.id,
-                    service=parsed.service.name,
-                    rank=rule.rank,
-                    body=parsed.body,
-                    prompt_key=parsed.prompt_key,
-                    max_tokens=parsed.max_tokens,
-                    deadline=time.monotonic() + rule.deadline_s,
-                    traceparent=traceparent,
-                )
-            )
-            item.run_first_attempt()
-        if parsed.stream:
-            return chat.stream_response(
-                self._parts.answers, item, 0, _direct_connection(request)
-            )
-        return chat.whole_response(self._parts.answers, item)
 
     def _resume(
         self, request: werkzeug.Request, request_id: str
     ) -> werkzeug.Response:
         document = self._parts.configuration.document()
-        account = accounts.authenticate(
-            document, request.headers.get('Authorization', '')
+        account = _account(request, document)
+        if isinstance(account, errors.Failure):
+            return self._refuse(account)
+        last_event_id = request.headers.get('Last-Event-ID')
+        if last_event_id:
+            return self._resume_from(request, account, last_event_id)
+        return self._parts.chat.resume(
+            request,
+            account,
+            chat.ResumePoint(request_id, 0),
+            EVENT_STREAM in request.headers.get('Accept', ''),
         )
-        match account:
-            case result.Failure(failure):
-                return self._refuse(failure)
-            case result.Success(found):
-                point = request.headers.get('Last-Event-ID', f'{request_id}:')
-                if point == f'{request_id}:':
-                    return self._resume_at(
-                        request, found, chat.ResumePoint(request_id, 0)
-                    )
-                return self._resume_from(request, found, point)
-        raise AssertionError(account)
 
     def _resume_from(
         self,
@@ -261,95 +215,59 @@
         point = chat.parse_last_event_id(last_event_id)
         if point is None:
             return self._refuse(problems.invalid('Last-Event-ID is malformed'))
-        return self._resume_at(request, account, point)
-
-    def _resume_at(
-        self,
-        request: werkzeug.Request,
-        account: types.Account,
-        point: chat.ResumePoint,
-    ) -> werkzeug.Response:
-        item = self._parts.answers.find(
-            ids.RequestId(point.request_id), account.id
-        )
-        if item is None:
-            return self._refuse(
-                problems.not_found('no answer is kept for this request id')
-            )
-        return chat.stream_response(
-            self._parts.answers,
-            item,
-            point.next_offset,
-            _direct_connection(request),
-        )
+        return self._parts.chat.resume(request, account, point, True)
 
     def _service(
         self, request: werkzeug.Request, name: str, rest: str = ''
     ) -> werkzeug.Response:
         document = self._parts.configuration.document()
-        account = accounts.authenticate(
-            document, request.headers.get('Authorization', '')
+        account = _account(request, document)
+        if isinstance(account, errors.Failure):
+            return self._refuse(account)
+        service = chat_request.service_named(document, name)
+        if isinstance(service, result.Failure):
+            return self._refuse(service.failure())
+        path = _path_with_query('/' + rest, request)
+        rule = schema.rank_of(
+            document, account.id, service.unwrap().name, request.method, path
         )
-        match account:
-            case result.Failure(failure):
-                return self._refuse(failure)
-            case result.Success(found):
-                refusal = self._refusal()
-                if refusal is not None:
-                    return self._refuse(refusal)
-                return self._call_service(request, document, found, name, rest)
-        raise AssertionError(account)
-
-    def _call_service(
-        self,
-        request: werkzeug.Request,
-        document: schema.Document,
-        account: types.Account,
-        name: str,
-        rest: str,
-    ) -> werkzeug.Response:
-        match chat_request.service_named(document, name):
-            case result.Failure(failure):
-                return self._refuse(failure)
-            case result.Success(service):
-                request_id = ids.new_request_id(
-                    self._parts.node_id, self._parts.rng
-                )
-                with self._parts.tracer.span(
-                    'call service',
-                    request.headers.get('traceparent', ''),
-                    request_id=request_id,
-                    service=service.name,
-                ) as traceparent:
-                    return self._parts.service_calls.call(
-                        service_calls.IncomingCall(
-                            request_id=request_id,
-                            account=account.id,
-                            service=service.name,
-                            method=request.method,
-                            path=_path_with_query('/' + rest, request),
-                            headers=tuple(request.headers.items()),
-                            body=request.get_data(),
-                            idempotency_key=request.headers.get(
-                                'Idempotency-Key', ''
-                            ),
-                            traceparent=traceparent,
-                        ),
-                        document,
-                    )
-        raise AssertionError
-
-    def _refusal(self) -> errors.Failure | None:
-        if self._parts.configuration.may_admit():
-            return None
-        return errors.Failure(
-            errors.FailureKind.UNAVAILABLE,
-            errors.Step.ADMIT,
-            '',
-            'this node cannot confirm that its configuration is in force',
-            retry_after_s=1.0,
+        rank = max(rule.rank, chat_request.rank_of_priority(request.headers))
+        incoming = service_calls.IncomingCall(
+            request_id=ids.new_request_id(
+                self._parts.node_id, self._parts.rng
+            ),
+            account=account.id,
+            service=service.unwrap().name,
+            rank=rank,
+            method=request.method,
+            path=path,
+            headers=tuple(request.headers.items()),
+            body=request.get_data(),
+            deadline=time.monotonic() + rule.deadline_s,
+            idempotency_key=request.headers.get('Idempotency-Key', ''),
+            traceparent=request.headers.get('traceparent', ''),
+        )
+        return self._run_admitted(
+            rank, lambda: self._parts.service_calls.call(incoming, document)
         )
 
+    def _run_admitted(
+        self, rank: types.Rank, run: Callable[[], werkzeug.Response]
+    ) -> werkzeug.Response:
+        """Check the right to admit and occupy a thread until the end."""
+        if self._refuses_new or not self._parts.configuration.may_admit():
+            return self._refuse(_may_not_admit(self._refuses_new))
+        refusal = self._parts.gate.enter(rank)
+        if refusal is not None:
+            return self._refuse(refusal)
+        try:
+            response = run()
+        except Exception:
+            self._parts.gate.leave(rank)
+            raise
+        response.call_on_close(lambda: self._parts.gate.leave(rank))
+        return response
+
     def _refuse(self, failure: errors.Failure) -> werkzeug.Response:
         self._parts.metrics.refusals.inc(
             {'step': failure.step.value, 'kind': failure.kind.value}
@@ -357,17 +275,41 @@
         return problems.to_response(failure)
 
 
-def _path_with_query(path: str, request: werkzeug.Request) -> str:
-    query = request.query_string.decode('latin-1')
-    quoted = werkzeug.urls.iri_to_uri(path)
-    return f'{quoted}?{query}' if query else quoted
+def _account(
+    request: werkzeug.Request, document: schema.Document
+) -> types.Account | errors.Failure:
+    found = accounts.authenticate(
+        document, request.headers.get('Authorization', '')
+    )
+    if isinstance(found, result.Failure):
+        return found.failure()
+    return found.unwrap()
+
+
+def _http_error(error: exceptions.HTTPException) -> werkzeug.Response:
+    response = problems.to_response(
+        problems.invalid(error.description or error.name)
+    )
+    response.status_code = error.code or 400
+    return response
 
 
-def _direct_connection(request: werkzeug.Request) -> socket.socket | None:
-    connection = request.environ.get(server.CONNECTION_KEY)
-    plain = isinstance(connection, socket.socket) and not isinstance(
-        connection, ssl.SSLSocket
+def _may_not_admit(leaving: bool) -> errors.Failure:
+    reason = (
+        'this node is leaving'
+        if leaving
+        else 'this node cannot confirm that its configuration is in force'
     )
-    if plain and request.environ['SERVER_PROTOCOL'] == 'HTTP/1.1':
-        return connection
-    return None
+    return errors.Failure(
+        errors.FailureKind.UNAVAILABLE,
+        errors.Step.ADMIT,
+        '',
+        reason,
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def _path_with_query(path: str, request: werkzeug.Request) -> str:
+    query = request.query_string.decode('latin-1')
+    quoted = urllib.parse.quote(path, safe="/:@!$&'()*+,;=~")
+    return f'{quoted}?{query}' if query else quoted
--- a/hornbeamrudder/entry/chat.py
+++ b/hornbeamrudder/entry/chat.py
@@ -1,8 +1,9 @@
-"""Answers chat completions: whole, as an event stream, or resumed."""
+"""Gives answers to callers: whole, as an event stream, or the rest of one."""
 
 import dataclasses
 import socket
-from typing import Any, Iterator
+import ssl
+from typing import Any, Callable, Iterator, Protocol
 
 import orjson
 import werkzeug
@@ -12,14 +13,43 @@
 from ..answers import generation
 from ..answers import service
 from ..core import errors
+from ..core import ids
 from ..core import types
 from . import direct
 from . import problems
+from . import server
 
 KEEPALIVE_S = 5.0
 KEEPALIVE_COMMENT = b': keep-alive\n\n'
 # Lets the head, with the request id, reach the caller before any token.
 ACCEPTED_COMMENT = b': accepted\n\n'
+# Without the end mark the caller knows that the answer is not whole and
+# comes back with its request id and Last-Event-ID.
+MOVED_EVENT = b'event: moved\ndata: {}\n\n'
+
+
+class Answer(Protocol):
+    """An answer that is here or at another node."""
+
+    @property
+    def state(self) -> buffer.AnswerState:
+        """State of the answer."""
+
+    @property
+    def failure(self) -> errors.Failure | None:
+        """Why the answer failed."""
+
+    def wait(self, offset: int, timeout_s: float) -> tuple[bytes, int, bool]:
+        """Wait for events from `offset` on."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerSource:
+    """An answer to read, and what to call when its reader has gone."""
+
+    request_id: ids.RequestId
+    answer: Answer
+    on_close: Callable[[], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,16 +63,41 @@
 def parse_last_event_id(value: str) -> ResumePoint | None:
     """Read `<request id>:<offset>`; None where it is malformed."""
     request_id, separator, offset = value.rpartition(':')
-    if not separator or not request_id or not offset.isdecimal():
+    if (
+        not separator
+        or not request_id
+        or not (offset.isascii() and offset.isdecimal())
+        or len(offset) > 9
+    ):
         return None
     return ResumePoint(request_id, int(offset) + 1)
 
 
+def local_answer(
+    answers: service.AnswerService, item: generation.Generation
+) -> AnswerSource:
+    """Read an answer of this node."""
+    request_id = item.request.id
+    answers.opened(request_id)
+    return AnswerSource(
+        request_id, item.buffer, lambda: answers.closed(request_id)
+    )
+
+
+def direct_connection(request: werkzeug.Request) -> socket.socket | None:
+    """Return the socket of a caller that may be written to directly."""
+    connection = request.environ.get(server.CONNECTION_KEY)
+    if (
+        isinstance(connection, socket.socket)
+        and not isinstance(connection, ssl.SSLSocket)
+        and request.environ['SERVER_PROTOCOL'] == 'HTTP/1.1'
+    ):
+        return connection
+    return None
+
+
 def stream_response(
-    answers: service.AnswerService,
-    item: generation.Generation,
-    offset: int,
-    connection: socket.socket | None,
+    source: AnswerSource, offset: int, connection: socket.socket | None
 ) -> werkzeug.Response:
     """Stream an answer's events from `offset` on.
 
@@ -52,143 +107,115 @@
         Plain socket of an HTTP/1.1 caller for direct writes, None where the
         pieces have to go through the WSGI server.
     """
-    answers.opened(item.request.id)
     response = werkzeug.Response(
-        _Events(answers, item, offset, connection),
-        mimetype='text/event-stream',
+        _pieces(source, offset, connection), mimetype='text/event-stream'
     )
-    response.headers['X-Request-Id'] = item.request.id
+    response.call_on_close(source.on_close)
+    response.headers['X-Request-Id'] = source.request_id
     response.headers['Cache-Control'] = 'no-store'
     return response
 
 
-class _Events:
-    """Iterates over the bytes of an event stream, then tells the end."""
-
-    def __init__(
-        self,
-        answers: service.AnswerService,
-        item: generation.Generation,
-        offset: int,
-        connection: socket.socket | None,
-    ) -> None:
-        self._answers = answers
-        self._item = item
-        self._pieces = (
-            self._read(offset)
-            if connection is None
-            else self._write_directly(offset, connection)
-        )
-        self._delivered = False
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self._pieces
-
-    def close(self) -> None:
-        """Called by the WSGI server also when the caller is gone."""
-        self._answers.closed(self._item.request.id, self._delivered)
-
-    def _read(self, offset: int) -> Iterator[bytes]:
-        yield ACCEPTED_COMMENT
-        ended = False
-        while not ended:
-            data, offset, ended = self._item.buffer.wait(offset, KEEPALIVE_S)
-            if data:
-                yield data
-            elif not ended:
-                yield KEEPALIVE_COMMENT
-        yield self._ending()
-        self._delivered = True
-
-    def _write_directly(
-        self, offset: int, connection: socket.socket
-    ) -> Iterator[bytes]:
-        # The server has written the head once the next piece is asked for.
-        yield ACCEPTED_COMMENT
-        stream = direct.DirectStream(connection)
-        if not stream.run(
-            self._item.buffer, offset, KEEPALIVE_COMMENT, KEEPALIVE_S
-        ):
-            raise ConnectionResetError('caller is gone or too slow')
-        yield self._ending()
-        self._delivered = True
-
-    def _ending(self) -> bytes:
-        match self._item.buffer.state:
-            case buffer.AnswerState.COMPLETE:
-                return buffer.DONE_BYTES
-            case buffer.AnswerState.MOVED:
-                # Without the end mark the caller knows that the answer is
-                # not whole and comes back with Last-Event-ID.
-                return b'event: moved\ndata: {}\n\n'
-            case _:
-                return _error_event(self._item)
-
-
-def whole_response(
-    answers: service.AnswerService, item: generation.Generation
-) -> werkzeug.Response:
+def whole_response(source: AnswerSource) -> werkzeug.Response:
     """Wait for an answer's end and give it as one JSON body."""
-    answers.opened(item.request.id)
-    ended = False
+    pieces, offset, ended = [], 0, False
     while not ended:
-        _, _, ended = item.buffer.wait(item.buffer.next_offset, KEEPALIVE_S)
-    answers.closed(item.request.id, True)
-    match item.buffer.state:
+        data, offset, ended = source.answer.wait(offset, KEEPALIVE_S)
+        pieces.append(data)
+    source.on_close()
+    match source.answer.state:
         case buffer.AnswerState.COMPLETE:
             response = werkzeug.Response(
-                orjson.dumps(completion(item.buffer.events_from(0))),
+                orjson.dumps(completion(b''.join(pieces))),
                 mimetype='application/json',
             )
-            response.headers['X-Request-Id'] = item.request.id
+            response.headers['X-Request-Id'] = source.request_id
             return response
         case buffer.AnswerState.MOVED:
-            return problems.to_response(moved(item), item.request.id)
+            return problems.to_response(_moved(), source.request_id)
         case _:
-            return problems.to_response(failure_of(item), item.request.id)
+            return problems.to_response(
+                _failure(source.answer), source.request_id
+            )
 
 
-def completion(stored: list[bytes]) -> dict[str, Any]:
-    """Put the chunks of a stream together into one completion."""
-    chunks = [orjson.loads(event.split(b'\ndata: ', 1)[1]) for event in stored]
-    text = ''.join(
-        choice.get('delta', {}).get('content') or ''
-        for chunk in chunks
-        for choice in chunk.get('choices', ())
-    )
-    last = chunks[-1]
-    finish_reason = next(
-        (
-            choice['finish_reason']
-            for chunk in reversed(chunks)
-            for choice in chunk.get('choices', ())
-            if choice.get('finish_reason')
-        ),
-        None,
-    )
+def completion(stream: bytes) -> dict[str, Any]:
+    """Put the chunks of a whole stream together into one completion."""
+    chunks = [
+        orjson.loads(event.partition(b'\ndata: ')[2])
+        for event in stream.split(events.EVENT_END)
+        if event
+    ]
+    choices = [
+        choice for chunk in chunks for choice in chunk.get('choices', ())
+    ]
     return {
-        'id': last.get('id'),
+        'id': chunks[-1].get('id'),
         'object': 'chat.completion',
         'choices': [
             {
                 'index': 0,
-                'message': {'role': 'assistant', 'content': text},
-                'finish_reason': finish_reason,
+                'message': {
+                    'role': 'assistant',
+                    'content': ''.join(
+                        choice.get('delta', {}).get('content') or ''
+                        for choice in choices
+                    ),
+                },
+                'finish_reason': choices[-1].get('finish_reason'),
             }
         ],
-        'usage': last.get('usage'),
+        'usage': chunks[-1].get('usage'),
     }
 
 
 def failure_of(item: generation.Generation) -> errors.Failure:
-    """Why an answer failed."""
-    failure = item.buffer.failure
-    assert failure is not None
-    return failure
+    """Why an answer of this node failed."""
+    return _failure(item.buffer)
+
+
+def _pieces(
+    source: AnswerSource, offset: int, connection: socket.socket | None
+) -> Iterator[bytes]:
+    yield ACCEPTED_COMMENT
+    # The server has written the head once the next piece is asked for.
+    answer = source.answer
+    if connection is not None and isinstance(answer, buffer.AnswerBuffer):
+        stream = direct.DirectStream(connection)
+        if not stream.run(answer, offset, KEEPALIVE_COMMENT, KEEPALIVE_S):
+            raise ConnectionResetError('caller is gone or too slow')
+    else:
+        yield from _waited_pieces(answer, offset)
+    yield _ending(source)
+
+
+def _waited_pieces(answer: Answer, offset: int) -> Iterator[bytes]:
+    ended = False
+    while not ended:
+        data, offset, ended = answer.wait(offset, KEEPALIVE_S)
+        if data:
+            yield data
+        elif not ended:
+            yield KEEPALIVE_COMMENT
+
+
+def _ending(source: AnswerSource) -> bytes:
+    match source.answer.state:
+        case buffer.AnswerState.COMPLETE:
+            return buffer.DONE_BYTES
+        case buffer.AnswerState.MOVED:
+            return MOVED_EVENT
+        case _:
+            body = problems.body_of(_failure(source.answer), source.request_id)
+            return b'event: error\ndata: ' + body + events.EVENT_END
+
+
+def _failure(answer: Answer) -> errors.Failure:
+    assert answer.failure is not None
+    return answer.failure
 
 
-def moved(item: generation.Generation) -> errors.Failure:
-    """Error for a caller whose request another node goes on with."""
+def _moved() -> errors.Failure:
     return errors.Failure(
         errors.FailureKind.UNAVAILABLE,
         errors.Step.HAND_OVER,
@@ -196,8 +223,3 @@
         'another node goes on with the request; ask for it by its id',
         types.Outcome.UNKNOWN,
     )
-
-
-def _error_event(item: generation.Generation) -> bytes:
-    body = problems.body_of(failure_of(item), item.request.id)
-    return b'event: error\ndata: ' + body + events.EVENT_END
--- a/hornbeamrudder/entry/chat_request.py
+++ b/hornbeamrudder/entry/chat_request.py
@@ -6,6 +6,7 @@
 import orjson
 import pydantic
 from returns import result
+from werkzeug import datastructures
 
 from ..core import errors
 from ..core import ids
@@ -15,6 +16,8 @@
 
 DEFAULT_MAX_TOKENS = 256
 MAX_MESSAGES = 4096
+URGENCIES = frozenset('01234567')
+URGENCIES_PER_RANK = 3
 
 
 class Message(pydantic.BaseModel):
@@ -122,6 +125,20 @@
     return f'{place}: {item["msg"]}'
 
 
+def rank_of_priority(headers: datastructures.Headers) -> types.Rank:
+    """Rank that a caller asks for by `Priority: u=<0 to 7>` (RFC 9218).
+
+    A caller may only lower the rank that the rules give. Urgency 0 to 2, or
+    no header, asks for the rules' rank, 3 to 5 for standard, 6 and 7 for
+    batch.
+    """
+    for item in headers.get('Priority', '').split(','):
+        name, _, value = item.strip().partition('=')
+        if name == 'u' and value in URGENCIES:
+            return types.Rank(int(value) // URGENCIES_PER_RANK)
+    return types.Rank.URGENT
+
+
 def service_named(
     document: schema.Document, name: str
 ) -> result.Result[types.Service, errors.Failure]:
--- /dev/null
+++ b/hornbeamrudder/entry/configured.py
@@ -0,0 +1,73 @@
+"""The configuration in force, as the entry modules use it."""
+
+import threading
+from typing import Callable
+
+import orjson
+from returns import result
+import structlog
+
+from ..configuration import service as configuration_service
+from ..configuration import state
+from ..core import ids
+from ..inventory import schema
+
+log = structlog.get_logger()
+
+EMPTY = schema.Document()
+
+DocumentCallback = Callable[[schema.Document], None]
+
+
+class NodeConfiguration:
+    """Parses each version once and tells the parts of the node."""
+
+    def __init__(
+        self,
+        service: configuration_service.ConfigurationService,
+        on_document: DocumentCallback,
+    ) -> None:
+        self._service = service
+        self._on_document = on_document
+        self._lock = threading.Lock()
+        self._document = EMPTY
+        self._content_version = ids.Version(0)
+        self._usable = False
+        service.on_change(self._install)
+        current = service.current()
+        if current is not None:
+            self._install(current)
+
+    def document(self) -> schema.Document:
+        """Return the document in force."""
+        return self._document
+
+    def version(self) -> ids.Version:
+        """Return the version in force, 0 for none."""
+        current = self._service.current()
+        return ids.Version(0) if current is None else current.row.version
+
+    def may_admit(self) -> bool:
+        """Whether this node may admit new requests now."""
+        return self._usable and self._service.may_admit()
+
+    def _install(self, content: state.Content) -> None:
+        with self._lock:
+            if content.row.content_version <= self._content_version:
+                return
+            self._content_version = content.row.content_version
+            match schema.parse_document(orjson.loads(content.document)):
+                case result.Success(document):
+                    self._document = document
+                    self._usable = True
+                case result.Failure(problems):
+                    # Written by a node of a later release: serving under
+                    # the version before would break what was accepted.
+                    self._usable = False
+                    log.error(
+                        'configuration can not be used',
+                        version=content.row.version,
+                        problems=[str(item) for item in problems],
+                    )
+                    return
+        self._on_document(document)
--- /dev/null
+++ b/hornbeamrudder/entry/node.py
@@ -0,0 +1,438 @@
+"""All parts of one running node, wired together."""
+
+import random
+import threading
+import time
+from typing import Callable, Mapping
+
+import structlog
+
+from ..admission import controller
+from ..answers import buffer
+from ..answers import generation
+from ..answers import handover
+from ..answers import service as answers_service
+from . import application
+from ..backends import snapshot as backend_snapshot
+from ..backends import watch
+from . import cache_watch
+from . import chat_calls
+from ..configuration import service as configuration_service
+from . import configured
+from ..core import hosts
+from ..core import ids
+from ..core import types
+from . import gate as gates
+from ..inventory import schema as inventory_schema
+from ..leases import holder as lease_holder
+from . import operator_backend
+from ..orders import committer
+from ..orders import execute
+from ..orders import recovery
+from ..peers import messages
+from ..peers import view as peer_view
+from ..platform import cloud
+from ..platform import host_list
+from ..platform import http
+from ..platform import table
+from . import pool
+from . import server
+from . import service_calls
+from ..settings import schema
+from . import status
+from ..telemetry import metrics as node_metrics
+from ..telemetry import traces
+
+REPORT_INTERVAL_S = 0.2
+DRAIN_POLL_S = 0.05
+# Time for the balancer to see that the node is not ready.
+READINESS_GRACE_S = 0.5
+# Time that is kept for the hand-over before a deadline.
+HANDOVER_MARGIN_S = 3.0
+RELEASE_TIMEOUT_S = 3.0
+# A node that has not been heard of for this long is gone, as far as the
+# recovery of orders is concerned; its record can still be taken by none
+# but one holder.
+NODE_GONE_S = 10.0
+RECOVERY_DUTY = 'recovery'
+
+log = structlog.get_logger()
+
+
+class Node:
+    """One node; `start` and `stop` are called once each."""
+
+    def __init__(
+        self, settings: schema.NodeSettings, on_reclaim: Callable[[], None]
+    ) -> None:
+        self._settings = settings
+        self._on_reclaim = on_reclaim
+        self._id = ids.NodeId(settings.node_id)
+        self._incarnation = ids.Incarnation(time.time_ns())
+        self._rng = random.SystemRandom()
+        self._reclaim_at: float | None = None
+        self._stopping = threading.Event()
+        self.metrics = node_metrics.NodeMetrics()
+        self._tracer = traces.Tracer(settings.tracing, settings.node_id)
+        self._client = http.HttpClient('backends')
+        self._platform = http.HttpClient('platform')
+        self._table = table.TableClient(self._platform, str(settings.table))
+        self._make_backends()
+        self._configuration_service = self._make_configuration_service()
+        self.configuration = configured.NodeConfiguration(
+            self._configuration_service, self._on_document
+        )
+        self._admission = controller.Controller()
+        self.gate = gates.Gate(
+            self.pool,
+            self._admission,
+            self.configuration.document,
+            settings.limits.threads,
+        )
+        self.answers = answers_service.AnswerService(
+            self._client, self.pool, settings.limits.kept_answer_s
+        )
+        self._handovers = handover.Handover(
+            self._id,
+            self.answers,
+            self._configuration_service.network,
+            self._table,
+            self._find_worker,
+            self._on_generation_end,
+        )
+        self._make_orders()
+        self.application = self._make_application()
+        self._server = server.CallerServer(
+            self.application, settings.listen, settings.limits
+        )
+        self._reporter = threading.Thread(
+            target=self._report_loop, name='reports', daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self.watcher.start()
+        self._reporter.start()
+        self._server.start()
+        self.application.set_ready(True)
+        log.info('node serves', address=str(self._server.address))
+        print(f'listening on {self._server.address}', flush=True)
+
+    def stop(self) -> None:
+        """Leave gracefully: no request in progress is cut off.
+
+        Readiness goes off first; what is still in progress shortly before
+        the deadline passes to a peer.
+        """
+        deadline = self._stop_deadline()
+        self.application.set_ready(False)
+        log.info('node leaves', open_requests=self.application.open_requests)
+        self._stopping.wait(READINESS_GRACE_S)
+        self.application.refuse_new()
+        while (
+            self.application.open_requests
+            and time.monotonic() < deadline - HANDOVER_MARGIN_S
+        ):
+            self._stopping.wait(DRAIN_POLL_S)
+        # Answers whose caller is away for the moment are handed over too.
+        self._handovers.leave(self._staying_peers())
+        self._wait_closed(deadline)
+        self._configuration_service.release(RELEASE_TIMEOUT_S)
+        self._close()
+        log.info('node left', open_requests=self.application.open_requests)
+
+    def view(self) -> peer_view.View:
+        """What the peers have reported."""
+        return self._configuration_service.view()
+
+    def live_nodes(self) -> frozenset[ids.NodeId]:
+        """This node and the peers that are heard."""
+        heard = peer_view.alive(
+            self.view(), configuration_service.boot_clock()
+        )
+        return heard | {self._id}
+
+    def leases(self) -> Mapping[str, int | None]:
+        """Fencing numbers of the leases that this node holds."""
+        return {RECOVERY_DUTY: self._recovery_lease.fencing_number()}
+
+    def settled(self) -> ids.Version:
+        """Highest version known to be in force everywhere."""
+        return self._configuration_service.settled()
+
+    def traffic(self) -> Mapping[str, int]:
+        """Counters of the traffic between nodes."""
+        return self._configuration_service.network.snapshot()
+
+    def _make_backends(self) -> None:
+        settings = self._settings
+        self.watcher = watch.Watcher(
+            self._platform,
+            cloud.CloudClient(self._platform, str(settings.cloud))
+            if settings.cloud
+            else None,
+            host_list.HostListClient(self._platform, str(settings.host_list))
+            if settings.host_list
+            else None,
+            self._on_host_change,
+        )
+        self.pool = pool.NodeWorkerPool(
+            self._id,
+            self.watcher,
+            self._demand_by_node,
+            random.Random(self._incarnation),
+        )
+        self._cache_watcher = cache_watch.CacheWatcher(
+            self._platform, self.pool
+        )
+
+    def _make_configuration_service(
+        self,
+    ) -> configuration_service.ConfigurationService:
+        settings = self._settings
+        return configuration_service.ConfigurationService(
+            self._id,
+            self._incarnation,
+            settings.peer_listen.address(),
+            configuration_service.Peers(
+                tuple(seed.address() for seed in settings.seeds),
+                settings.peer_key(),
+            ),
+            self._table,
+            on_message=self._on_message,
+        )
+
+    def _make_orders(self) -> None:
+        sender = service_calls.OrderSender(self._client, self.pool)
+        self.committer = committer.Committer(self._table)
+        self._orders = execute.OrderExecutor(
+            self._table, self.committer, sender.send
+        )
+        self._service_caller = service_calls.ServiceCaller(
+            self._id,
+            self._incarnation,
+            self._client,
+            self.pool,
+            self.gate,
+            self._orders,
+            self._tracer,
+            self._rng,
+        )
+        self._recovery_lease = lease_holder.LeaseHolder(
+            self._table,
+            RECOVERY_DUTY,
+            ids.RegionName(self._settings.region),
+            self._id,
+            self._incarnation,
+            random.Random(self._incarnation),
+        )
+        self._recovery = recovery.Recovery(
+            self._table,
+            self.committer,
+            self._orders,
+            self._recovery_lease.fencing_number,
+            self._is_gone,
+            self._service_caller.capacity_for,
+            self._id,
+            self._incarnation,
+            random.Random(self._incarnation),
+        )
+
+    def _make_application(self) -> application.Application:
+        chat_caller = chat_calls.ChatCaller(
+            self._id,
+            self.answers,
+            self.gate,
+            self._configuration_service.network,
+            self._handovers,
+            self._tracer,
+            self._rng,
+            self._on_generation_end,
+        )
+        operators = operator_backend.OperatorBackend(
+            self._configuration_service,
+            self.configuration,
+            self.watcher,
+            tuple(
+                inventory_schema.Operator(
+                    id=operator.id, token_sha256=operator.token_sha256
+                )
+                for operator in self._settings.operators
+            ),
+            lambda: status.describe(self),
+        )
+        return application.Application(
+            application.Parts(
+                node_id=self._id,
+                configuration=self.configuration,
+                chat=chat_caller,
+                service_calls=self._service_caller,
+                operators=operators,
+                gate=self.gate,
+                metrics=self.metrics,
+                rng=self._rng,
+                body_bytes=self._settings.limits.body_bytes,
+                before_metrics=lambda: status.set_gauges(self),
+            )
+        )
+
+    def _on_document(self, document: inventory_schema.Document) -> None:
+        workers = tuple(document.workers_by_id.values())
+        self.pool.set_workers(workers)
+        engines = {
+            service.name
+            for service in document.services_by_name.values()
+            if service.kind is types.ServiceKind.MODEL_ENGINE
+        }
+        self._cache_watcher.set_engines(
+            worker for worker in workers if worker.service in engines
+        )
+        self._admission.set_weights(
+            {
+                account.id: account.weight
+                for account in document.accounts_by_id.values()
+            }
+        )
+        log.info(
+            'document in use',
+            workers=len(workers),
+            accounts=len(document.accounts),
+        )
+
+    def _on_host_change(self, change: backend_snapshot.Change) -> None:
+        if change.new is not types.HostState.LEAVING:
+            return
+        if change.host == self._settings.host_id:
+            self._reclaim_at = time.monotonic() + change.seconds_left
+            self._on_reclaim()
+            return
+        leaving = frozenset(
+            worker.id
+            for worker in self.watcher.snapshot().workers_by_id.values()
+            if worker.host == change.host
+        )
+        self.answers.leave_workers(leaving)
+
+    def _on_message(
+        self, envelope: messages.Envelope
+    ) -> messages.Message | None:
+        match envelope.message:
+            case messages.Handover() as message:
+                return self._handovers.take(message)
+            case messages.FetchAnswer() as message:
+                return self._handovers.answer_piece(message)
+            case _:
+                return None
+
+    def _on_generation_end(self, ended: generation.Generation) -> None:
+        self.metrics.count_answer(
+            ended.request.service,
+            ended.request.rank.name.lower(),
+            ended.buffer.state.value,
+            ended.buffer.next_offset,
+            ended.attempts,
+            ended.recomputed_tokens,
+        )
+        self.metrics.dropped_pieces.add({}, ended.buffer.dropped_pieces)
+        if ended.buffer.state is buffer.AnswerState.COMPLETE:
+            self.metrics.observe_answer(
+                ended.request.service,
+                ended.request.rank.name.lower(),
+                time.monotonic() - ended.accepted_at,
+                (ended.first_token_at or ended.accepted_at)
+                - ended.accepted_at,
+            )
+
+    def _find_worker(self, worker: ids.WorkerId) -> types.Worker | None:
+        return self.watcher.snapshot().workers_by_id.get(worker)
+
+    def _demand_by_node(
+        self, service: ids.ServiceName
+    ) -> Mapping[ids.NodeId, float]:
+        told = peer_view.demand_by_service(
+            self.view(), configuration_service.boot_clock()
+        ).get(service, {})
+        own = dict(self.gate.demand()).get(service, 0.0)
+        return {**told, self._id: own}
+
+    def _is_gone(self, node: ids.NodeId, incarnation: ids.Incarnation) -> bool:
+        if node == self._id:
+            return incarnation != self._incarnation
+        peer = self.view().peers_by_node.get(node)
+        if peer is None:
+            return True
+        silent_s = configuration_service.boot_clock() - peer.heard_at
+        return peer.incarnation > incarnation or silent_s > NODE_GONE_S
+
+    def _report_loop(self) -> None:
+        while not self._stopping.wait(REPORT_INTERVAL_S):
+            try:
+                self._report()
+            except Exception:
+                # Without this thread, peers would not learn of leaving
+                # hosts.
+                log.exception('report failed')
+
+    def _report(self) -> None:
+        now = configuration_service.boot_clock()
+        view = self.view()
+        for node in peer_view.alive(view, now):
+            self.watcher.report_from_peer(
+                _leaving_host(item)
+                for item in view.peers_by_node[node].heartbeat.leaving
+            )
+        self._configuration_service.report(
+            self.gate.demand(),
+            map(_leaving_message, self.watcher.leaving_hosts()),
+        )
+
+    def _staying_peers(self) -> tuple[ids.NodeId, ...]:
+        view = self.view()
+        now = configuration_service.boot_clock()
+        return tuple(
+            node
+            for node in peer_view.alive(view, now)
+            if not view.peers_by_node[node].heartbeat.released
+        )
+
+    def _stop_deadline(self) -> float:
+        by_settings = time.monotonic() + self._settings.stop_timeout_s
+        if self._reclaim_at is None:
+            return by_settings
+        return min(by_settings, self._reclaim_at)
+
+    def _wait_closed(self, deadline: float) -> None:
+        while self.application.open_requests and time.monotonic() < deadline:
+            self._stopping.wait(DRAIN_POLL_S)
+
+    def _close(self) -> None:
+        self._stopping.set()
+        self._server.stop()
+        self._recovery.close()
+        self._recovery_lease.close()
+        self.gate.close()
+        self._orders.close()
+        self.committer.close()
+        self._cache_watcher.close()
+        self.watcher.close()
+        self.answers.close()
+        self._configuration_service.close()
+        self._client.close()
+        self._platform.close()
+        self._tracer.close()
+
+
+def _leaving_host(item: messages.Leaving) -> hosts.LeavingHost:
+    known = item.seconds_left < messages.NO_RECLAIM_S
+    return hosts.LeavingHost(
+        item.host, item.incarnation, item.seconds_left if known else None
+    )
+
+
+def _leaving_message(host: hosts.LeavingHost) -> messages.Leaving:
+    left = host.seconds_left
+    return messages.Leaving(
+        host.id,
+        host.incarnation,
+        messages.NO_RECLAIM_S if left is None else left,
+    )
--- a/hornbeamrudder/entry/pool.py
+++ b/hornbeamrudder/entry/pool.py
@@ -1,66 +1,157 @@
 """Chooses workers for requests and counts the work sent to each."""
 
-import collections
+import random
 import threading
-from typing import Callable
+import time
+from typing import Callable, Iterable, Mapping
 
 from returns import result
 
 from ..answers import generation
+from ..backends import load as backend_load
+from ..backends import snapshot
+from ..backends import watch
 from ..core import errors
 from ..core import ids
 from ..core import types
-from ..inventory import schema
+from ..retries import budget as budgets
+from ..routing import choose as routing
+from ..routing import prefix
+from ..routing import shares
 
 RETRY_AFTER_S = 1.0
+# Saved at the start, so that a node with little traffic can try again too.
+FIRST_RETRIES = 10.0
+
+# Slots that each live node, this one included, could use of a service.
+DemandFunction = Callable[[ids.ServiceName], Mapping[ids.NodeId, float]]
 
 
 class NodeWorkerPool:
     """Worker pool of one node; safe to use from any thread."""
 
-    def __init__(self, document: Callable[[], schema.Document]) -> None:
-        self._document = document
+    def __init__(
+        self,
+        node_id: ids.NodeId,
+        watcher: watch.Watcher,
+        demand: DemandFunction,
+        rng: random.Random,
+    ) -> None:
+        self._node_id = node_id
+        self._watcher = watcher
+        self._demand = demand
+        self._rng = rng
         self._lock = threading.Lock()
-        self._sent_by_worker: collections.Counter[ids.WorkerId] = (
-            collections.Counter()
-        )
+        self._rings_by_service: dict[ids.ServiceName, prefix.Ring] = {}
+        self._caches_by_worker: dict[ids.WorkerId, prefix.CacheView] = {}
+        self._failed_at_by_worker: dict[ids.WorkerId, float] = {}
+        self._budgets_by_service: dict[ids.ServiceName, budgets.Budget] = {}
+
+    def set_workers(self, workers: Iterable[types.Worker]) -> None:
+        """Replace the workers, after a configuration change."""
+        workers = tuple(workers)
+        self._watcher.set_workers(workers)
+        services = {worker.service for worker in workers}
+        rings = {
+            service: prefix.build_ring(
+                worker.id for worker in workers if worker.service == service
+            )
+            for service in services
+        }
+        with self._lock:
+            self._rings_by_service = rings
+            known = {worker.id for worker in workers}
+            self._caches_by_worker = {
+                worker: view
+                for worker, view in self._caches_by_worker.items()
+                if worker in known
+            }
+
+    def take_cache_events(
+        self, worker: ids.WorkerId, events: Iterable[prefix.CacheEvent]
+    ) -> None:
+        """Apply cache events of a worker."""
+        with self._lock:
+            view = self._caches_by_worker.get(worker, prefix.CacheView())
+            self._caches_by_worker[worker] = prefix.apply_events(view, events)
+
+    def last_cache_event(self, worker: ids.WorkerId) -> int:
+        """Sequence number of the last event seen of a worker."""
+        with self._lock:
+            view = self._caches_by_worker.get(worker)
+            return 0 if view is None else view.last_sequence
+
+    def usable_slots(self, service: ids.ServiceName) -> int:
+        """Slots of a service that this node may use now."""
+        now = time.monotonic()
+        return routing.usable_slots(self._loads(service, now).values(), now)
 
     def choose(
         self,
         request: generation.GenerationRequest,
         excluded: frozenset[ids.WorkerId],
     ) -> result.Result[types.Worker, errors.Failure]:
-        """Choose the worker with the least work sent by this node."""
-        return self.choose_for(request.service, excluded)
+        """Choose a worker for an answer and count it as sent there."""
+        blocks = prefix.block_hashes(request.prompt_key)
+        return self.choose_for(
+            request.service,
+            request.id,
+            request.expected_tokens,
+            excluded,
+            blocks,
+        )
 
     def choose_for(
-        self, service: ids.ServiceName, excluded: frozenset[ids.WorkerId]
+        self,
+        service: ids.ServiceName,
+        request: ids.RequestId,
+        expected_tokens: float,
+        excluded: frozenset[ids.WorkerId],
+        blocks: tuple[int, ...] = (),
     ) -> result.Result[types.Worker, errors.Failure]:
-        """Choose a worker of a service and count one request for it."""
-        workers = [
-            worker
-            for worker in self._document().workers_by_id.values()
-            if worker.service == service
-        ]
-        preferred = [worker for worker in workers if worker.id not in excluded]
+        """Choose a worker of a service.
+
+        Parameters
+        ----------
+        blocks : tuple of int
+            Hashes of the prompt's blocks, empty for calls without prompt.
+        """
+        now = time.monotonic()
+        key = prefix.ring_key(blocks)
         with self._lock:
-            chosen = min(
-                preferred or workers,
-                key=lambda worker: self._sent_by_worker[worker.id],
-                default=None,
-            )
-            if chosen is not None:
-                self._sent_by_worker[chosen.id] += 1
-                return result.Success(chosen)
-        return result.Failure(
-            errors.Failure(
-                errors.FailureKind.UNAVAILABLE,
-                errors.Step.ROUTE,
-                service,
-                'no worker of the service takes new work',
-                retry_after_s=RETRY_AFTER_S,
+            ring = self._rings_by_service.get(service, prefix.Ring())
+            chosen = routing.choose(
+                self._loads(service, now),
+                prefix.ring_order(ring, key) if key else (),
+                {
+                    worker: prefix.cached_blocks(view, blocks)
+                    for worker, view in self._caches_by_worker.items()
+                }
+                if blocks
+                else {},
+                excluded,
+                now,
+                self._rng,
             )
+            if chosen is None:
+                return result.Failure(_no_worker(service))
+            self._watcher.request_started(chosen, request, expected_tokens)
+        return result.Success(self._watcher.snapshot().workers_by_id[chosen])
+
+    def claim(
+        self, request: generation.GenerationRequest, worker: types.Worker
+    ) -> bool:
+        """Count an answer as sent to this worker, if it takes new work."""
+        seen = self._watcher.snapshot()
+        if worker.id not in seen.workers_by_id:
+            return False
+        state = seen.state_of(worker.id, time.monotonic())
+        if state in (types.HostState.LEAVING, types.HostState.GONE):
+            return False
+        self._watcher.request_started(
+            worker.id, request.id, request.expected_tokens
         )
+        return True
 
     def ended(
         self,
@@ -68,14 +159,110 @@
         worker: types.Worker,
         reason: generation.EndReason,
     ) -> None:
-        """Take the request off the worker's count."""
-        self.release(worker)
+        """Take an answer off its worker's count."""
+        self.release(worker, request.id, reason is generation.EndReason.FAILED)
 
-    def release(self, worker: types.Worker) -> None:
+    def release(
+        self, worker: types.Worker, request: ids.RequestId, failed: bool
+    ) -> None:
         """Take one request off the worker's count."""
+        self._watcher.request_ended(worker.id, request)
+        if failed:
+            self._watcher.report_failure(worker.id)
+            with self._lock:
+                self._failed_at_by_worker[worker.id] = time.monotonic()
+
+    def count_first_attempt(self, service: ids.ServiceName) -> None:
+        """Earn a share of a retry."""
         with self._lock:
-            self._sent_by_worker[worker.id] -= 1
+            self._budgets_by_service[service] = budgets.earn(
+                self._budget(service)
+            )
 
     def may_retry(self, request: generation.GenerationRequest) -> bool:
         """Take one retry from the budget."""
-        return True
+        return self.take_retry(request.service)
+
+    def budget(self, service: ids.ServiceName) -> budgets.Budget:
+        """Retry budget of a service."""
+        with self._lock:
+            return self._budget(service)
+
+    def take_retry(self, service: ids.ServiceName) -> bool:
+        """Take one retry of a service from the budget."""
+        with self._lock:
+            budget = self._budget(service)
+            allowed = budgets.can_spend(budget)
+            if allowed:
+                budget = budgets.spend(budget)
+            self._budgets_by_service[service] = budget
+            return allowed
+
+    def candidates(
+        self, service: ids.ServiceName, tried: frozenset[ids.WorkerId]
+    ) -> int:
+        """Count the usable workers of a service that were not tried."""
+        now = time.monotonic()
+        return sum(
+            routing.usable(load, now) and worker not in tried
+            for worker, load in self._loads(service, now).items()
+        )
+
+    def _budget(self, service: ids.ServiceName) -> budgets.Budget:
+        return self._budgets_by_service.get(
+            service, budgets.Budget(saved=FIRST_RETRIES)
+        )
+
+    def _loads(
+        self, service: ids.ServiceName, now: float
+    ) -> dict[ids.WorkerId, routing.WorkerLoad]:
+        seen = self._watcher.snapshot()
+        workers = [
+            worker
+            for worker in seen.workers_by_id.values()
+            if worker.service == service
+        ]
+        demand = self._demand(service)
+        slots = sum(worker.slots for worker in workers)
+        return {
+            worker.id: self._load(seen, worker, demand, slots, now)
+            for worker in workers
+        }
+
+    def _load(
+        self,
+        seen: snapshot.Snapshot,
+        worker: types.Worker,
+        demand: Mapping[ids.NodeId, float],
+        service_slots: int,
+        now: float,
+    ) -> routing.WorkerLoad:
+        known = seen.loads_by_worker[worker.id]
+        share = shares.worker_shares(
+            worker.id, worker.slots, demand, service_slots
+        ).get(self._node_id, 1)
+        state = seen.state_of(worker.id, now)
+        # A suspect worker is avoided by its failure; one that was not heard
+        # of yet is as good as any.
+        if state is types.HostState.SUSPECT:
+            state = types.HostState.LIVE
+        return routing.WorkerLoad(
+            worker=worker.id,
+            slots=worker.slots,
+            share=share,
+            in_flight=known.own_in_progress,
+            reported_tokens=backend_load.outstanding_tokens(known),
+            reported_at=known.report.taken_at,
+            state=state,
+            failed_at=self._failed_at_by_worker.get(worker.id),
+        )
+
+
+def _no_worker(service: ids.ServiceName) -> errors.Failure:
+    return errors.Failure(
+        errors.FailureKind.UNAVAILABLE,
+        errors.Step.ROUTE,
+        service,
+        'no worker of the service takes new work',
+        retry_after_s=RETRY_AFTER_S,
+    )
--- a/hornbeamrudder/entry/service_calls.py
+++ b/hornbeamrudder/entry/service_calls.py
@@ -1,48 +1,69 @@
 """Calls of plain services on behalf of callers."""
 
+from concurrent import futures
 import dataclasses
+import random
 import time
 
 from returns import result
 import werkzeug
 
+from ..admission import controller
 from ..backends import client as backends_client
 from ..core import errors
 from ..core import ids
 from ..core import types
+from . import gate as gates
 from ..inventory import schema
+from ..orders import execute
+from ..orders import messages as order_messages
+from ..orders import record
 from ..platform import http
 from . import pool
 from . import problems
+from ..retries import decide
+from ..telemetry import traces
 
-MAX_ATTEMPTS = 3
+# Work of one call in the units of admission, which are tokens for engines.
+CALL_TOKENS = 1.0
+ANSWER_GRACE_S = 2.0
+# Longest wait for the answer to an order; after it the outcome is unknown.
+ORDER_TIMEOUT_S = 30.0
 PASSED_RESPONSE_HEADERS = (
-    'content-type',
     'content-language',
     'etag',
     'last-modified',
     'location',
     'cache-control',
 )
+DEFAULT_CONTENT_TYPE = 'application/octet-stream'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class IncomingCall:
-    """A caller's request for a plain service."""
+    """A caller's request for a plain service.
+
+    Attributes
+    ----------
+    deadline : float
+        Monotonic seconds.
+    """
 
     request_id: ids.RequestId
     account: ids.AccountId
     service: ids.ServiceName
+    rank: types.Rank
     method: str
     path: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    deadline: float
     idempotency_key: str
     traceparent: str
 
 
-class ServiceCaller:
-    """Calls plain services; idempotent calls are retried elsewhere."""
+class OrderSender:
+    """Sends an order once, on behalf of the order executor."""
 
     def __init__(
         self, client: http.HttpClient, workers: pool.NodeWorkerPool
@@ -50,99 +71,287 @@
         self._client = client
         self._workers = workers
 
+    def send(
+        self, request: record.StoredRequest, holder: record.Holder
+    ) -> order_messages.SendResult:
+        """Send to one worker; a failure tells whether it may have run."""
+        chosen = self._workers.choose_for(
+            request.service, request.request_id, CALL_TOKENS, frozenset()
+        )
+        match chosen:
+            case result.Failure(failure):
+                return result.Failure(failure)
+            case result.Success(worker):
+                pass
+        answer = self._client.call(
+            backends_client.service_request(
+                worker,
+                backends_client.ServiceCall(
+                    request_id=request.request_id,
+                    attempt=1,
+                    method=request.method,
+                    path=request.path,
+                    body=request.body,
+                    headers=request.headers,
+                    idempotent=False,
+                    timeout_s=ORDER_TIMEOUT_S,
+                    idempotency_key=request.request_id,
+                ),
+            )
+        )
+        self._workers.release(
+            worker, request.request_id, isinstance(answer, result.Failure)
+        )
+        return answer.map(_stored)
+
+
+class ServiceCaller:
+    """Serves plain calls of authenticated callers."""
+
+    def __init__(
+        self,
+        node_id: ids.NodeId,
+        incarnation: ids.Incarnation,
+        client: http.HttpClient,
+        workers: pool.NodeWorkerPool,
+        gate: gates.Gate,
+        orders: execute.OrderExecutor,
+        tracer: traces.Tracer,
+        rng: random.Random,
+    ) -> None:
+        self._node_id = node_id
+        self._incarnation = incarnation
+        self._client = client
+        self._workers = workers
+        self._gate = gate
+        self._orders = orders
+        self._tracer = tracer
+        self._rng = rng
+
     def call(
         self, incoming: IncomingCall, document: schema.Document
     ) -> werkzeug.Response:
         """Answer one call."""
-        rule = schema.rank_of(
-            document,
-            incoming.account,
-            incoming.service,
-            incoming.method,
-            incoming.path,
-        )
-        deadline = time.monotonic() + rule.deadline_s
         idempotent = schema.is_idempotent(
             document, incoming.service, incoming.method, incoming.path
         )
-        match self._attempt_until(incoming, idempotent, deadline):
-            case result.Success(response):
-                return _to_response(response, incoming.request_id)
+        with self._tracer.span(
+            'call service',
+            incoming.traceparent,
+            request_id=incoming.request_id,
+            service=incoming.service,
+        ) as traceparent:
+            answer = self._answer(
+                dataclasses.replace(incoming, traceparent=traceparent),
+                idempotent,
+            )
+        match answer:
+            case result.Success(stored):
+                return _to_response(stored, incoming.request_id)
             case result.Failure(failure):
                 return problems.to_response(failure, incoming.request_id)
-        raise AssertionError
+        raise AssertionError(answer)
+
+    def _answer(
+        self, incoming: IncomingCall, idempotent: bool
+    ) -> order_messages.SendResult:
+        submitted = self._gate.submit(
+            incoming.rank,
+            incoming.account,
+            incoming.service,
+            CALL_TOKENS,
+            incoming.deadline,
+        )
+        if idempotent:
+            return self._call_idempotent(incoming, submitted)
+        return self._call_once(incoming, submitted)
+
+    def capacity_for(
+        self, order: record.OrderRecord
+    ) -> execute.CapacityFuture:
+        """Ask for a slot for an order taken over from another node."""
+        assert order.request is not None
+        submitted = self._gate.submit(
+            types.Rank.STANDARD,
+            order.account,
+            order.request.service,
+            CALL_TOKENS,
+            time.monotonic() + order.deadline_wall - time.time(),
+        )
+        # The slot is only a permission to start; recovery is rare, so that
+        # it is given back at once.
+        self._gate.withdraw(submitted)
+        return _capacity(submitted)
+
+    def _call_once(
+        self,
+        incoming: IncomingCall,
+        submitted: 'futures.Future[gates.SlotResult]',
+    ) -> order_messages.SendResult:
+        timeout_s = gates.remaining_s(incoming.deadline)
+        replied = self._orders.submit(
+            incoming.account,
+            incoming.idempotency_key or incoming.request_id,
+            record.StoredRequest(
+                service=incoming.service,
+                method=incoming.method,
+                path=incoming.path,
+                headers=backends_client.forwarded_headers(incoming.headers),
+                body=incoming.body,
+                request_id=incoming.request_id,
+            ),
+            record.Holder(
+                ids.new_attempt_id(self._node_id, self._rng),
+                self._node_id,
+                self._incarnation,
+            ),
+            timeout_s,
+            _capacity(submitted),
+        )
+        try:
+            return replied.result(timeout_s + ANSWER_GRACE_S).answer
+        except TimeoutError:
+            return result.Failure(_no_answer_in_time())
+        finally:
+            self._gate.withdraw(submitted)
+
+    def _call_idempotent(
+        self,
+        incoming: IncomingCall,
+        submitted: 'futures.Future[gates.SlotResult]',
+    ) -> order_messages.SendResult:
+        try:
+            granted = submitted.result(
+                gates.remaining_s(incoming.deadline) + ANSWER_GRACE_S
+            )
+        except TimeoutError:
+            self._gate.withdraw(submitted)
+            return result.Failure(_no_answer_in_time())
+        match granted:
+            case result.Failure(failure):
+                return result.Failure(failure)
+            case result.Success(slot):
+                return self._attempt_until(incoming, slot)
+        raise AssertionError(granted)
 
     def _attempt_until(
-        self, incoming: IncomingCall, idempotent: bool, deadline: float
-    ) -> http.HttpResult:
-        failed: frozenset[ids.WorkerId] = frozenset()
-        for attempt in range(1, MAX_ATTEMPTS + 1):
-            match self._workers.choose_for(incoming.service, failed):
-                case result.Failure(failure):
+        self, incoming: IncomingCall, slot: controller.Slot
+    ) -> order_messages.SendResult:
+        try:
+            tried: tuple[ids.WorkerId, ...] = ()
+            while True:
+                chosen = self._workers.choose_for(
+                    incoming.service,
+                    incoming.request_id,
+                    CALL_TOKENS,
+                    frozenset(tried),
+                )
+                if isinstance(chosen, result.Failure):
+                    return result.Failure(chosen.failure())
+                worker = chosen.unwrap()
+                tried += (worker.id,)
+                answer = self._send(worker, incoming, len(tried))
+                if isinstance(answer, result.Success):
+                    return answer.map(_stored)
+                failure = self._failure_to_tell(
+                    incoming, answer.failure(), tried
+                )
+                if failure is not None:
                     return result.Failure(failure)
-                case result.Success(worker):
-                    answer = self._send(
-                        worker, incoming, attempt, idempotent, deadline
-                    )
-            match answer:
-                case result.Success():
-                    return answer
-                case result.Failure(failure):
-                    failed |= {worker.id}
-                    repeatable = (
-                        idempotent or failure.outcome is types.Outcome.NOT_RUN
-                    )
-                    if not repeatable or time.monotonic() >= deadline:
-                        return answer
-        return answer
+        finally:
+            self._gate.release(slot, CALL_TOKENS)
 
-    def _send(
+    def _failure_to_tell(
         self,
-        worker: types.Worker,
         incoming: IncomingCall,
-        attempt: int,
-        idempotent: bool,
-        deadline: float,
+        failure: errors.Failure,
+        tried: tuple[ids.WorkerId, ...],
+    ) -> errors.Failure | None:
+        """Failure for the caller, None where the call is tried again."""
+        decision = decide.decide(
+            decide.FailedAttempt(failure, True, tried, incoming.deadline),
+            time.monotonic(),
+            self._workers.budget(incoming.service),
+            self._workers.candidates(incoming.service, frozenset(tried)),
+        )
+        match decision:
+            case decide.Tell(told):
+                return told
+            case decide.Retry():
+                taken = self._workers.take_retry(incoming.service)
+                return None if taken else failure
+        raise AssertionError(decision)
+
+    def _send(
+        self, worker: types.Worker, incoming: IncomingCall, attempt: int
     ) -> http.HttpResult:
-        try:
-            answer = self._client.call(
-                backends_client.service_request(
-                    worker,
-                    backends_client.ServiceCall(
-                        request_id=incoming.request_id,
-                        attempt=attempt,
-                        method=incoming.method,
-                        path=incoming.path,
-                        body=incoming.body,
-                        headers=incoming.headers,
-                        idempotent=idempotent,
-                        timeout_s=max(0.1, deadline - time.monotonic()),
-                        idempotency_key=incoming.idempotency_key,
-                        traceparent=incoming.traceparent,
-                    ),
-                )
+        answer = self._client.call(
+            backends_client.service_request(
+                worker,
+                backends_client.ServiceCall(
+                    request_id=incoming.request_id,
+                    attempt=attempt,
+                    method=incoming.method,
+                    path=incoming.path,
+                    body=incoming.body,
+                    headers=incoming.headers,
+                    idempotent=True,
+                    timeout_s=max(0.1, gates.remaining_s(incoming.deadline)),
+                    idempotency_key=incoming.idempotency_key,
+                    traceparent=incoming.traceparent,
+                ),
             )
-        finally:
-            self._workers.release(worker)
-        return answer.alt(_with_outcome)
+        )
+        self._workers.release(
+            worker, incoming.request_id, isinstance(answer, result.Failure)
+        )
+        return answer
 
 
-def _with_outcome(failure: errors.Failure) -> errors.Failure:
-    """Only a connection that was never made proves that nothing ran."""
-    sent = failure.kind is not errors.FailureKind.NOT_CONNECTED
-    return dataclasses.replace(
-        failure,
-        outcome=types.Outcome.UNKNOWN if sent else types.Outcome.NOT_RUN,
+def _capacity(
+    submitted: 'futures.Future[gates.SlotResult]',
+) -> execute.CapacityFuture:
+    capacity: execute.CapacityFuture = futures.Future()
+
+    def settle(done: 'futures.Future[gates.SlotResult]') -> None:
+        capacity.set_result(done.result().map(lambda slot: None))
+
+    submitted.add_done_callback(settle)
+    return capacity
+
+
+def _stored(response: http.HttpResponse) -> record.StoredResult:
+    names = response.headers_by_name
+    return record.StoredResult(
+        status=response.status,
+        headers=tuple(
+            (name, names[name])
+            for name in PASSED_RESPONSE_HEADERS
+            if name in names
+        ),
+        body=response.body,
+        content_type=names.get('content-type', DEFAULT_CONTENT_TYPE),
     )
 
 
 def _to_response(
-    response: http.HttpResponse, request_id: ids.RequestId
+    stored: record.StoredResult, request_id: ids.RequestId
 ) -> werkzeug.Response:
-    headers = {
-        name: response.headers_by_name[name]
-        for name in PASSED_RESPONSE_HEADERS
-        if name in response.headers_by_name
-    }
-    headers['X-Request-Id'] = request_id
-    return werkzeug.Response(response.body, response.status, headers=headers)
+    response = werkzeug.Response(
+        stored.body,
+        stored.status,
+        headers=list(stored.headers),
+        content_type=stored.content_type,
+    )
+    response.headers['X-Request-Id'] = request_id
+    return response
+
+
+def _no_answer_in_time() -> errors.Failure:
+    return errors.Failure(
+        errors.FailureKind.DEADLINE,
+        errors.Step.READ_ANSWER,
+        '',
+        'no answer within the deadline',
+        types.Outcome.UNKNOWN,
+    )
--- a/hornbeamrudder/peers/codec.py
+++ b/hornbeamrudder/peers/codec.py
@@ -7,7 +7,7 @@
 import typing
 from typing import Any
 
-import msgpack  # type: ignore[import-untyped]
+import msgpack
 from returns import result
 
 from ..core import errors
--- a/hornbeamrudder/peers/features/steps/peer_steps.py
+++ b/hornbeamrudder/peers/features/steps/peer_steps.py
@@ -128,7 +128,9 @@
 @behave.then('a peer is alive for 2 s after its heartbeat')
 def check_alive(context):
     beat = dataclasses.replace(
-        _beat(), demand=(('app', 4.0),), leaving=('host-1',)
+        _beat(),
+        demand=(('app', 4.0),),
+        leaving=(messages.Leaving('host-1', 1, 5.0),),
     )
     seen = view.hear(view.View(), 'a', 1, beat, 10.0)
     assert view.alive(seen, 11.9) == {'a'}
--- a/hornbeamrudder/peers/messages.py
+++ b/hornbeamrudder/peers/messages.py
@@ -11,6 +11,8 @@
 from ..core import types
 
 PROTOCOL = 1
+# Numbers have to be finite on the wire; 30 years stand for no reclaim.
+NO_RECLAIM_S = 1e9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +42,23 @@
     version: ids.Version
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving:
+    """A host that receives no new work.
+
+    Attributes
+    ----------
+    incarnation : int
+        Incarnation of the host that is leaving; a later one is not.
+    seconds_left : float
+        Until its reclaim, `NO_RECLAIM_S` where none is announced.
+    """
+
+    host: ids.HostId
+    incarnation: ids.Incarnation
+    seconds_left: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
     """State of the sender, sent to each peer separately.
@@ -69,7 +88,7 @@
     releases: tuple[Released, ...] = ()
     members: tuple[ids.NodeId, ...] = ()
     demand: tuple[tuple[ids.ServiceName, float], ...] = ()
-    leaving: tuple[ids.HostId, ...] = ()
+    leaving: tuple[Leaving, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,7 +156,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerPiece:
-    """Pieces of an answer from `offset` on; `last` marks its end."""
+    """Pieces of an answer from `offset` on; `last` marks its end.
+
+    Attributes
+    ----------
+    found : bool
+        Whether the sender has the answer.
+    detail : str
+        Why the answer failed; empty where it is whole.
+    """
 
     request: ids.RequestId
     attempt: int
@@ -145,6 +172,7 @@
     pieces: tuple[bytes, ...]
     last: bool = False
     found: bool = True
+    detail: str = ''
 
 
 Message = Union[
--- a/hornbeamrudder/peers/view.py
+++ b/hornbeamrudder/peers/view.py
@@ -54,7 +54,7 @@
             **view.peers_by_node,
             sender: Peer(sender, incarnation, heartbeat, now),
         },
-        {host: now for host in heartbeat.leaving}
+        {item.host: now for item in heartbeat.leaving}
         | {
             host: since
             for host, since in view.leaving_since_by_host.items()
--- a/hornbeamrudder/platform/http.py
+++ b/hornbeamrudder/platform/http.py
@@ -14,6 +14,7 @@
 from returns import result
 
 from ..core import errors
+from ..core import types
 
 CONNECT_TIMEOUT_S = 1.0
 FIRST_BYTE_TIMEOUT_S = 10.0
@@ -349,7 +350,15 @@
         call.future.set_result(
             result.Failure(
                 errors.Failure(
-                    kind, call.request.step, call.request.peer, detail
+                    kind,
+                    call.request.step,
+                    call.request.peer,
+                    detail,
+                    # Only a connection that was never made proves that the
+                    # peer did not run the request.
+                    types.Outcome.NOT_RUN
+                    if kind is errors.FailureKind.NOT_CONNECTED
+                    else types.Outcome.UNKNOWN,
                 )
             )
         )
--- a/hornbeamrudder/settings/load.py
+++ b/hornbeamrudder/settings/load.py
@@ -7,6 +7,8 @@
 from returns import result
 import yaml
 
+from ..inventory import problems
+
 MAX_FILE_BYTES = 1024 * 1024
 
 Model = TypeVar('Model', bound=pydantic.BaseModel)
@@ -14,35 +16,44 @@
 
 def load(
     path: str, model: type[Model]
-) -> result.Result[Model, tuple[str, ...]]:
+) -> result.Result[Model, tuple[problems.Problem, ...]]:
     """Read and check a settings file.
 
     Returns
     -------
-    Result of model, or of messages with file, key and reason
+    Result of model, or of all problems with file, line, field and reason
     """
     try:
         if pathlib.Path(path).stat().st_size > MAX_FILE_BYTES:
-            return result.Failure((f'{path}: over {MAX_FILE_BYTES} bytes',))
+            return _unreadable(path, f'over {MAX_FILE_BYTES} bytes')
         text = pathlib.Path(path).read_text(encoding='utf-8')
         value = yaml.safe_load(text)
     except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
-        return result.Failure((f'{path}: {error}',))
+        return _unreadable(path, str(error))
     except RecursionError:
-        return result.Failure((f'{path}: nested too deeply',))
+        return _unreadable(path, 'nested too deeply')
     try:
         return result.Success(model.model_validate(value or {}))
     except pydantic.ValidationError as error:
         return result.Failure(
             tuple(
-                f'{path}:{_line_of(text, item["loc"])}:'
-                f' {".".join(map(str, item["loc"])) or "settings"}:'
-                f' {item["msg"]}'
+                problems.Problem(
+                    path,
+                    _line_of(text, item['loc']),
+                    '.'.join(map(str, item['loc'])) or 'settings',
+                    item['msg'],
+                )
                 for item in error.errors(include_url=False)
             )
         )
 
 
+def _unreadable(
+    path: str, reason: str
+) -> result.Result[Model, tuple[problems.Problem, ...]]:
+    return result.Failure((problems.Problem(path, 1, 'file', reason),))
+
+
 def _line_of(text: str, location: tuple[int | str, ...]) -> int:
     """Line of the deepest part of `location` that the file has."""
     node = yaml.compose(text, Loader=yaml.SafeLoader)
--- a/hornbeamrudder/settings/schema.py
+++ b/hornbeamrudder/settings/schema.py
@@ -102,6 +102,13 @@
     kept_answer_s: Annotated[float, pydantic.Field(ge=0)] = 30.0
 
 
+class Operator(Section):
+    """An operator who may call before any configuration is in force."""
+
+    id: Name
+    token_sha256: Annotated[str, pydantic.Field(pattern='^[0-9a-f]{64}$')]
+
+
 class NodeSettings(Section):
     """Settings of one node daemon.
 
@@ -129,9 +136,9 @@
     cloud: Endpoint | None = None
     host_list: Endpoint | None = None
     host_id: Name | None = None
-    document_file: str = ''
     seeds: tuple[Endpoint, ...] = ()
     peer_key_file: str
+    operators: tuple[Operator, ...] = ()
     fleet_control: bool = False
     log_level: Annotated[
         str, pydantic.Field(pattern='^(debug|info|warning|error)$')
--- a/hornbeamrudder/standins/engine.py
+++ b/hornbeamrudder/standins/engine.py
@@ -114,6 +114,7 @@
             'waiting': waiting,
             'outstanding_tokens': outstanding,
             'slots': self.settings.max_batch,
+            'lag_s': self.settings.load_lag_s,
             'incarnation': 1,
             'target': self.target,
         }
--- a/hornbeamrudder/standins/engine_batch.py
+++ b/hornbeamrudder/standins/engine_batch.py
@@ -10,8 +10,8 @@
 from typing import Sequence
 
 from ..core import hashing
+from ..routing import prefix
 
-BLOCK_TOKENS = 16
 IDLE_WAIT_S = 0.05
 WORDS = (
     'bell apron chime leather wire canvas strap bracket coil rivet'
@@ -32,7 +32,7 @@
     prefill_per_token_s : float
         Time to compute one prompt token that is not cached, in seconds.
     cache_blocks : int
-        Prefix cache size in blocks of `BLOCK_TOKENS` tokens.
+        Prefix cache size in blocks, as `routing.prefix` divides a prompt.
     """
 
     max_batch: int = 16
@@ -73,15 +73,6 @@
     return WORDS[hashing.stable_hash(prompt, str(offset)) % len(WORDS)] + ' '
 
 
-def prompt_blocks(prompt: str) -> tuple[int, ...]:
-    """Hashes of the prompt's prefixes, one for each block of tokens."""
-    words = prompt.split()
-    return tuple(
-        hashing.stable_hash(*words[: end + BLOCK_TOKENS])
-        for end in range(0, len(words), BLOCK_TOKENS)
-    )
-
-
 class PrefixCache:
     """Least recently used prefix blocks in limited memory."""
 
@@ -210,11 +201,12 @@
         return prefill_s
 
     def _prefill(self, sequence: EngineSequence) -> float:
-        blocks = prompt_blocks(sequence.prompt)
+        blocks = prefix.block_hashes(sequence.prompt)
         prompt_tokens = len(sequence.prompt.split())
         hits = self.cache.take(blocks, time.monotonic())
         imported = self.imported_tokens_by_request.pop(sequence.request_id, 0)
-        sequence.cached_tokens = min(prompt_tokens, hits * BLOCK_TOKENS)
+        cached_text = sequence.prompt[: hits * prefix.BLOCK_CHARACTERS]
+        sequence.cached_tokens = len(cached_text.split())
         computed = prompt_tokens - sequence.cached_tokens
         if imported:
             computed = 0
--- a/hornbeamrudder/telemetry/metrics.py
+++ b/hornbeamrudder/telemetry/metrics.py
@@ -60,6 +60,30 @@
             registry=self.registry,
         )
 
+    def count_answer(
+        self,
+        service: str,
+        rank: str,
+        state: str,
+        tokens: int,
+        attempts: int,
+        recomputed_tokens: int,
+    ) -> None:
+        """Count one answer that has ended on this node."""
+        labels = {'service': service, 'rank': rank}
+        self.requests.inc(labels | {'result': state})
+        self.tokens.add(labels, tokens)
+        self.attempts.add(labels, attempts)
+        self.recomputed_tokens.add(labels, recomputed_tokens)
+
+    def observe_answer(
+        self, service: str, rank: str, whole_s: float, first_token_s: float
+    ) -> None:
+        """Record the times of a whole answer, in seconds."""
+        labels = {'service': service, 'rank': rank}
+        self.request_s.observe(labels, whole_s)
+        self.first_token_s.observe(labels, first_token_s)
+
     def render(self, accepts: Iterable[str]) -> tuple[bytes, dict[str, str]]:
         """Render for `/metrics`; returns body and headers."""
         return renderer.render(self.registry, list(accepts))
