Serve TLS with keys that are read again, and share a port

Cause: TLS towards callers and between nodes could not be switched on, the documents above 64 KB had no object store, and one process is limited to one core.

Change: settings.certificates keeps the TLS contexts and reads a renewed certificate without a restart; a pair that does not match is left out. The node passes the object store to the configuration. With limits.share_port several node processes of a host listen on one port.

TLS streams go through the WSGI server's thread, as an SSL socket must not be written from another one.

--- a/hornbeamrudder/entry/node.py
+++ b/hornbeamrudder/entry/node.py
@@ -34,10 +34,12 @@
 from ..platform import cloud
 from ..platform import host_list
 from ..platform import http
+from ..platform import objects
 from ..platform import table
 from . import pool
 from . import server
 from . import service_calls
+from ..settings import certificates
 from ..settings import schema
 from . import status
 from ..telemetry import metrics as node_metrics
@@ -74,6 +76,9 @@
         self._stopping = threading.Event()
         self.metrics = node_metrics.NodeMetrics()
         self._tracer = traces.Tracer(settings.tracing, settings.node_id)
+        self._certificates = (
+            certificates.Certificates(settings.tls) if settings.tls else None
+        )
         self._client = http.HttpClient('backends')
         self._platform = http.HttpClient('platform')
         self._table = table.TableClient(self._platform, str(settings.table))
@@ -103,7 +108,10 @@
         self._make_orders()
         self.application = self._make_application()
         self._server = server.CallerServer(
-            self.application, settings.listen, settings.limits
+            self.application,
+            settings.listen,
+            settings.limits,
+            self._certificates.callers if self._certificates else None,
         )
         self._reporter = threading.Thread(
             target=self._report_loop, name='reports', daemon=True
@@ -190,6 +198,11 @@
         self,
     ) -> configuration_service.ConfigurationService:
         settings = self._settings
+        peer_tls = (
+            self._certificates
+            if settings.tls and settings.tls.peer_ca_file
+            else None
+        )
         return configuration_service.ConfigurationService(
             self._id,
             self._incarnation,
@@ -197,8 +210,13 @@
             configuration_service.Peers(
                 tuple(seed.address() for seed in settings.seeds),
                 settings.peer_key(),
+                peer_tls.peer_server if peer_tls else None,
+                peer_tls.peer_client if peer_tls else None,
             ),
             self._table,
+            objects.NamedObjects(self._platform, str(settings.objects))
+            if settings.objects
+            else None,
             on_message=self._on_message,
         )
 
@@ -420,6 +438,8 @@
         self._client.close()
         self._platform.close()
         self._tracer.close()
+        if self._certificates is not None:
+            self._certificates.close()
 
 
 def _leaving_host(item: messages.Leaving) -> hosts.LeavingHost:
--- a/hornbeamrudder/entry/server.py
+++ b/hornbeamrudder/entry/server.py
@@ -1,8 +1,10 @@
 """The HTTP server of a node: cheroot with bounded threads."""
 
+import ssl
 import threading
 from typing import Any, Callable, Iterable
 
+from cheroot.ssl import builtin
 from cheroot import wsgi
 
 from ..core import types
@@ -25,6 +27,20 @@
         return environ
 
 
+class _TlsAdapter(builtin.BuiltinSSLAdapter):
+    """Uses a context that is made, and renewed, elsewhere."""
+
+    def __init__(self, tls: ssl.SSLContext) -> None:
+        self.context = tls
+
+    # The base class declares no argument, yet the server passes the socket.
+    def get_environ(  # type: ignore[override]
+        self, sock: ssl.SSLSocket
+    ) -> dict[str, Any]:
+        """WSGI variables of a connection."""
+        return {'wsgi.url_scheme': 'https', 'HTTPS': 'on'}
+
+
 class CallerServer:
     """Listens for callers and runs each request on a thread."""
 
@@ -33,6 +49,7 @@
         application: WsgiApp,
         listen: schema.Endpoint,
         limits: schema.Limits,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         self._server = wsgi.Server(
             (listen.ip, listen.port),
@@ -47,6 +64,10 @@
         self._server.max_request_header_size = limits.header_bytes
         self._server.max_request_body_size = limits.body_bytes
         self._server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
+        # Several node processes of a host divide its connections.
+        self._server.reuse_port = limits.share_port
+        if tls is not None:
+            self._server.ssl_adapter = _TlsAdapter(tls)
         self._server.prepare()
         ip, port = self._server.bind_addr[:2]
         self.address = types.Address(str(ip), int(port))
--- a/hornbeamrudder/platform/objects.py
+++ b/hornbeamrudder/platform/objects.py
@@ -29,8 +29,7 @@
         answer was lost may be repeated.
         """
         name = hashing.digest(body)
-        sent = self._request('PUT', name, errors.Step.WRITE_OBJECT, body)
-        return self._checked(sent).map(lambda _: name)
+        return self.put_named(name, body).map(lambda _: name)
 
     def get(self, name: str) -> result.Result[bytes, errors.Failure]:
         """Read an object and check its content against its name."""
@@ -39,6 +38,20 @@
             lambda body: self._verified(sent, name, body)
         )
 
+    def put_named(
+        self, name: str, body: bytes
+    ) -> result.Result[bytes, errors.Failure]:
+        """Store an object under a name that no other content has."""
+        return self._checked(
+            self._request('PUT', name, errors.Step.WRITE_OBJECT, body)
+        )
+
+    def get_named(self, name: str) -> result.Result[bytes, errors.Failure]:
+        """Read an object whose name is not its digest."""
+        return self._checked(
+            self._request('GET', name, errors.Step.READ_OBJECT)
+        )
+
     def _request(
         self, method: str, name: str, step: errors.Step, body: bytes = b''
     ) -> http.HttpRequest:
@@ -80,3 +93,20 @@
                 sent, errors.FailureKind.INVALID, 'digest does not match'
             )
         )
+
+
+class NamedObjects:
+    """Reads and writes objects under names that the writer makes."""
+
+    def __init__(self, client: http.HttpClient, peer: str) -> None:
+        self._objects = ObjectClient(client, peer)
+
+    def get(self, name: str) -> result.Result[bytes, errors.Failure]:
+        """Read an object; the caller checks its content."""
+        return self._objects.get_named(name)
+
+    def put(
+        self, name: str, body: bytes
+    ) -> result.Result[bytes, errors.Failure]:
+        """Write an object."""
+        return self._objects.put_named(name, body)
--- /dev/null
+++ b/hornbeamrudder/settings/certificates.py
@@ -0,0 +1,80 @@
+"""TLS contexts whose certificate and key are read again when they change."""
+
+import pathlib
+import ssl
+import threading
+
+import structlog
+
+from . import schema
+
+CHECK_INTERVAL_S = 5.0
+
+log = structlog.get_logger()
+
+
+class Certificates:
+    """Contexts of one node for callers and for peers.
+
+    A new certificate takes effect for handshakes from then on; open
+    connections go on. A file that can't be read leaves the old one in use.
+    """
+
+    def __init__(self, settings: schema.Tls) -> None:
+        self._settings = settings
+        self.callers = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        self.peer_server = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        self.peer_client = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        if settings.peer_ca_file:
+            for context in (self.peer_server, self.peer_client):
+                context.load_verify_locations(settings.peer_ca_file)
+            self.peer_server.verify_mode = ssl.CERT_REQUIRED
+        self._contexts = (self.callers, self.peer_server, self.peer_client)
+        self._read_at = self._modified()
+        self._load()
+        self._stop = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name='certificates', daemon=True
+        )
+        self._thread.start()
+
+    def reload_if_changed(self) -> bool:
+        """Read the files again where one has changed."""
+        try:
+            modified = self._modified()
+            if modified == self._read_at:
+                return False
+            self._load()
+        except (OSError, ssl.SSLError) as error:
+            log.error('certificate not read', error=str(error))
+            return False
+        self._read_at = modified
+        log.info('certificate read', file=self._settings.certificate_file)
+        return True
+
+    def close(self) -> None:
+        """Stop looking for changes."""
+        self._stop.set()
+        self._thread.join()
+
+    def _load(self) -> None:
+        # A pair that does not match is refused here, before any context in
+        # use is changed.
+        ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER).load_cert_chain(
+            self._settings.certificate_file, self._settings.key_file
+        )
+        for context in self._contexts:
+            context.load_cert_chain(
+                self._settings.certificate_file, self._settings.key_file
+            )
+
+    def _modified(self) -> tuple[int, int]:
+        files = (self._settings.certificate_file, self._settings.key_file)
+        certificate, key = (
+            pathlib.Path(file).stat().st_mtime_ns for file in files
+        )
+        return certificate, key
+
+    def _run(self) -> None:
+        while not self._stop.wait(CHECK_INTERVAL_S):
+            self.reload_if_changed()
--- a/hornbeamrudder/settings/schema.py
+++ b/hornbeamrudder/settings/schema.py
@@ -87,6 +87,9 @@
     ----------
     threads : int
         Requests served at once; a stream occupies one thread.
+    share_port : bool
+        Several node processes of one host listen on the same port, and the
+        kernel divides the callers' connections between them.
     header_bytes, body_bytes : int
         Largest request head and body.
     idle_timeout_s : float
@@ -96,6 +99,7 @@
     """
 
     threads: Annotated[int, pydantic.Field(ge=4, le=4096)] = 256
+    share_port: bool = False
     header_bytes: Annotated[int, pydantic.Field(ge=1024)] = 32 * 1024
     body_bytes: Annotated[int, pydantic.Field(ge=1024)] = 1024 * 1024
     idle_timeout_s: Annotated[int, pydantic.Field(ge=1)] = 30
