Take status 503 of the table service as a refusal without effect

Cause: in an outage announced by status 503 a new order was answered 'outcome unknown', although the service states that nothing took effect.

Change: the table client reports 503 as REFUSED, which the committer takes as proof that nothing was written, so the caller is told 'not run'.

--- a/hornbeamrudder/platform/table.py
+++ b/hornbeamrudder/platform/table.py
@@ -10,6 +10,11 @@
 from . import http
 
 TIMEOUT_S = 2.0
+# With these statuses the table service tells that nothing took effect.
+REFUSAL_BY_STATUS = {
+    429: errors.FailureKind.OVERLOADED,
+    503: errors.FailureKind.REFUSED,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,10 +124,8 @@
         self, response: http.HttpResponse, step: errors.Step
     ) -> result.Result[Any, errors.Failure]:
         if response.status != 200:
-            kind = (
-                errors.FailureKind.OVERLOADED
-                if response.status == 429
-                else errors.FailureKind.UNAVAILABLE
+            kind = REFUSAL_BY_STATUS.get(
+                response.status, errors.FailureKind.UNAVAILABLE
             )
             return self._failed(step, kind, f'status {response.status}')
         try:
