--- a/hornbeamrudder/configuration/features/exploration.py
+++ b/hornbeamrudder/configuration/features/exploration.py
@@ -1,5 +1,6 @@
 """Random fault schedules and scripted interleavings for the simulation."""
 
+import itertools
 import os
 import random
 
@@ -52,6 +53,8 @@
 
 
 def _random_fault(run, rng, index):
+    if not run.live():
+        run.start('restarted')
     live = [process.name for process in run.live()]
     every = [*run.processes_by_name, simulation.TABLE]
     name = rng.choice(live)
@@ -63,6 +66,8 @@
                 run.propose(other, f'edit{index}-{other}', rng.choice('ab'))
         case 'cut':
             run.cuts |= {tuple(rng.sample(every, 2)) for _ in range(6)}
+        case 'change cuts':
+            _cut_randomly(run, rng, every)
         case 'partition':
             rng.shuffle(every)
             middle = rng.randint(1, len(every) - 1)
@@ -74,6 +79,15 @@
         case 'restart':
             run.kill(name)
             run.at(rng.choice((0.01, 1.0, 4.0)), lambda: run.start(name))
+        case 'restart while a change spreads' if len(live) > 2:
+            _cut_randomly(run, rng, every)
+            run.propose(name, f'edit{index}', 'a')
+            run.run(rng.choice((0.05, 0.1, 0.6)))
+            other = rng.choice([item for item in live if item != name])
+            run.table_down = rng.random() < 0.7
+            run.kill(other)
+            run.start(other)
+            _cut_randomly(run, rng, every)
         case 'kill' if len(live) > 2:
             run.kill(name)
         case 'join' if len(live) < 7:
@@ -85,12 +99,21 @@
             run.table_down = not run.table_down
         case 'lost responses':
             run.response_loss = rng.choice((0.0, 0.5, 1.0))
-    if not run.live():
-        run.start(name)
+
+
+def _cut_randomly(run, rng, every):
+    """Cut each direction of each link with the same probability."""
+    share = rng.choice((0.2, 0.4, 0.6))
+    run.cuts = {
+        pair
+        for pair in itertools.permutations(every, 2)
+        if rng.random() < share
+    }
 
 
 _FAULTS = (
     *('propose',) * 5,
+    *('restart while a change spreads', 'change cuts') * 3,
     *('race', 'partition', 'reconnect', 'restart', 'outage') * 2,
     *('cut', 'pause', 'kill', 'join', 'leave', 'lost responses'),
 )
--- a/hornbeamrudder/configuration/features/simulation.py
+++ b/hornbeamrudder/configuration/features/simulation.py
@@ -6,6 +6,7 @@
 import itertools
 import random
 
+from hornbeamrudder.configuration import acceptance
 from hornbeamrudder.configuration import currency
 from hornbeamrudder.configuration import events
 from hornbeamrudder.configuration import node as node_module
@@ -344,5 +345,5 @@
 
 def drift_bound():
     """Largest clock deviation that the margin covers, as a fraction."""
-    ratio = publish.LAPSE_S / currency.RIGHT_S
+    ratio = acceptance.LAPSE_S / currency.RIGHT_S
     return 0.95 * (ratio - 1) / (ratio + 1)
--- a/hornbeamrudder/configuration/features/steps/acceptance_steps.py
+++ b/hornbeamrudder/configuration/features/steps/acceptance_steps.py
@@ -5,6 +5,7 @@
 
 import behave
 
+from hornbeamrudder.configuration import acceptance
 from hornbeamrudder.configuration import currency
 from hornbeamrudder.configuration import events
 from hornbeamrudder.configuration.features import exploration
@@ -34,7 +35,7 @@
 
 
 def _acknowledged_once(row, knowledge, voter, _):
-    return publish.has_acknowledged(knowledge, voter, row.version)
+    return acceptance.has_acknowledged(knowledge, voter, row.version)
 
 
 _confirmed_by_peers_at = currency._confirmed_by_peers_at
@@ -53,7 +54,7 @@
     )
 
 
-_answered_since = publish._answered_since
+_answered_since = acceptance._answered_since
 
 
 def _released_suffices(row, knowledge, voter, since):
@@ -67,7 +68,7 @@
 
 
 FAULT_BY_NAME = {
-    'no wait for rights to expire': (publish, 'LAPSE_S', 0.0),
+    'no wait for rights to expire': (acceptance, 'LAPSE_S', 0.0),
     'majorities that do not intersect': (currency, 'majority', lambda _: 1),
     'a restarted process counted as voter': (
         currency,
@@ -80,12 +81,12 @@
         _any_peer_confirms,
     ),
     'acceptance on old acknowledgements': (
-        publish,
+        acceptance,
         '_answered_since',
         _acknowledged_once,
     ),
     'a release taken as an answer': (
-        publish,
+        acceptance,
         '_answered_since',
         _released_suffices,
     ),
--- a/hornbeamrudder/configuration/membership.py
+++ b/hornbeamrudder/configuration/membership.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from . import acceptance
 from ..core import ids
 from . import currency
 from . import node_state
@@ -118,7 +119,7 @@
 ) -> bool:
     if voter == (node.knowledge.node, node.knowledge.incarnation):
         return False
-    if publish.has_ended(node.knowledge, row, voter):
+    if acceptance.has_ended(node.knowledge, row, voter):
         # A restarted process replaces its own entry by joining.
         heard = node.knowledge.heard_by_node.get(voter[0])
         if heard is None or heard.incarnation <= voter[1]:
--- a/hornbeamrudder/configuration/node.py
+++ b/hornbeamrudder/configuration/node.py
@@ -4,6 +4,7 @@
 import math
 from typing import Mapping
 
+from . import acceptance
 from ..core import ids
 from . import currency
 from . import events
@@ -325,9 +326,9 @@
     before = node.settled
     tracker = node.tracker
     if tracker is not None and tracker.row.version > node.settled:
-        tracker = publish.advance(tracker, node.knowledge, now)
+        tracker = acceptance.advance(tracker, node.knowledge, now)
         node = dataclasses.replace(node, tracker=tracker)
-        if publish.is_in_force(tracker, node.knowledge, now):
+        if acceptance.is_in_force(tracker, node.knowledge, now):
             node = dataclasses.replace(node, settled=tracker.row.version)
     node, finished, asks = proposals.follow(node, now)
     beats = _heartbeats(node, now, wants_answer=True) if asks else ()
--- a/hornbeamrudder/configuration/node_state.py
+++ b/hornbeamrudder/configuration/node_state.py
@@ -4,6 +4,7 @@
 import math
 from typing import Any, Mapping
 
+from . import acceptance
 from ..core import ids
 from ..core import types
 from . import currency
@@ -44,7 +45,7 @@
     history: tuple[state.Content, ...] = ()
     view: peer_view.View = dataclasses.field(default_factory=peer_view.View)
     settled: ids.Version = ids.Version(0)
-    tracker: publish.Tracker | None = None
+    tracker: acceptance.Tracker | None = None
     queue: tuple[publish.Proposal, ...] = ()
     active: publish.Publication | None = None
     distributing: tuple[publish.Publication, ...] = ()
@@ -115,7 +116,7 @@
         node,
         content=content,
         history=history,
-        tracker=publish.Tracker(content.row),
+        tracker=acceptance.Tracker(content.row),
     )
     return know(node, row=content.row), (events.Installed(content),)
 
--- a/hornbeamrudder/configuration/proposals.py
+++ b/hornbeamrudder/configuration/proposals.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from . import acceptance
 from ..core import errors
 from ..core import ids
 from . import events
@@ -128,7 +129,7 @@
                 publish.Pending(
                     item.write.content.row.version,
                     True,
-                    publish.missing(item.write.content.row, node.knowledge),
+                    acceptance.missing(item.write.content.row, node.knowledge),
                     'acknowledgements are missing',
                 ),
             )
@@ -160,7 +161,7 @@
     for item in node.distributing:
         if item.tracker is None:
             continue
-        tracker = publish.advance(item.tracker, node.knowledge, now)
+        tracker = acceptance.advance(item.tracker, node.knowledge, now)
         asks |= tracker.majority_at is not None and (
             item.tracker.majority_at is None
         )
@@ -170,7 +171,7 @@
             acknowledged_at_by_node=_acknowledged(node, item, now),
         )
         version = tracker.row.version
-        if node.settled >= version or publish.is_in_force(
+        if node.settled >= version or acceptance.is_in_force(
             tracker, node.knowledge, now
         ):
             node = dataclasses.replace(
@@ -282,7 +283,7 @@
     item = dataclasses.replace(
         active,
         phase=publish.Phase.DISTRIBUTING,
-        tracker=publish.Tracker(write.content.row),
+        tracker=acceptance.Tracker(write.content.row),
     )
     node = dataclasses.replace(
         node, active=None, distributing=(*node.distributing, item)
@@ -328,5 +329,5 @@
         voter[0]: now
         for electorate in state.all_electorates(row)
         for voter in electorate
-        if publish.has_acknowledged(node.knowledge, voter, row.version)
+        if acceptance.has_acknowledged(node.knowledge, voter, row.version)
     } | dict(item.acknowledged_at_by_node)
