--- a/hornbeamrudder/configuration/features/steps/service_steps.py
+++ b/hornbeamrudder/configuration/features/steps/service_steps.py
@@ -1,5 +1,6 @@
 """Steps for the service, with real connections and time."""
 
+import dataclasses
 import threading
 import time
 
@@ -11,6 +12,7 @@
 from hornbeamrudder.configuration import state
 from hornbeamrudder.configuration import store
 from hornbeamrudder.core import errors
+from hornbeamrudder.core import hashing
 from hornbeamrudder.core import types
 from hornbeamrudder.platform import table
 
@@ -191,6 +193,11 @@
 def check_damaged(context):
     read = store.read(context.rows, None, None).unwrap()
     assert read.row.version == 1 and read.document is None, read
+    # A document with a valid digest must still be a JSON object.
+    for document in (b'[1]', b'{', b'\xff'):
+        row = dataclasses.replace(read.row, digest=hashing.digest(document))
+        content = state.parse_content(row, document)
+        assert isinstance(content, result.Failure), document
 
 
 @behave.then('a damaged version row is a failure')
--- a/hornbeamrudder/configuration/state.py
+++ b/hornbeamrudder/configuration/state.py
@@ -129,9 +129,15 @@
 def parse_content(
     row: VersionRow, document: bytes
 ) -> result.Result[Content, errors.Failure]:
-    """Pair a row with its document, checked by digest."""
+    """Pair a row with its document, which must match its digest."""
     if hashing.digest(document) != row.digest:
         return _invalid(f'document of version {row.version}: wrong digest')
+    try:
+        is_object = isinstance(orjson.loads(document), dict)
+    except orjson.JSONDecodeError:
+        is_object = False
+    if not is_object:
+        return _invalid(f'document of version {row.version}: no JSON object')
     return result.Success(Content(row, document))
 
 
