--- a/hornbeamrudder/configuration/features/steps/acceptance_steps.py
+++ b/hornbeamrudder/configuration/features/steps/acceptance_steps.py
@@ -5,6 +5,7 @@
 
 import behave
 
+from hornbeamrudder.configuration import acceptance
 from hornbeamrudder.configuration import currency
 from hornbeamrudder.configuration import events
 from hornbeamrudder.configuration.features import exploration
@@ -13,7 +14,8 @@
 from hornbeamrudder.configuration import publish
 from hornbeamrudder.configuration import state
 
-RANDOM_RUNS = 10
+RANDOM_RUNS = 5
+FOCUSED_RUNS = 12
 TAME_CHECK_RUNS = 40
 
 RUN_BY_NAME = {
@@ -34,7 +36,7 @@
 
 
 def _acknowledged_once(row, knowledge, voter, _):
-    return publish.has_acknowledged(knowledge, voter, row.version)
+    return acceptance.has_acknowledged(knowledge, voter, row.version)
 
 
 _confirmed_by_peers_at = currency._confirmed_by_peers_at
@@ -53,7 +55,7 @@
     )
 
 
-_answered_since = publish._answered_since
+_answered_since = acceptance._answered_since
 
 
 def _released_suffices(row, knowledge, voter, since):
@@ -67,7 +69,7 @@
 
 
 FAULT_BY_NAME = {
-    'no wait for rights to expire': (publish, 'LAPSE_S', 0.0),
+    'no wait for rights to expire': (acceptance, 'LAPSE_S', 0.0),
     'majorities that do not intersect': (currency, 'majority', lambda _: 1),
     'a restarted process counted as voter': (
         currency,
@@ -80,12 +82,12 @@
         _any_peer_confirms,
     ),
     'acceptance on old acknowledgements': (
-        publish,
+        acceptance,
         '_answered_since',
         _acknowledged_once,
     ),
     'a release taken as an answer': (
-        publish,
+        acceptance,
         '_answered_since',
         _released_suffices,
     ),
@@ -154,6 +156,12 @@
         assert isinstance(final, publish.Accepted), final
 
 
+@behave.when('nodes restart and links fail while a change spreads')
+def run_focused(context):
+    for seed in exploration.seeds(FOCUSED_RUNS):
+        exploration.focused_run(seed)
+
+
 @behave.when('random schedules are run with "{name}"')
 def run_random_with_fault(context, name):
     context.found = False
@@ -184,10 +192,10 @@
     sim.table_down = True
     context.stopped_s = dict.fromkeys('abcde', 0)
     for second in range(seconds):
-        if second == 200:
+        if second == 100:
             sim.kill('b')
             sim.start('b')
-        if second == 300:
+        if second == 150:
             sim.propose('a', 'edit', 'key')
         sim.run(1)
         for name in 'abcde':
