--- a/hornbeamrudder/admission/controller.py
+++ b/hornbeamrudder/admission/controller.py
@@ -21,6 +21,9 @@
 SlotResult = result.Result['Slot', errors.Failure]
 SlotFuture = futures.Future[SlotResult]
 
+# Entries between their strict and their latest start are checked this often.
+EXPIRY_INTERVAL_S = 0.02
+
 _SHUTTING_DOWN = deadlines.refusal(
     'the node is shutting down', 0.0, errors.FailureKind.UNAVAILABLE
 )
@@ -43,7 +46,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
-    """Figures for metrics of one service."""
+    """Figures of one service, for metrics and for the heartbeat.
+
+    Attributes
+    ----------
+    demand : int
+        Slots in use and wanted, for `shares.worker_shares` on every node.
+    """
 
     capacity: int
     in_use: int
@@ -86,7 +95,9 @@
         ] = {}
         self._futures_by_key: dict[int, SlotFuture] = {}
         self._held_keys: set[int] = set()
-        self._expectations = expect.Expectations()
+        self._expectations_by_service: dict[
+            ids.ServiceName, expect.Expectations
+        ] = {}
         self._served: dict[tuple[ids.ServiceName, types.Rank], int] = {}
         self._rejected: dict[tuple[ids.ServiceName, types.Rank], int] = {}
         self._thread = threading.Thread(
@@ -95,11 +106,17 @@
         self._thread.start()
 
     def expected_tokens(
-        self, account: ids.AccountId, rank: types.Rank, max_tokens: float
+        self,
+        service: ids.ServiceName,
+        account: ids.AccountId,
+        rank: types.Rank,
+        max_tokens: float,
     ) -> float:
         """Expected tokens of a request, for `submit`."""
         with self._changed:
-            expectations = self._expectations
+            expectations = self._expectations_by_service.get(
+                service, expect.Expectations()
+            )
         return expect.expected_tokens(expectations, account, rank, max_tokens)
 
     def submit(
@@ -125,13 +142,14 @@
                 future.set_result(result.Failure(_SHUTTING_DOWN))
                 return future
             state = self._state(service)
-            rate = state.tokens_per_slot_s
-            entry = queues.Entry(
+            entry = states.new_entry(
+                state,
                 next(self._keys),
                 rank,
                 account,
                 expected_tokens,
-                deadline - expected_tokens / rate,
+                deadline,
+                now,
                 self._weights_by_account.get(account, 1.0),
             )
             self._futures_by_key[entry.key] = future
@@ -147,9 +165,13 @@
         """Give up a submission, and its slot where it was granted."""
         future.add_done_callback(self._release_unused)
 
-    def release(self, slot: Slot, used_tokens: float) -> None:
+    def release(
+        self, slot: Slot, used_tokens: float, completed: bool = True
+    ) -> None:
         """Return a slot with the tokens that its request used.
 
+        `completed` is false where the attempt failed or was cancelled.
+
         A second release of the same slot has no effect.
         """
         now = self._clock()
@@ -162,10 +184,13 @@
                 slot.entry,
                 used_tokens,
                 now - slot.granted_at,
+                completed,
             )
-            if used_tokens > 0:
-                self._expectations = expect.observe(
-                    self._expectations,
+            if completed and used_tokens > 0:
+                self._expectations_by_service[slot.service] = expect.observe(
+                    self._expectations_by_service.get(
+                        slot.service, expect.Expectations()
+                    ),
                     slot.entry.account,
                     slot.entry.rank,
                     used_tokens,
@@ -224,9 +249,7 @@
     def _state(self, service: ids.ServiceName) -> states.ServiceState:
         known = self._states_by_service.get(service)
         if known is None:
-            known = states.ServiceState(
-                queues.new_queue(self._floors, self._length_limit)
-            )
+            known = states.new_service(self._floors, self._length_limit)
             self._states_by_service[service] = known
         return known
 
@@ -262,7 +285,7 @@
     def _release_unused(self, future: SlotFuture) -> None:
         match future.result():
             case result.Success(slot):
-                self.release(slot, 0.0)
+                self.release(slot, 0.0, completed=False)
 
     def _expire_entries(self) -> None:
         while True:
@@ -276,12 +299,11 @@
                     ),
                     default=math.inf,
                 )
-                wait_s = next_expiry - self._clock()
-                if wait_s >= 0:
-                    # Wakes just after the expiry, which is exclusive.
-                    self._changed.wait(
-                        None if math.isinf(wait_s) else wait_s + 0.001
-                    )
+                if math.isinf(next_expiry):
+                    self._changed.wait()
+                else:
+                    wait_s = next_expiry - self._clock()
+                    self._changed.wait(max(wait_s, EXPIRY_INTERVAL_S))
                 now = self._clock()
                 resolved = [
                     pair
--- a/hornbeamrudder/admission/deadline.py
+++ b/hornbeamrudder/admission/deadline.py
@@ -1,6 +1,7 @@
 """Early rejection of requests that cannot meet their deadline."""
 
 import math
+from typing import AbstractSet
 
 from ..core import errors
 from ..core import types
@@ -26,7 +27,10 @@
 
 
 def estimated_wait_s(
-    queue: queues.Queue, entry: queues.Entry, tokens_per_s: float
+    queue: queues.Queue,
+    entry: queues.Entry,
+    tokens_per_s: float,
+    overloaded: AbstractSet[int] = frozenset(),
 ) -> float:
     """Estimate the wait for a slot while all slots are in use.
 
@@ -34,11 +38,14 @@
     ----------
     tokens_per_s : float
         Tokens per second of all slots of the service on this node.
+    overloaded : set of int
+        Ranks that refused requests lately; less urgent ranks then receive
+        only their floor.
 
     Returns
     -------
     float
-        Seconds. More urgent work that arrives later is not included.
+        Seconds.
     """
     if tokens_per_s <= 0:
         return math.inf
@@ -51,7 +58,9 @@
     )
     in_order = (own + more_urgent) / (1.0 - owed_share)
     floor = queue.ranks[entry.rank].floor
-    if more_urgent > 0 and floor > 0:
+    if floor > 0 and any(rank < entry.rank for rank in overloaded):
+        return own / floor / tokens_per_s
+    if floor > 0 and more_urgent > 0:
         in_order = min(in_order, own / floor)
     return in_order / tokens_per_s
 
@@ -62,8 +71,9 @@
     now: float,
     free_slots: int,
     tokens_per_s: float,
+    overloaded: AbstractSet[int] = frozenset(),
 ) -> errors.Failure | None:
-    """Refuse an entry that would start after its latest start.
+    """Refuse an entry that would probably start too late.
 
     Returns
     -------
@@ -76,14 +86,14 @@
             now - entry.latest_start,
             errors.FailureKind.DEADLINE,
         )
-    wait_s = 0.0
-    if free_slots <= queue.length:
-        wait_s = estimated_wait_s(queue, entry, tokens_per_s)
-    if now + wait_s <= entry.latest_start:
+    if free_slots > queue.length:
+        return None
+    wait_s = estimated_wait_s(queue, entry, tokens_per_s, overloaded)
+    if now + wait_s <= entry.cautious_start:
         return None
     return refusal(
         'the estimated wait exceeds the deadline',
-        wait_s - (entry.latest_start - now),
+        wait_s - (entry.cautious_start - now),
     )
 
 
--- a/hornbeamrudder/admission/features/steps/admission_steps.py
+++ b/hornbeamrudder/admission/features/steps/admission_steps.py
@@ -28,7 +28,9 @@
 
 
 def make_entry(key, rank, account, tokens, latest_start=1e9, weight=1.0):
-    return queues.Entry(key, rank, account, tokens, latest_start, weight)
+    return queues.Entry(
+        key, rank, account, tokens, latest_start, latest_start, weight
+    )
 
 
 @behave.then('any mix of arrivals, releases and capacities is work conserving')
@@ -61,7 +63,7 @@
                 case ('release', used) if held:
                     entry = held.pop(0)
                     ended.add(entry.key)
-                    state = states.release(state, entry, used, 1.0)
+                    state = states.release(state, entry, used, 1.0, True)
                 case ('capacity', slots):
                     state = states.dataclasses.replace(state, capacity=slots)
             state, granted, refused = states.grant(state, now)
@@ -228,8 +230,11 @@
     ' {count:d} waiting requests of {tokens:d} tokens'
 )
 def make_backlog(context, slots, rate, count, tokens):
-    context.state = states.ServiceState(
-        queues.new_queue(), slots, slots, float(rate)
+    context.state = states.dataclasses.replace(
+        states.new_service(),
+        capacity=slots,
+        in_use=slots,
+        tokens_average=float(rate),
     )
     for key in range(count):
         entry = make_entry(key, types.Rank.STANDARD, 'a', tokens)
--- a/hornbeamrudder/admission/queue.py
+++ b/hornbeamrudder/admission/queue.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import math
+from typing import AbstractSet
 from typing import Mapping
 
 from ..core import ids
@@ -18,6 +19,10 @@
 # Bounds the memory of a node and the cost of a decision. With early
 # rejection on, a queue reaches this length only when deadlines are long.
 DEFAULT_LENGTH_LIMIT = 256
+# Part of the admission margin that an entry needs at its start while its
+# rank is overloaded. Every entry then starts at the last moment, and without
+# a margin about a quarter of the answers were late.
+STRICT_PART = 2 / 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,8 +34,11 @@
     expected_tokens : float
         Work of the request, in tokens.
     latest_start : float
-        Time after which the request would miss its deadline, in seconds; the
-        entry expires then. At most the deadline itself.
+        Time after which an answer of mean length would be late, in seconds;
+        the entry expires then. At most the deadline itself.
+    cautious_start : float
+        Time until which a request may be expected to wait when it is
+        admitted, with a margin for long answers.
     weight : float
         Weight of the account within its rank.
     """
@@ -40,8 +48,15 @@
     account: ids.AccountId
     expected_tokens: float
     latest_start: float
+    cautious_start: float
     weight: float = 1.0
 
+    @property
+    def strict_start(self) -> float:
+        """Time at which the entry expires while its rank is overloaded."""
+        margin_s = self.latest_start - self.cautious_start
+        return self.latest_start - STRICT_PART * margin_s
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Flow:
@@ -71,7 +86,7 @@
     floor_tag : float
         Clock value from which the floor is owed, in tokens.
     next_expiry : float
-        Lower bound of the latest starts of all entries.
+        Lower bound of the strict starts of all entries.
     """
 
     floor: float
@@ -162,7 +177,7 @@
         rank,
         floor_tag=floor_tag,
         length=rank.length + 1,
-        next_expiry=min(rank.next_expiry, entry.latest_start),
+        next_expiry=min(rank.next_expiry, entry.strict_start),
         flows_by_account={**rank.flows_by_account, entry.account: flow},
     )
     dropped = None
@@ -171,13 +186,21 @@
     return _with_rank(queue, entry.rank, rank), dropped
 
 
-def expire(queue: Queue, now: float) -> tuple[Queue, tuple[Entry, ...]]:
-    """Remove the entries whose latest start has passed."""
+def expire(
+    queue: Queue, now: float, overloaded: AbstractSet[int] = frozenset()
+) -> tuple[Queue, tuple[Entry, ...]]:
+    """Remove the entries whose latest start has passed.
+
+    Parameters
+    ----------
+    overloaded : set of int
+        Ranks in which entries expire at their strict start.
+    """
     expired: tuple[Entry, ...] = ()
     for index, rank in enumerate(queue.ranks):
         if rank.next_expiry >= now:
             continue
-        rank, removed = _expire_rank(rank, now)
+        rank, removed = _expire_rank(rank, now, index in overloaded)
         expired += removed
         queue = _with_rank(queue, index, rank)
     return queue, expired
@@ -290,44 +313,35 @@
 
 
 def _expire_rank(
-    rank: RankQueue, now: float
+    rank: RankQueue, now: float, overloaded: bool
 ) -> tuple[RankQueue, tuple[Entry, ...]]:
-    removed = tuple(
-        entry
-        for flow in rank.flows_by_account.values()
-        for entry in flow.entries
-        if entry.latest_start < now
-    )
-    flows_by_account = {
-        account: _without_expired(flow, now)
-        for account, flow in rank.flows_by_account.items()
-    }
+    removed: list[Entry] = []
+    flows_by_account = {}
+    for account, flow in rank.flows_by_account.items():
+        kept: list[Entry] = []
+        for entry in flow.entries:
+            limit = entry.strict_start if overloaded else entry.latest_start
+            (removed if limit < now else kept).append(entry)
+        flows_by_account[account] = dataclasses.replace(
+            flow,
+            tokens=sum(entry.expected_tokens for entry in kept),
+            entries=tuple(kept),
+        )
     next_expiry = min(
         (
-            entry.latest_start
+            entry.strict_start
             for flow in flows_by_account.values()
             for entry in flow.entries
         ),
         default=math.inf,
     )
-    return (
-        dataclasses.replace(
-            rank,
-            length=rank.length - len(removed),
-            next_expiry=next_expiry,
-            flows_by_account=flows_by_account,
-        ),
-        removed,
-    )
-
-
-def _without_expired(flow: Flow, now: float) -> Flow:
-    kept = tuple(entry for entry in flow.entries if entry.latest_start >= now)
-    return dataclasses.replace(
-        flow,
-        tokens=sum(entry.expected_tokens for entry in kept),
-        entries=kept,
+    rank = dataclasses.replace(
+        rank,
+        length=rank.length - len(removed),
+        next_expiry=next_expiry,
+        flows_by_account=flows_by_account,
     )
+    return rank, tuple(removed)
 
 
 def _with_rank(queue: Queue, index: int, rank: RankQueue) -> Queue:
--- /dev/null
+++ b/hornbeamrudder/bench/virtual_node.py
@@ -0,0 +1,381 @@
+"""Virtual-time entry node: calls the product's decision functions."""
+
+import dataclasses
+import itertools
+import random
+from typing import Iterable, Mapping, Protocol
+
+from ..admission import expect
+from ..admission import queue as queues
+from ..admission import state as states
+from . import baselines
+from ..core import errors
+from ..core import ids
+from ..core import types
+from ..retries import budget as budgets
+from ..retries import decide
+from ..routing import choose
+from ..routing import prefix
+from . import scenario as scenarios
+from . import virtual_engine
+
+# Callers state a limit on the answer well above its usual length.
+MAX_TOKENS_FACTOR = 3.0
+FIFO_ACCOUNT = ids.AccountId('all')
+
+
+class Network(Protocol):
+    """What a node may do to the run it is part of."""
+
+    def send(
+        self,
+        node: 'Node',
+        worker: ids.WorkerId,
+        attempt: virtual_engine.Attempt,
+        now: float,
+    ) -> None:
+        """Send an attempt; its end is reported to the node later."""
+
+    def true_load(self, worker: ids.WorkerId, now: float) -> float:
+        """Outstanding tokens, for the reference policy only."""
+
+
+@dataclasses.dataclass(slots=True)
+class Service:
+    """State of one service on a node."""
+
+    state: states.ServiceState
+    loads_by_worker: dict[ids.WorkerId, choose.WorkerLoad]
+    ring: prefix.Ring
+    expectations: expect.Expectations = expect.Expectations()
+    peak_demand: int = 0
+
+
+class Node:
+    """One entry node."""
+
+    def __init__(
+        self,
+        index: int,
+        scenario: scenarios.Scenario,
+        policy: baselines.Policy,
+        workers_by_service: Mapping[str, list[ids.WorkerId]],
+        network: Network,
+        rng: random.Random,
+    ) -> None:
+        self.index = index
+        self.alive = True
+        self.policy = policy
+        self._network = network
+        self._rng = rng
+        self._budget = budgets.Budget()
+        self._turns = itertools.count()
+        self._views_by_worker: dict[ids.WorkerId, prefix.CacheView] = {}
+        self._requests_by_key: dict[int, virtual_engine.Request] = {}
+        self._held_by_key: dict[int, tuple[queues.Entry, float]] = {}
+        floors = scenario.floors if policy.floors else (0.0, 0.0, 0.0)
+        self._specs = {item.name: item for item in scenario.services}
+        self.services = {
+            name: Service(
+                dataclasses.replace(
+                    states.new_service(floors),
+                    tokens_average=self._specs[name].rate(
+                        self._specs[name].slots
+                    ),
+                    early_rejection=policy.early_rejection,
+                ),
+                {
+                    worker: choose.WorkerLoad(
+                        worker, self._specs[name].slots, share=0
+                    )
+                    for worker in workers
+                },
+                prefix.build_ring(workers),
+            )
+            for name, workers in workers_by_service.items()
+        }
+
+    def arrive(self, request: virtual_engine.Request, now: float) -> None:
+        """Receive a request from a caller."""
+        request.node = self.index
+        self._budget = budgets.earn(self._budget)
+        self._offer(request, now)
+
+    def pump(self, name: str, now: float) -> None:
+        """Give free slots of a service to waiting requests."""
+        service = self.services[name]
+        while True:
+            capacity = choose.usable_slots(
+                service.loads_by_worker.values(), now
+            )
+            state = dataclasses.replace(service.state, capacity=capacity)
+            service.peak_demand = max(service.peak_demand, state.demand)
+            service.state, granted, refused = states.grant(state, now)
+            self._refuse(refused)
+            for entry in granted:
+                self._dispatch(service, entry, now)
+            if not granted:
+                return
+
+    def finished(
+        self,
+        worker: ids.WorkerId,
+        attempt: virtual_engine.Attempt,
+        now: float,
+    ) -> None:
+        """Receive the end of an answer."""
+        request = attempt.request
+        request.finished_at = now
+        self._release(worker, attempt, request.left, now)
+        request.work += request.left
+        request.left = 0.0
+        service = self.services[request.load.service]
+        service.expectations = expect.observe(
+            service.expectations,
+            *self._caller(request),
+            request.tokens,
+        )
+        self.pump(request.load.service, now)
+
+    def failed(
+        self,
+        worker: ids.WorkerId,
+        attempt: virtual_engine.Attempt,
+        produced: float,
+        failure: errors.Failure,
+        now: float,
+    ) -> None:
+        """Receive the failure of an attempt."""
+        request = attempt.request
+        service = self.services[request.load.service]
+        self._release(worker, attempt, produced, now)
+        request.left = max(0.1, request.left - produced)
+        request.work += produced
+        if self.policy.retry_budget:
+            loads_by_worker = service.loads_by_worker
+            loads_by_worker[worker] = choose.with_failure(
+                loads_by_worker[worker], now
+            )
+        if self._retries(request, failure, now):
+            self._offer(request, now)
+        else:
+            request.refused = True
+            self.pump(request.load.service, now)
+
+    def set_shares(
+        self,
+        name: str,
+        share_by_worker: Mapping[ids.WorkerId, int],
+        now: float,
+    ) -> None:
+        """Put new shares of a service in force."""
+        service = self.services[name]
+        service.loads_by_worker = {
+            worker: dataclasses.replace(load, share=share_by_worker[worker])
+            for worker, load in service.loads_by_worker.items()
+        }
+        self.pump(name, now)
+
+    def set_worker_state(
+        self, name: str, worker: ids.WorkerId, state: types.HostState
+    ) -> None:
+        """Learn the state of a worker."""
+        loads_by_worker = self.services[name].loads_by_worker
+        loads_by_worker[worker] = dataclasses.replace(
+            loads_by_worker[worker], state=state, failed_at=None
+        )
+
+    def report(
+        self,
+        name: str,
+        worker: ids.WorkerId,
+        tokens: float,
+        at: float,
+        events: Iterable[prefix.CacheEvent],
+    ) -> None:
+        """Receive a load report and the cache events that came with it."""
+        loads_by_worker = self.services[name].loads_by_worker
+        loads_by_worker[worker] = choose.with_report(
+            loads_by_worker[worker], tokens, at
+        )
+        self._views_by_worker[worker] = prefix.apply_events(
+            self._views_by_worker.get(worker, prefix.CacheView()), events
+        )
+
+    def demand(self, name: str) -> int:
+        """Highest demand of a service since the last heartbeat."""
+        service = self.services[name]
+        peak = service.peak_demand
+        service.peak_demand = service.state.demand
+        return peak
+
+    def stop(self) -> list[virtual_engine.Request]:
+        """Stop the node and return its requests in progress."""
+        self.alive = False
+        return list(self._requests_by_key.values())
+
+    def _caller(
+        self, request: virtual_engine.Request
+    ) -> tuple[ids.AccountId, types.Rank]:
+        return ids.AccountId(request.load.account), request.load.rank_value
+
+    def _entry(
+        self, request: virtual_engine.Request, now: float
+    ) -> queues.Entry:
+        account, rank = self._caller(request)
+        return states.new_entry(
+            self.services[request.load.service].state,
+            request.key,
+            rank if self.policy.ranks else types.Rank.URGENT,
+            account if self.policy.fair else FIFO_ACCOUNT,
+            self._expected(request),
+            request.deadline,
+            now,
+        )
+
+    def _expected(self, request: virtual_engine.Request) -> float:
+        account, rank = self._caller(request)
+        produced = request.tokens - request.left
+        limit = request.load.tokens * MAX_TOKENS_FACTOR
+        expected = expect.expected_tokens(
+            self.services[request.load.service].expectations,
+            account,
+            rank,
+            limit,
+        )
+        return max(1.0, expected - produced)
+
+    def _offer(self, request: virtual_engine.Request, now: float) -> None:
+        entry = self._entry(request, now)
+        service = self.services[request.load.service]
+        self._requests_by_key[request.key] = request
+        service.state, refused = states.offer(service.state, entry, now)
+        self._refuse(() if refused is None else (refused,))
+        self.pump(request.load.service, now)
+
+    def _refuse(self, refused: Iterable[states.Refused]) -> None:
+        for item in refused:
+            self._requests_by_key.pop(item.entry.key).refused = True
+
+    def _dispatch(
+        self, service: Service, entry: queues.Entry, now: float
+    ) -> None:
+        request = self._requests_by_key[entry.key]
+        worker = self._choose(service, request, now)
+        if worker is None:
+            service.state = states.release(
+                service.state, entry, 0.0, 0.0, completed=False
+            )
+            self._requests_by_key.pop(entry.key).refused = True
+            return
+        loads_by_worker = service.loads_by_worker
+        loads_by_worker[worker] = choose.with_sent(
+            loads_by_worker[worker], entry.expected_tokens, now
+        )
+        self._held_by_key[entry.key] = (entry, now)
+        request.tried.append(worker)
+        request.attempts += 1
+        attempt = virtual_engine.Attempt(request, entry.expected_tokens, now)
+        self._network.send(self, worker, attempt, now)
+
+    def _release(
+        self,
+        worker: ids.WorkerId,
+        attempt: virtual_engine.Attempt,
+        used: float,
+        now: float,
+    ) -> None:
+        service = self.services[attempt.request.load.service]
+        entry, granted_at = self._held_by_key.pop(attempt.request.key)
+        service.state = states.release(
+            service.state,
+            entry,
+            used,
+            now - granted_at,
+            completed=attempt.request.finished_at is not None,
+        )
+        service.loads_by_worker[worker] = choose.with_answer(
+            service.loads_by_worker[worker]
+        )
+        del self._requests_by_key[attempt.request.key]
+
+    def _retries(
+        self,
+        request: virtual_engine.Request,
+        failure: errors.Failure,
+        now: float,
+    ) -> bool:
+        latest_start = self._entry(request, now).latest_start
+        if not self.policy.retry_budget:
+            return (
+                request.attempts < self.policy.max_attempts
+                and now <= latest_start
+            )
+        loads_by_worker = self.services[request.load.service].loads_by_worker
+        candidates = sum(
+            1
+            for worker, load in loads_by_worker.items()
+            if worker not in request.tried and choose.usable(load, now)
+        )
+        decision = decide.decide(
+            decide.FailedAttempt(
+                failure,
+                request.load.idempotent,
+                tuple(request.tried),
+                latest_start,
+            ),
+            now,
+            self._budget,
+            candidates,
+        )
+        match decision:
+            case decide.Retry(budget=budget):
+                self._budget = budget
+                return True
+        return False
+
+    def _choose(
+        self, service: Service, request: virtual_engine.Request, now: float
+    ) -> ids.WorkerId | None:
+        loads_by_worker = service.loads_by_worker
+        excluded = (
+            frozenset(request.tried)
+            if self.policy.retry_budget
+            else frozenset()
+        )
+        free = [
+            load
+            for load in loads_by_worker.values()
+            if load.state is types.HostState.LIVE
+            and load.worker not in excluded
+            and load.in_flight < load.share
+        ]
+        match self.policy.routing:
+            case baselines.Routing.ROUND_ROBIN if free:
+                return free[next(self._turns) % len(free)].worker
+            case baselines.Routing.LEAST_REPORTED if free:
+                return min(free, key=lambda load: load.reported_tokens).worker
+            case baselines.Routing.TRUE_LOAD:
+                loads_by_worker = {
+                    worker: choose.with_report(
+                        load, self._network.true_load(worker, now), now
+                    )
+                    for worker, load in loads_by_worker.items()
+                }
+        order: Iterable[ids.WorkerId] = ()
+        cached = {}
+        if (
+            request.blocks
+            and self.policy.routing is not baselines.Routing.NO_AFFINITY
+        ):
+            order = prefix.ring_order(
+                service.ring, prefix.ring_key(request.blocks)
+            )
+            cached = {
+                worker: prefix.cached_blocks(view, request.blocks)
+                for worker, view in self._views_by_worker.items()
+                if worker in loads_by_worker
+            }
+        return choose.choose(
+            loads_by_worker, order, cached, excluded, now, self._rng
+        )
