Add quiet workers for small callers under contention

Fair queueing bounds their wait, but not the slower token rate of a full batch.

Change: a setting (quiet_part, off by default) keeps a few workers closed to the standard and batch requests of large accounts while demand exceeds the slots. Their number follows the small accounts' demand.

--- a/hornbeamrudder/admission/controller.py
+++ b/hornbeamrudder/admission/controller.py
@@ -52,11 +52,14 @@
     ----------
     demand : int
         Slots in use and wanted, for `shares.worker_shares` on every node.
+    small_demand : int
+        Part of small accounts, for `isolation.quiet_count` on every node.
     """
 
     capacity: int
     in_use: int
     demand: int
+    small_demand: int
     length_by_rank: Mapping[types.Rank, int]
     served_by_rank: Mapping[types.Rank, int]
     rejected_by_rank: Mapping[types.Rank, int]
@@ -198,15 +201,28 @@
             resolved = self._grant(slot.service, now)
         _resolve(resolved)
 
-    def set_capacity(self, service: ids.ServiceName, slots: int) -> None:
-        """Set the slots of a service that this node may use."""
+    def set_capacity(
+        self, service: ids.ServiceName, slots: int, quiet_free: int = 0
+    ) -> None:
+        """Set the slots of a service that this node may use.
+
+        With quiet workers (`quiet_free` above 0), one slot is granted at a
+        time, and this is called again after each dispatch.
+        """
         with self._changed:
             self._states_by_service[service] = dataclasses.replace(
-                self._state(service), capacity=slots
+                self._state(service), capacity=slots, quiet_free=quiet_free
             )
             resolved = self._grant(service, self._clock())
         _resolve(resolved)
 
+    def small_accounts(
+        self, service: ids.ServiceName
+    ) -> frozenset[ids.AccountId] | None:
+        """Accounts that may use quiet workers; None without contention."""
+        with self._changed:
+            return self._state(service).small_accounts
+
     def set_weights(
         self, weights_by_account: Mapping[ids.AccountId, float]
     ) -> None:
@@ -222,6 +238,7 @@
                 state.capacity,
                 state.in_use,
                 state.demand,
+                state.small_demand,
                 {rank: state.queue.ranks[rank].length for rank in types.Rank},
                 {
                     rank: self._served.get((service, rank), 0)
@@ -256,7 +273,9 @@
     def _grant(
         self, service: ids.ServiceName, now: float
     ) -> list[tuple[SlotFuture, SlotResult]]:
-        state, granted, refused = states.grant(self._state(service), now)
+        state = self._state(service)
+        most = 1 if state.quiet_free else None
+        state, granted, refused = states.grant(state, now, most)
         self._states_by_service[service] = state
         resolved = self._refuse(service, refused)
         for entry in granted:
--- a/hornbeamrudder/admission/features/admission.feature
+++ b/hornbeamrudder/admission/features/admission.feature
@@ -54,3 +54,20 @@
     Given a controller with one slot
     When a request is withdrawn before and after its grant
     Then no slot is in use
+
+  Scenario: In lasting overload requests start early enough for long answers
+    # Guards against a flood in which every answer of more than mean length is late.
+    Given a waiting request with a latest start at 10 seconds and a cautious start at 4 seconds
+    Then it expires after 6 seconds while its rank refuses requests, else after 10 seconds
+
+  Scenario: A rank below an overloaded one counts on its floor only
+    # Guards against bookings that are admitted in a flood and expire.
+    Given a service with 2 slots at 10 tokens per second and 5 waiting requests of 100 tokens
+    Then the wait of one more is 25 seconds, and 250 seconds while urgent work is refused
+
+  Scenario: Quiet workers are kept for small accounts under contention only
+    # Guards against a large caller that fills the batches of quiet workers, and against idle slots without contention.
+    Given 10 slots of which 2 are free at quiet workers and account "chain" uses 8 and waits for 30
+    Then "chain" gets no slot and a request of "shop" gets one
+    And urgent work of "chain" gets one
+    And without other demand than 10 slots "chain" gets both
--- a/hornbeamrudder/admission/features/steps/admission_steps.py
+++ b/hornbeamrudder/admission/features/steps/admission_steps.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from hornbeamrudder.admission import controller
+from hornbeamrudder.admission import deadline
 from hornbeamrudder.admission import expect
 from hornbeamrudder.admission import queue as queues
 from hornbeamrudder.admission import state as states
@@ -233,7 +234,7 @@
     context.state = states.dataclasses.replace(
         states.new_service(),
         capacity=slots,
-        in_use=slots,
+        in_use_by_caller={('a', types.Rank.STANDARD): slots},
         tokens_average=float(rate),
     )
     for key in range(count):
@@ -383,3 +384,85 @@
 @behave.then('no slot is in use')
 def check_none_in_use(context):
     assert context.controller.snapshot(SERVICE).demand == 0
+
+
+@behave.given(
+    'a waiting request with a latest start at {latest:d} seconds and a'
+    ' cautious start at {cautious:d} seconds'
+)
+def queue_with_margin(context, latest, cautious):
+    entry = queues.Entry(1, types.Rank.URGENT, 'a', 90, latest, cautious)
+    context.queue, _ = queues.enqueue(queues.new_queue(), entry)
+
+
+@behave.then(
+    'it expires after {strict:d} seconds while its rank refuses requests,'
+    ' else after {latest:d} seconds'
+)
+def check_expiry(context, strict, latest):
+    for overloaded, limit in ((frozenset({0}), strict), ((), latest)):
+        for now in (limit - 0.1, limit + 0.1):
+            _, expired = queues.expire(context.queue, now, overloaded)
+            assert bool(expired) == (now > limit), (overloaded, now)
+
+
+@behave.then(
+    'the wait of one more is {usual:d} seconds, and {flood:d} seconds while'
+    ' urgent work is refused'
+)
+def check_wait(context, usual, flood):
+    queue = queues.new_queue((0.0, 0.1, 0.05))
+    for entry in context.state.queue.ranks[1].flows_by_account['a'].entries:
+        queue, _ = queues.enqueue(queue, entry)
+    entry = make_entry(999, types.Rank.STANDARD, 'a', 100)
+    for overloaded, wait_s in ((frozenset(), usual), ({0}, flood)):
+        found = deadline.estimated_wait_s(queue, entry, 20.0, overloaded)
+        assert abs(found - wait_s) < 1e-6, (overloaded, found)
+
+
+@behave.given(
+    '{slots:d} slots of which {quiet:d} are free at quiet workers and account'
+    ' "{name}" uses {used:d} and waits for {waiting:d}'
+)
+def make_contention(context, slots, quiet, name, used, waiting):
+    state = states.dataclasses.replace(
+        states.new_service(),
+        capacity=slots,
+        quiet_free=quiet,
+        in_use_by_caller={(name, types.Rank.STANDARD): used},
+    )
+    context.alone = state
+    context.state = add(state, types.Rank.STANDARD, name, waiting)
+
+
+def add(state, rank, account, count):
+    queue = state.queue
+    for key in range(count):
+        entry = make_entry(key, rank, account, 100)
+        queue, _ = queues.enqueue(queue, entry)
+    return states.dataclasses.replace(state, queue=queue)
+
+
+def granted_accounts(state):
+    _, granted, _ = states.grant(state, 0.0)
+    return [entry.account for entry in granted]
+
+
+@behave.then('"{large}" gets no slot and a request of "{small}" gets one')
+def check_quiet(context, large, small):
+    assert granted_accounts(context.state) == []
+    state = add(context.state, types.Rank.STANDARD, small, 1)
+    assert granted_accounts(state) == [small]
+
+
+@behave.then('urgent work of "{large}" gets one')
+def check_quiet_urgent(context, large):
+    state = add(context.state, types.Rank.URGENT, large, 1)
+    assert granted_accounts(state) == [large]
+
+
+@behave.then('without other demand than {slots:d} slots "{large}" gets both')
+def check_quiet_open(context, slots, large):
+    state = add(context.alone, types.Rank.STANDARD, large, 2)
+    assert state.demand == slots
+    assert granted_accounts(state) == [large, large]
--- a/hornbeamrudder/admission/queue.py
+++ b/hornbeamrudder/admission/queue.py
@@ -206,14 +206,22 @@
     return queue, expired
 
 
-def pop(queue: Queue) -> tuple[Queue, Entry | None]:
-    """Remove the entry to serve next and charge its expected tokens."""
-    index = _next_rank(queue)
+def pop(
+    queue: Queue, only: AbstractSet[ids.AccountId] | None = None
+) -> tuple[Queue, Entry | None]:
+    """Remove the entry to serve next and charge its expected tokens.
+
+    Parameters
+    ----------
+    only : set of AccountId or None
+        Accounts to which the choice is limited in ranks below the first.
+    """
+    index = _next_rank(queue, only)
     if index is None:
         return queue, None
     rank = queue.ranks[index]
     account, flow = min(
-        (pair for pair in rank.flows_by_account.items() if pair[1].entries),
+        _waiting_flows(rank, only if index > 0 else None),
         key=lambda pair: (pair[1].start_tag, pair[0]),
     )
     entry = flow.entries[0]
@@ -274,9 +282,24 @@
     return _with_rank(queue, entry.rank, rank)
 
 
-def _next_rank(queue: Queue) -> int | None:
+def _waiting_flows(
+    rank: RankQueue, only: AbstractSet[ids.AccountId] | None
+) -> list[tuple[ids.AccountId, Flow]]:
+    return [
+        (account, flow)
+        for account, flow in rank.flows_by_account.items()
+        if flow.entries and (only is None or account in only)
+    ]
+
+
+def _next_rank(
+    queue: Queue, only: AbstractSet[ids.AccountId] | None
+) -> int | None:
     waiting = [
-        index for index, rank in enumerate(queue.ranks) if rank.length > 0
+        index
+        for index, rank in enumerate(queue.ranks)
+        if rank.length > 0
+        and (only is None or index == 0 or _waiting_flows(rank, only))
     ]
     owed = [
         index
--- a/hornbeamrudder/admission/state.py
+++ b/hornbeamrudder/admission/state.py
@@ -1,14 +1,17 @@
 """Admission state of one service on one node, and its transitions."""
 
+import collections
 import dataclasses
 import math
 from typing import AbstractSet
+from typing import Mapping
 
 from ..core import errors
 from ..core import ids
 from ..core import types
 from . import deadline
 from . import expect
+from . import isolation
 from . import queue as queues
 
 # A request with a short deadline may still wait for this part of its spare
@@ -29,7 +32,9 @@
     ----------
     capacity : int
         Slots that this node may use, the sum of its shares of the workers.
-    in_use : int
+    quiet_free : int
+        Free slots of this node at quiet workers.
+    in_use_by_caller : mapping
         Slots granted; above `capacity` for a while after it was lowered.
     tokens_average, seconds_average : float
         Averages of the tokens and of the slot time of a request. Their ratio
@@ -39,7 +44,10 @@
 
     queue: queues.Queue
     capacity: int = 0
-    in_use: int = 0
+    quiet_free: int = 0
+    in_use_by_caller: Mapping[tuple[ids.AccountId, types.Rank], int] = (
+        dataclasses.field(default_factory=dict)
+    )
     tokens_average: float = expect.DEFAULT_TOKENS_PER_SLOT_S
     seconds_average: float = 1.0
     stretch_by_rank: tuple[expect.Stretch, ...] = (expect.Stretch(),) * len(
@@ -53,6 +61,34 @@
         """Throughput of one slot, in tokens per second."""
         return self.tokens_average / self.seconds_average
 
+    @property
+    def in_use(self) -> int:
+        """Slots granted to all accounts."""
+        return sum(self.in_use_by_caller.values())
+
+    @property
+    def small_accounts(self) -> frozenset[ids.AccountId] | None:
+        """Accounts that may use quiet workers; None without contention."""
+        return isolation.small_accounts(self._demand_by_account, self.capacity)
+
+    @property
+    def small_demand(self) -> int:
+        """Slots that small accounts could use now."""
+        demand_by_account = self._demand_by_account
+        return sum(
+            demand_by_account[account] for account in self.small_accounts or ()
+        )
+
+    @property
+    def _demand_by_account(self) -> Mapping[ids.AccountId, int]:
+        demand: collections.Counter[ids.AccountId] = collections.Counter()
+        for (account, _), in_use in self.in_use_by_caller.items():
+            demand[account] += in_use
+        for rank in self.queue.ranks:
+            for account, flow in rank.flows_by_account.items():
+                demand[account] += len(flow.entries)
+        return +demand
+
     @property
     def demand(self) -> int:
         """Slots that the node could use now, in use and waiting."""
@@ -152,10 +188,16 @@
 
 
 def grant(
-    state: ServiceState, now: float
+    state: ServiceState, now: float, most: int | None = None
 ) -> tuple[ServiceState, tuple[queues.Entry, ...], tuple[Refused, ...]]:
     """Expire entries and give the free slots to waiting entries.
 
+    Parameters
+    ----------
+    most : int or None
+        Largest number of grants; 1 where `quiet_free` has to be known
+        before each of them.
+
     Returns
     -------
     ServiceState, tuple of Entry, tuple of Refused
@@ -174,14 +216,18 @@
         for entry in expired
     )
     granted: list[queues.Entry] = []
-    while state.in_use + len(granted) < state.capacity:
-        queue, entry = queues.pop(queue)
+    in_use = collections.Counter(state.in_use_by_caller)
+    small = state.small_accounts if state.quiet_free else None
+    while len(granted) != most and in_use.total() < state.capacity:
+        # The free slots that are left are all at quiet workers.
+        free = state.capacity - in_use.total()
+        only = small if free <= state.quiet_free else None
+        queue, entry = queues.pop(queue, only)
         if entry is None:
             break
         granted.append(entry)
-    state = dataclasses.replace(
-        state, queue=queue, in_use=state.in_use + len(granted)
-    )
+        in_use[entry.account, entry.rank] += 1
+    state = dataclasses.replace(state, queue=queue, in_use_by_caller=in_use)
     return state, tuple(granted), refused
 
 
@@ -210,10 +256,12 @@
                 state.seconds_average, held_s
             ),
         )
+    in_use = collections.Counter(state.in_use_by_caller)
+    in_use[entry.account, entry.rank] -= 1
     return dataclasses.replace(
         state,
         queue=queues.settle(state.queue, entry, used_tokens),
-        in_use=state.in_use - 1,
+        in_use_by_caller=+in_use,
     )
 
 
--- a/hornbeamrudder/bench/baselines.py
+++ b/hornbeamrudder/bench/baselines.py
@@ -30,6 +30,8 @@
     ----------
     ranks, fair : bool
         Whether ranks and accounts are told apart in the queue.
+    quiet : bool
+        Whether the scenario's quiet workers are used.
     retry_budget : bool
         Without a budget, every failed attempt is repeated, up to
         `max_attempts` in all, without avoiding the failed worker.
@@ -39,6 +41,7 @@
     floors: bool = True
     fair: bool = True
     early_rejection: bool = True
+    quiet: bool = True
     routing: Routing = Routing.POLICY
     shares: Shares = Shares.DEMAND
     retry_budget: bool = True
@@ -49,9 +52,14 @@
 POLICIES = {
     POLICY: Policy(),
     'first come first served': Policy(
-        ranks=False, floors=False, fair=False, early_rejection=False
+        ranks=False,
+        floors=False,
+        fair=False,
+        early_rejection=False,
+        quiet=False,
     ),
-    'no fairness': Policy(fair=False),
+    'no fairness': Policy(fair=False, quiet=False),
+    'no quiet workers': Policy(quiet=False),
     'no floors': Policy(floors=False),
     'no early rejection': Policy(early_rejection=False),
     'round robin': Policy(routing=Routing.ROUND_ROBIN),
--- a/hornbeamrudder/bench/scenario.py
+++ b/hornbeamrudder/bench/scenario.py
@@ -152,6 +152,8 @@
         Names in `baselines.POLICIES` that run beside the policy.
     without_accounts : tuple of str
         Where given, the policy also runs without these accounts.
+    quiet_part : float
+        Largest part of the workers kept quiet for small callers.
     event_loss : float
         Part of the cache events that is lost.
     figures : tuple of str
@@ -173,6 +175,7 @@
         ...,
     ] = ()
     floors: tuple[Share, Share, Share] = (0.0, 0.10, 0.05)
+    quiet_part: Share = 0.0
     report_interval_s: Positive = 0.5
     report_lag_s: float = 0.5
     event_loss: Share = 0.05
--- a/hornbeamrudder/bench/virtual.py
+++ b/hornbeamrudder/bench/virtual.py
@@ -11,11 +11,13 @@
 import random
 from typing import Callable, Iterator
 
+from ..admission import isolation
 from . import baselines
 from ..core import errors
 from ..core import hashing
 from ..core import ids
 from ..core import types
+from ..routing import choose
 from ..routing import prefix
 from ..routing import shares
 from . import scenario as scenarios
@@ -284,6 +286,8 @@
                 for worker in workers
             }
 
+        quiet = self._quiet_workers(service, known)
+
         def apply(then: float) -> None:
             for index in known:
                 name = ids.NodeId(str(index))
@@ -294,11 +298,33 @@
                             worker: share_by_node_by_worker[worker][name]
                             for worker in workers
                         },
+                        quiet,
                         then,
                     )
 
         self._at(now + delay_s, apply)
 
+    def _quiet_workers(
+        self, service: scenarios.Service, known: list[int]
+    ) -> frozenset[ids.WorkerId]:
+        if not self._policy.quiet:
+            return frozenset()
+        live = [
+            worker
+            for worker in self._workers_by_service[service.name]
+            if self._engines_by_worker[worker].alive
+        ]
+        count = isolation.quiet_count(
+            sum(
+                self._nodes[index].services[service.name].small_demand
+                for index in known
+            ),
+            len(live),
+            self._scenario.quiet_part,
+        )
+        name = ids.ServiceName(service.name)
+        return choose.quiet_workers(name, live, count)
+
     def _report(self, now: float) -> None:
         for service in self._scenario.services:
             loads = []
--- a/hornbeamrudder/bench/virtual_node.py
+++ b/hornbeamrudder/bench/virtual_node.py
@@ -3,9 +3,10 @@
 import dataclasses
 import itertools
 import random
-from typing import Iterable, Mapping, Protocol
+from typing import AbstractSet, Iterable, Mapping, Protocol
 
 from ..admission import expect
+from ..admission import isolation
 from ..admission import queue as queues
 from ..admission import state as states
 from . import baselines
@@ -49,6 +50,8 @@
     ring: prefix.Ring
     expectations: expect.Expectations = expect.Expectations()
     peak_demand: int = 0
+    small_demand: float = 0.0
+    quiet: frozenset[ids.WorkerId] = frozenset()
 
 
 class Node:
@@ -108,9 +111,14 @@
             capacity = choose.usable_slots(
                 service.loads_by_worker.values(), now
             )
-            state = dataclasses.replace(service.state, capacity=capacity)
+            quiet_free = choose.free_slots(
+                service.loads_by_worker, service.quiet, now
+            )
+            state = dataclasses.replace(
+                service.state, capacity=capacity, quiet_free=quiet_free
+            )
             service.peak_demand = max(service.peak_demand, state.demand)
-            service.state, granted, refused = states.grant(state, now)
+            service.state, granted, refused = states.grant(state, now, most=1)
             self._refuse(refused)
             for entry in granted:
                 self._dispatch(service, entry, now)
@@ -166,10 +174,12 @@
         self,
         name: str,
         share_by_worker: Mapping[ids.WorkerId, int],
+        quiet: frozenset[ids.WorkerId],
         now: float,
     ) -> None:
-        """Put new shares of a service in force."""
+        """Put new shares and quiet workers of a service in force."""
         service = self.services[name]
+        service.quiet = quiet
         service.loads_by_worker = {
             worker: dataclasses.replace(load, share=share_by_worker[worker])
             for worker, load in service.loads_by_worker.items()
@@ -207,6 +217,9 @@
         service = self.services[name]
         peak = service.peak_demand
         service.peak_demand = service.state.demand
+        service.small_demand = isolation.smoothed_demand(
+            service.small_demand, service.state.small_demand
+        )
         return peak
 
     def stop(self) -> list[virtual_engine.Request]:
@@ -337,12 +350,25 @@
     def _choose(
         self, service: Service, request: virtual_engine.Request, now: float
     ) -> ids.WorkerId | None:
-        loads_by_worker = service.loads_by_worker
-        excluded = (
+        loads_by_worker: Mapping[ids.WorkerId, choose.WorkerLoad] = (
+            service.loads_by_worker
+        )
+        excluded: AbstractSet[ids.WorkerId] = (
             frozenset(request.tried)
             if self.policy.retry_budget
             else frozenset()
         )
+        small = service.state.small_accounts if service.quiet else None
+        if small is not None:
+            account, rank = self._caller(request)
+            loads_by_worker, excluded = choose.open_to(
+                loads_by_worker,
+                service.quiet,
+                isolation.may_use_quiet(account, rank, small),
+                account in small,
+                excluded,
+                now,
+            )
         free = [
             load
             for load in loads_by_worker.values()
--- a/hornbeamrudder/routing/choose.py
+++ b/hornbeamrudder/routing/choose.py
@@ -4,6 +4,7 @@
 import random
 from typing import AbstractSet, Iterable, Mapping, Sequence
 
+from ..core import hashing
 from ..core import ids
 from ..core import types
 
@@ -129,6 +130,56 @@
     )
 
 
+def quiet_workers(
+    service: ids.ServiceName, live: Iterable[ids.WorkerId], count: int
+) -> frozenset[ids.WorkerId]:
+    """Choose the quiet workers of a service, alike on every node."""
+    order = hashing.rendezvous_order(f'quiet/{service}', live)
+    return frozenset(ids.WorkerId(name) for name in order[:count])
+
+
+def free_slots(
+    loads_by_worker: Mapping[ids.WorkerId, WorkerLoad],
+    workers: Iterable[ids.WorkerId],
+    now: float,
+) -> int:
+    """Free slots of this node at the usable ones of some workers."""
+    loads = (loads_by_worker[worker] for worker in workers)
+    return sum(
+        max(0, load.share - load.in_flight)
+        for load in loads
+        if usable(load, now)
+    )
+
+
+def open_to(
+    loads_by_worker: Mapping[ids.WorkerId, WorkerLoad],
+    quiet: frozenset[ids.WorkerId],
+    may_use: bool,
+    small: bool,
+    excluded: AbstractSet[ids.WorkerId],
+    now: float,
+) -> tuple[Mapping[ids.WorkerId, WorkerLoad], AbstractSet[ids.WorkerId]]:
+    """Limit the workers of a request while quiet workers are in force.
+
+    Parameters
+    ----------
+    may_use, small : bool
+        Whether the request may use quiet workers, and whether it is one of
+        those for which they are kept.
+
+    Returns
+    -------
+    mapping, set of WorkerId
+        Loads and excluded workers to pass to `choose`.
+    """
+    if not may_use:
+        return loads_by_worker, excluded | quiet
+    if small and free_slots(loads_by_worker, quiet - excluded, now) > 0:
+        return {worker: loads_by_worker[worker] for worker in quiet}, excluded
+    return loads_by_worker, excluded
+
+
 def choose(
     loads_by_worker: Mapping[ids.WorkerId, WorkerLoad],
     ring_order: Iterable[ids.WorkerId],
