--- a/hornbeamrudder/admission/controller.py
+++ b/hornbeamrudder/admission/controller.py
@@ -21,6 +21,9 @@
 SlotResult = result.Result['Slot', errors.Failure]
 SlotFuture = futures.Future[SlotResult]
 
+# Entries between their strict and their latest start are checked this often.
+EXPIRY_INTERVAL_S = 0.02
+
 _SHUTTING_DOWN = deadlines.refusal(
     'the node is shutting down', 0.0, errors.FailureKind.UNAVAILABLE
 )
@@ -43,11 +46,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
-    """Figures for metrics of one service."""
+    """Figures of one service, for metrics and for the heartbeat.
+
+    Attributes
+    ----------
+    demand : int
+        Slots in use and wanted, for `shares.worker_shares` on every node.
+    small_demand : int
+        Part of small accounts, for `isolation.quiet_count` on every node.
+    """
 
     capacity: int
     in_use: int
     demand: int
+    small_demand: int
     length_by_rank: Mapping[types.Rank, int]
     served_by_rank: Mapping[types.Rank, int]
     rejected_by_rank: Mapping[types.Rank, int]
@@ -86,7 +98,9 @@
         ] = {}
         self._futures_by_key: dict[int, SlotFuture] = {}
         self._held_keys: set[int] = set()
-        self._expectations = expect.Expectations()
+        self._expectations_by_service: dict[
+            ids.ServiceName, expect.Expectations
+        ] = {}
         self._served: dict[tuple[ids.ServiceName, types.Rank], int] = {}
         self._rejected: dict[tuple[ids.ServiceName, types.Rank], int] = {}
         self._thread = threading.Thread(
@@ -95,11 +109,17 @@
         self._thread.start()
 
     def expected_tokens(
-        self, account: ids.AccountId, rank: types.Rank, max_tokens: float
+        self,
+        service: ids.ServiceName,
+        account: ids.AccountId,
+        rank: types.Rank,
+        max_tokens: float,
     ) -> float:
         """Expected tokens of a request, for `submit`."""
         with self._changed:
-            expectations = self._expectations
+            expectations = self._expectations_by_service.get(
+                service, expect.Expectations()
+            )
         return expect.expected_tokens(expectations, account, rank, max_tokens)
 
     def submit(
@@ -125,13 +145,14 @@
                 future.set_result(result.Failure(_SHUTTING_DOWN))
                 return future
             state = self._state(service)
-            rate = state.tokens_per_slot_s
-            entry = queues.Entry(
+            entry = states.new_entry(
+                state,
                 next(self._keys),
                 rank,
                 account,
                 expected_tokens,
-                deadline - expected_tokens / rate,
+                deadline,
+                now,
                 self._weights_by_account.get(account, 1.0),
             )
             self._futures_by_key[entry.key] = future
@@ -147,9 +168,13 @@
         """Give up a submission, and its slot where it was granted."""
         future.add_done_callback(self._release_unused)
 
-    def release(self, slot: Slot, used_tokens: float) -> None:
+    def release(
+        self, slot: Slot, used_tokens: float, completed: bool = True
+    ) -> None:
         """Return a slot with the tokens that its request used.
 
+        `completed` is false where the attempt failed or was cancelled.
+
         A second release of the same slot has no effect.
         """
         now = self._clock()
@@ -162,10 +187,13 @@
                 slot.entry,
                 used_tokens,
                 now - slot.granted_at,
+                completed,
             )
-            if used_tokens > 0:
-                self._expectations = expect.observe(
-                    self._expectations,
+            if completed and used_tokens > 0:
+                self._expectations_by_service[slot.service] = expect.observe(
+                    self._expectations_by_service.get(
+                        slot.service, expect.Expectations()
+                    ),
                     slot.entry.account,
                     slot.entry.rank,
                     used_tokens,
@@ -173,15 +201,28 @@
             resolved = self._grant(slot.service, now)
         _resolve(resolved)
 
-    def set_capacity(self, service: ids.ServiceName, slots: int) -> None:
-        """Set the slots of a service that this node may use."""
+    def set_capacity(
+        self, service: ids.ServiceName, slots: int, quiet_free: int = 0
+    ) -> None:
+        """Set the slots of a service that this node may use.
+
+        With quiet workers (`quiet_free` above 0), one slot is granted at a
+        time, and this is called again after each dispatch.
+        """
         with self._changed:
             self._states_by_service[service] = dataclasses.replace(
-                self._state(service), capacity=slots
+                self._state(service), capacity=slots, quiet_free=quiet_free
             )
             resolved = self._grant(service, self._clock())
         _resolve(resolved)
 
+    def small_accounts(
+        self, service: ids.ServiceName
+    ) -> frozenset[ids.AccountId] | None:
+        """Accounts that may use quiet workers; None without contention."""
+        with self._changed:
+            return self._state(service).small_accounts
+
     def set_weights(
         self, weights_by_account: Mapping[ids.AccountId, float]
     ) -> None:
@@ -197,6 +238,7 @@
                 state.capacity,
                 state.in_use,
                 state.demand,
+                state.small_demand,
                 {rank: state.queue.ranks[rank].length for rank in types.Rank},
                 {
                     rank: self._served.get((service, rank), 0)
@@ -224,16 +266,16 @@
     def _state(self, service: ids.ServiceName) -> states.ServiceState:
         known = self._states_by_service.get(service)
         if known is None:
-            known = states.ServiceState(
-                queues.new_queue(self._floors, self._length_limit)
-            )
+            known = states.new_service(self._floors, self._length_limit)
             self._states_by_service[service] = known
         return known
 
     def _grant(
         self, service: ids.ServiceName, now: float
     ) -> list[tuple[SlotFuture, SlotResult]]:
-        state, granted, refused = states.grant(self._state(service), now)
+        state = self._state(service)
+        most = 1 if state.quiet_free else None
+        state, granted, refused = states.grant(state, now, most)
         self._states_by_service[service] = state
         resolved = self._refuse(service, refused)
         for entry in granted:
@@ -262,7 +304,7 @@
     def _release_unused(self, future: SlotFuture) -> None:
         match future.result():
             case result.Success(slot):
-                self.release(slot, 0.0)
+                self.release(slot, 0.0, completed=False)
 
     def _expire_entries(self) -> None:
         while True:
@@ -276,12 +318,11 @@
                     ),
                     default=math.inf,
                 )
-                wait_s = next_expiry - self._clock()
-                if wait_s >= 0:
-                    # Wakes just after the expiry, which is exclusive.
-                    self._changed.wait(
-                        None if math.isinf(wait_s) else wait_s + 0.001
-                    )
+                if math.isinf(next_expiry):
+                    self._changed.wait()
+                else:
+                    wait_s = next_expiry - self._clock()
+                    self._changed.wait(max(wait_s, EXPIRY_INTERVAL_S))
                 now = self._clock()
                 resolved = [
                     pair
--- a/hornbeamrudder/admission/features/steps/admission_steps.py
+++ b/hornbeamrudder/admission/features/steps/admission_steps.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from hornbeamrudder.admission import controller
+from hornbeamrudder.admission import deadline
 from hornbeamrudder.admission import expect
 from hornbeamrudder.admission import queue as queues
 from hornbeamrudder.admission import state as states
@@ -28,7 +29,9 @@
 
 
 def make_entry(key, rank, account, tokens, latest_start=1e9, weight=1.0):
-    return queues.Entry(key, rank, account, tokens, latest_start, weight)
+    return queues.Entry(
+        key, rank, account, tokens, latest_start, latest_start, weight
+    )
 
 
 @behave.then('any mix of arrivals, releases and capacities is work conserving')
@@ -61,7 +64,7 @@
                 case ('release', used) if held:
                     entry = held.pop(0)
                     ended.add(entry.key)
-                    state = states.release(state, entry, used, 1.0)
+                    state = states.release(state, entry, used, 1.0, True)
                 case ('capacity', slots):
                     state = states.dataclasses.replace(state, capacity=slots)
             state, granted, refused = states.grant(state, now)
@@ -228,8 +231,11 @@
     ' {count:d} waiting requests of {tokens:d} tokens'
 )
 def make_backlog(context, slots, rate, count, tokens):
-    context.state = states.ServiceState(
-        queues.new_queue(), slots, slots, float(rate)
+    context.state = states.dataclasses.replace(
+        states.new_service(),
+        capacity=slots,
+        in_use_by_caller={('a', types.Rank.STANDARD): slots},
+        tokens_average=float(rate),
     )
     for key in range(count):
         entry = make_entry(key, types.Rank.STANDARD, 'a', tokens)
@@ -318,13 +324,17 @@
     assert failure.outcome is types.Outcome.NOT_RUN
 
 
-@behave.then('releasing the slot twice leaves no slot in use')
+@behave.then('releasing its slot twice frees one slot only')
 def release_twice(context):
+    context.controller.set_capacity(SERVICE, 2)
+    other = submit(context, 60).result(5).unwrap()
     for _ in range(2):
         context.controller.release(context.slot, 5.0)
     snapshot = context.controller.snapshot(SERVICE)
-    assert snapshot.in_use == 0, snapshot
-    assert snapshot.served_by_rank[types.Rank.URGENT] == 1, snapshot
+    assert snapshot.in_use == 1, snapshot
+    assert snapshot.served_by_rank[types.Rank.URGENT] == 2, snapshot
+    context.controller.release(other, 5.0)
+    context.controller.set_capacity(SERVICE, 1)
     assert snapshot.rejected_by_rank[types.Rank.URGENT] == 1, snapshot
 
 
@@ -378,3 +388,85 @@
 @behave.then('no slot is in use')
 def check_none_in_use(context):
     assert context.controller.snapshot(SERVICE).demand == 0
+
+
+@behave.given(
+    'a waiting request with a latest start at {latest:d} seconds and a'
+    ' cautious start at {cautious:d} seconds'
+)
+def queue_with_margin(context, latest, cautious):
+    entry = queues.Entry(1, types.Rank.URGENT, 'a', 90, latest, cautious)
+    context.queue, _ = queues.enqueue(queues.new_queue(), entry)
+
+
+@behave.then(
+    'it expires after {strict:d} seconds while its rank refuses requests,'
+    ' else after {latest:d} seconds'
+)
+def check_expiry(context, strict, latest):
+    for overloaded, limit in ((frozenset({0}), strict), ((), latest)):
+        for now in (limit - 0.1, limit + 0.1):
+            _, expired = queues.expire(context.queue, now, overloaded)
+            assert bool(expired) == (now > limit), (overloaded, now)
+
+
+@behave.then(
+    'the wait of one more is {usual:d} seconds, and {flood:d} seconds while'
+    ' urgent work is refused'
+)
+def check_wait(context, usual, flood):
+    queue = queues.new_queue((0.0, 0.1, 0.05))
+    for entry in context.state.queue.ranks[1].flows_by_account['a'].entries:
+        queue, _ = queues.enqueue(queue, entry)
+    entry = make_entry(999, types.Rank.STANDARD, 'a', 100)
+    for overloaded, wait_s in ((frozenset(), usual), ({0}, flood)):
+        found = deadline.estimated_wait_s(queue, entry, 20.0, overloaded)
+        assert abs(found - wait_s) < 1e-6, (overloaded, found)
+
+
+@behave.given(
+    '{slots:d} slots of which {quiet:d} are free at quiet workers and account'
+    ' "{name}" uses {used:d} and waits for {waiting:d}'
+)
+def make_contention(context, slots, quiet, name, used, waiting):
+    state = states.dataclasses.replace(
+        states.new_service(),
+        capacity=slots,
+        quiet_free=quiet,
+        in_use_by_caller={(name, types.Rank.STANDARD): used},
+    )
+    context.alone = state
+    context.state = add(state, types.Rank.STANDARD, name, waiting)
+
+
+def add(state, rank, account, count):
+    queue = state.queue
+    for key in range(count):
+        entry = make_entry(key, rank, account, 100)
+        queue, _ = queues.enqueue(queue, entry)
+    return states.dataclasses.replace(state, queue=queue)
+
+
+def granted_accounts(state):
+    _, granted, _ = states.grant(state, 0.0)
+    return [entry.account for entry in granted]
+
+
+@behave.then('"{large}" gets no slot and a request of "{small}" gets one')
+def check_quiet(context, large, small):
+    assert granted_accounts(context.state) == []
+    state = add(context.state, types.Rank.STANDARD, small, 1)
+    assert granted_accounts(state) == [small]
+
+
+@behave.then('urgent work of "{large}" gets one')
+def check_quiet_urgent(context, large):
+    state = add(context.state, types.Rank.URGENT, large, 1)
+    assert granted_accounts(state) == [large]
+
+
+@behave.then('without other demand than {slots:d} slots "{large}" gets both')
+def check_quiet_open(context, slots, large):
+    state = add(context.alone, types.Rank.STANDARD, large, 2)
+    assert state.demand == slots
+    assert granted_accounts(state) == [large, large]
