Adapt the node to expectations by service and completed releases

Cause: admission now learns the expected tokens by service, and answers that failed must not count as observations.

Change: the gate passes the service and whether the answer completed.

Conclusion: no change of behaviour for a completed answer.

--- a/hornbeamrudder/entry/chat_calls.py
+++ b/hornbeamrudder/entry/chat_calls.py
@@ -112,7 +112,10 @@
                 prompt_key=parsed.prompt_key,
                 max_tokens=parsed.max_tokens,
                 expected_tokens=self._gate.expected_tokens(
-                    prepared.account, prepared.rank, parsed.max_tokens
+                    parsed.service.name,
+                    prepared.account,
+                    prepared.rank,
+                    parsed.max_tokens,
                 ),
                 deadline=prepared.deadline,
                 traceparent=traceparent,
@@ -155,7 +158,11 @@
         stream: bool,
     ) -> werkzeug.Response:
         def end(item: generation.Generation) -> None:
-            self._gate.release(slot, float(item.buffer.next_offset))
+            self._gate.release(
+                slot,
+                float(item.buffer.next_offset),
+                item.buffer.state is generation.buffer.AnswerState.COMPLETE,
+            )
             self._on_end(item)
 
         item = self._answers.create(accepted, end)
--- a/hornbeamrudder/entry/gate.py
+++ b/hornbeamrudder/entry/gate.py
@@ -100,14 +100,25 @@
         self._admission.withdraw(future)
 
     def expected_tokens(
-        self, account: ids.AccountId, rank: types.Rank, max_tokens: float
+        self,
+        service: ids.ServiceName,
+        account: ids.AccountId,
+        rank: types.Rank,
+        max_tokens: float,
     ) -> float:
         """Expected tokens of a request."""
-        return self._admission.expected_tokens(account, rank, max_tokens)
+        return self._admission.expected_tokens(
+            service, account, rank, max_tokens
+        )
 
-    def release(self, slot: controller.Slot, used_tokens: float) -> None:
-        """Return a slot."""
-        self._admission.release(slot, used_tokens)
+    def release(
+        self,
+        slot: controller.Slot,
+        used_tokens: float,
+        completed: bool = True,
+    ) -> None:
+        """Return a slot; as `Controller.release`."""
+        self._admission.release(slot, used_tokens, completed)
         self.refresh(slot.service)
 
     def refresh(self, service: ids.ServiceName) -> None:
