Add the bench command for the policy measurements

Cause: the measurements could only be started from Python.

Change: hornbeamrudder bench runs scenario files; make bench runs all in examples/scenarios.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 	$(BIN)/python -m hornbeamrudder.cli demo
 
 bench: setup
-	$(BIN)/python -m hornbeamrudder.cli bench
+	$(BIN)/python -m hornbeamrudder.cli bench examples/scenarios/*.yaml --out results
 
 capacity: setup
 	$(BIN)/python -m hornbeamrudder.cli capacity
--- a/hornbeamrudder/cli.py
+++ b/hornbeamrudder/cli.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from .bench import demo
+from .bench import experiment
 from .entry import daemon
 from .inventory import problems
 from .operators import commands as commands_of_operators
@@ -92,12 +93,16 @@
         '--folder', help='folder for settings and logs of the processes'
     )
     demo_command.set_defaults(run=demo.main)
+    commands.add_parser('bench', help='measure the policy in virtual time')
     return parser
 
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the command line; returns the exit status."""
-    arguments = make_parser().parse_args(argv)
+    words = sys.argv[1:] if argv is None else list(argv)
+    if words[:1] == ['bench']:
+        return experiment.main(words[1:])
+    arguments = make_parser().parse_args(words)
     status: int = arguments.run(arguments)
     return status
 
