Ask libcurl for finished calls only when one has finished

Cause: after each piece of an answer the client asked for finished calls. Per token the reading thread spent about 41 us at 600 streams, of which 8 us are the project's own code on the piece and 9 us the write to the caller.

Change: the client compares the number of running calls that libcurl returns with its own; the answer buffer joins pieces only where some came out of order. The token source answers polls for load, without which a node took it for gone.

--- a/hornbeamrudder/answers/buffer.py
+++ b/hornbeamrudder/answers/buffer.py
@@ -83,19 +83,14 @@
             if piece.offset > len(self._events):
                 self._out_of_order_by_offset[piece.offset] = piece.event
                 return
-            first = len(self._events)
-            if first == 0:
+            if piece.offset == 0:
                 self.first_event_at = time.monotonic()
-            self._events.append(piece.event)
-            while self._out_of_order_by_offset:
-                following = self._out_of_order_by_offset.pop(
-                    len(self._events), None
-                )
-                if following is None:
-                    break
-                self._events.append(following)
+            data = piece.event
+            self._events.append(data)
+            if self._out_of_order_by_offset:
+                data += self._append_following()
             if self._sink is not None:
-                self._sink(b''.join(self._events[first:]), False)
+                self._sink(data, False)
             else:
                 self._changed.notify_all()
 
@@ -173,6 +168,17 @@
             if self._sink == sink:
                 self._sink = None
 
+    def _append_following(self) -> bytes:
+        """Append the pieces that came too early and now follow."""
+        first = len(self._events)
+        while True:
+            following = self._out_of_order_by_offset.pop(
+                len(self._events), None
+            )
+            if following is None:
+                return b''.join(self._events[first:])
+            self._events.append(following)
+
     def _wanted(self, attempt: int, offset: int) -> bool:
         return (
             attempt == self._attempt
--- a/hornbeamrudder/bench/token_source.py
+++ b/hornbeamrudder/bench/token_source.py
@@ -19,6 +19,7 @@
 TOKEN_INTERVAL_S = 0.035
 LISTEN_BACKLOG = 1024
 READ_BYTES = 65536
+IDLE_REPORT = b'{"outstanding_tokens":0,"running":0,"waiting":0,"events":[]}'
 
 
 @dataclasses.dataclass(slots=True)
@@ -95,7 +96,7 @@
             return
         connection.received = rest[length:]
         if not lines[0].startswith('POST /v1/chat/completions '):
-            self._answer_empty(connection)
+            self._answer_control(connection)
             return
         body = json.loads(rest[:length])
         connection.request_id = headers_by_name['x-request-id']
@@ -109,9 +110,12 @@
         )
         self._schedule(connection)
 
-    def _answer_empty(self, connection: _Connection) -> None:
+    def _answer_control(self, connection: _Connection) -> None:
+        """Answer polls for load and cache events with an idle engine's."""
         self._send(
-            connection, b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
+            connection,
+            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b'
+            % (len(IDLE_REPORT), IDLE_REPORT),
         )
 
     def _schedule(self, connection: _Connection) -> None:
--- a/hornbeamrudder/platform/http.py
+++ b/hornbeamrudder/platform/http.py
@@ -167,6 +167,7 @@
         self._timer_at: float | None = None
         self._next_check_at = 0.0
         self._closing = False
+        self._running = 0
         self._thread = threading.Thread(
             target=self._run, name=name, daemon=True
         )
@@ -211,7 +212,10 @@
         while not self._closing:
             self._wait()
             self._run_commands()
-            self._finish_calls()
+            # Asking libcurl for finished calls after each piece would cost
+            # more than the pieces; the number of running ones tells.
+            if self._running != len(self._calls_by_handle):
+                self._finish_calls()
             self._check_timeouts()
         for call in tuple(self._calls_by_handle.values()):
             self._fail(call, errors.FailureKind.INTERRUPTED, 'client closed')
@@ -237,10 +241,12 @@
                 mask |= pycurl.CSELECT_IN
             if events & selectors.EVENT_WRITE:
                 mask |= pycurl.CSELECT_OUT
-            self._multi.socket_action(key.fd, mask)
+            _, self._running = self._multi.socket_action(key.fd, mask)
         if self._timer_at is not None and time.monotonic() >= self._timer_at:
             self._timer_at = None
-            self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+            _, self._running = self._multi.socket_action(
+                pycurl.SOCKET_TIMEOUT, 0
+            )
 
     def _drain_wake_pipe(self) -> None:
         try:
