Do not tell 'not run' for a key that may have been used before

Cause: a refusal before the order record could be read (table service out, node overloaded or leaving) was told as 'not run', although an earlier attempt with the same key may have run. That breaks the promise that a request told 'not run' never ran.

Change: such a refusal is told as 'unknown' unless the request has no key or the caller states by 'Idempotency-Attempt: 1' that the key is new. The refusal keeps its status and Retry-After.

--- a/hornbeamrudder/entry/application.py
+++ b/hornbeamrudder/entry/application.py
@@ -50,6 +50,9 @@
 )
 EVENT_STREAM = 'text/event-stream'
 RETRY_AFTER_S = 1.0
+# Value of `Idempotency-Attempt` by which a caller states that it has not
+# used its `Idempotency-Key` before.
+FIRST_ATTEMPT = '1'
 
 Handler = Callable[..., werkzeug.Response]
 
@@ -232,6 +235,10 @@
             document, account.id, service.unwrap().name, request.method, path
         )
         rank = max(rule.rank, chat_request.rank_of_priority(request.headers))
+        key = request.headers.get('Idempotency-Key', '')
+        idempotent = schema.is_idempotent(
+            document, service.unwrap().name, request.method, path
+        )
         incoming = service_calls.IncomingCall(
             request_id=ids.new_request_id(
                 self._parts.node_id, self._parts.rng
@@ -244,21 +251,40 @@
             headers=tuple(request.headers.items()),
             body=request.get_data(),
             deadline=time.monotonic() + rule.deadline_s,
-            idempotency_key=request.headers.get('Idempotency-Key', ''),
+            idempotency_key=key,
             traceparent=request.headers.get('traceparent', ''),
+            idempotent=idempotent,
+            maybe_repeated=bool(key)
+            and not idempotent
+            and request.headers.get('Idempotency-Attempt') != FIRST_ATTEMPT,
         )
         return self._run_admitted(
-            rank, lambda: self._parts.service_calls.call(incoming, document)
+            rank,
+            lambda: self._parts.service_calls.call(incoming),
+            incoming.maybe_repeated,
         )
 
     def _run_admitted(
-        self, rank: types.Rank, run: Callable[[], werkzeug.Response]
+        self,
+        rank: types.Rank,
+        run: Callable[[], werkzeug.Response],
+        maybe_repeated: bool = False,
     ) -> werkzeug.Response:
-        """Check the right to admit and occupy a thread until the end."""
+        """Check the right to admit and occupy a thread until the end.
+
+        Parameters
+        ----------
+        maybe_repeated : bool
+            Whether the request may be a further attempt at an order.
+        """
+        refusal: errors.Failure | None
         if self._refuses_new or not self._parts.configuration.may_admit():
-            return self._refuse(_may_not_admit(self._refuses_new))
-        refusal = self._parts.gate.enter(rank)
+            refusal = _may_not_admit(self._refuses_new)
+        else:
+            refusal = self._parts.gate.enter(rank)
         if refusal is not None:
+            if maybe_repeated:
+                refusal = problems.of_repeated_order(refusal)
             return self._refuse(refusal)
         try:
             response = run()
--- a/hornbeamrudder/entry/problems.py
+++ b/hornbeamrudder/entry/problems.py
@@ -1,5 +1,6 @@
 """Errors towards callers as problem details (RFC 9457)."""
 
+import dataclasses
 import math
 
 import orjson
@@ -65,7 +66,7 @@
     )
     if request_id:
         response.headers['X-Request-Id'] = request_id
-    if status in RETRY_STATUSES and failure.outcome is types.Outcome.NOT_RUN:
+    if status in RETRY_STATUSES:
         wait_s = failure.retry_after_s or DEFAULT_RETRY_AFTER_S
         response.headers['Retry-After'] = str(math.ceil(wait_s))
     if status == 401:
@@ -73,6 +74,25 @@
     return response
 
 
+def of_repeated_order(failure: errors.Failure) -> errors.Failure:
+    """Outcome for an order that may have been tried before with its key.
+
+    "Not run" would be true of this attempt alone; the order itself may have
+    run in an earlier one whose record could not be read now.
+    """
+    if (
+        failure.outcome is not types.Outcome.NOT_RUN
+        or failure.kind is errors.FailureKind.INVALID
+    ):
+        return failure
+    return dataclasses.replace(
+        failure,
+        outcome=types.Outcome.UNKNOWN,
+        detail=f'{failure.detail}; this attempt was not run, but an earlier'
+        ' one with the same key may have run',
+    )
+
+
 def invalid(detail: str) -> errors.Failure:
     """Error for a malformed request."""
     return errors.Failure(
--- a/hornbeamrudder/entry/service_calls.py
+++ b/hornbeamrudder/entry/service_calls.py
@@ -14,7 +14,6 @@
 from ..core import ids
 from ..core import types
 from . import gate as gates
-from ..inventory import schema
 from ..orders import execute
 from ..orders import messages as order_messages
 from ..orders import record
@@ -47,6 +46,10 @@
     ----------
     deadline : float
         Monotonic seconds.
+    idempotent : bool
+        Whether the call may run more than once.
+    maybe_repeated : bool
+        Whether an earlier attempt with the same key may have been made.
     """
 
     request_id: ids.RequestId
@@ -60,6 +63,8 @@
     deadline: float
     idempotency_key: str
     traceparent: str
+    idempotent: bool
+    maybe_repeated: bool
 
 
 class OrderSender:
@@ -128,13 +133,8 @@
         self._tracer = tracer
         self._rng = rng
 
-    def call(
-        self, incoming: IncomingCall, document: schema.Document
-    ) -> werkzeug.Response:
+    def call(self, incoming: IncomingCall) -> werkzeug.Response:
         """Answer one call."""
-        idempotent = schema.is_idempotent(
-            document, incoming.service, incoming.method, incoming.path
-        )
         with self._tracer.span(
             'call service',
             incoming.traceparent,
@@ -142,8 +142,7 @@
             service=incoming.service,
         ) as traceparent:
             answer = self._answer(
-                dataclasses.replace(incoming, traceparent=traceparent),
-                idempotent,
+                dataclasses.replace(incoming, traceparent=traceparent)
             )
         match answer:
             case result.Success(stored):
@@ -152,9 +151,7 @@
                 return problems.to_response(failure, incoming.request_id)
         raise AssertionError(answer)
 
-    def _answer(
-        self, incoming: IncomingCall, idempotent: bool
-    ) -> order_messages.SendResult:
+    def _answer(self, incoming: IncomingCall) -> order_messages.SendResult:
         submitted = self._gate.submit(
             incoming.rank,
             incoming.account,
@@ -162,7 +159,7 @@
             CALL_TOKENS,
             incoming.deadline,
         )
-        if idempotent:
+        if incoming.idempotent:
             return self._call_idempotent(incoming, submitted)
         return self._call_once(incoming, submitted)
 
@@ -209,7 +206,10 @@
             _capacity(submitted),
         )
         try:
-            return replied.result(timeout_s + ANSWER_GRACE_S).answer
+            reply = replied.result(timeout_s + ANSWER_GRACE_S)
+            if incoming.maybe_repeated and not reply.recorded:
+                return reply.answer.alt(problems.of_repeated_order)
+            return reply.answer
         except TimeoutError:
             return result.Failure(_no_answer_in_time())
         finally:
