--- a/hornbeamrudder/platform/table.py
+++ b/hornbeamrudder/platform/table.py
@@ -10,8 +10,9 @@
 from . import http
 
 TIMEOUT_S = 2.0
-# With these statuses the table service tells that nothing took effect.
-REFUSAL_BY_STATUS = {
+# With these answers the service did not take the request; after any other
+# error a write may still take effect.
+KINDS_BY_STATUS = {
     429: errors.FailureKind.OVERLOADED,
     503: errors.FailureKind.REFUSED,
 }
@@ -124,7 +125,7 @@
         self, response: http.HttpResponse, step: errors.Step
     ) -> result.Result[Any, errors.Failure]:
         if response.status != 200:
-            kind = REFUSAL_BY_STATUS.get(
+            kind = KINDS_BY_STATUS.get(
                 response.status, errors.FailureKind.UNAVAILABLE
             )
             return self._failed(step, kind, f'status {response.status}')
