Bound the work of a request that grows with the workers

Cause: on each request, each release of a slot and ten times a second, a node computed the shares of all workers between all nodes, and the choice of a worker walked the whole ring of prefixes to use four workers of it. Each configuration change built the ring anew.

Change: shares are kept until the workers or the live nodes change, and for 0.25 s where only the demand changes. The choice stops after the window. A ring is kept while its workers are the same.

--- a/hornbeamrudder/entry/pool.py
+++ b/hornbeamrudder/entry/pool.py
@@ -46,6 +46,9 @@
         self._caches_by_worker: dict[ids.WorkerId, prefix.CacheView] = {}
         self._failed_at_by_worker: dict[ids.WorkerId, float] = {}
         self._budgets_by_service: dict[ids.ServiceName, budgets.Budget] = {}
+        # Replaced as a whole; a thread that overwrites the result of another
+        # only causes one more computation.
+        self._shares_by_service: dict[ids.ServiceName, shares.OwnShares] = {}
 
     def set_workers(self, workers: Iterable[types.Worker]) -> None:
         """Replace the workers, after a configuration change."""
@@ -53,8 +56,9 @@
         self._watcher.set_workers(workers)
         services = {worker.service for worker in workers}
         rings = {
-            service: prefix.build_ring(
-                worker.id for worker in workers if worker.service == service
+            service: prefix.updated_ring(
+                self._rings_by_service.get(service, prefix.Ring()),
+                (worker.id for worker in workers if worker.service == service),
             )
             for service in services
         }
@@ -222,10 +226,18 @@
             for worker in seen.workers_by_id.values()
             if worker.service == service
         ]
-        demand = self._demand(service)
-        slots = sum(worker.slots for worker in workers)
+        own = shares.own_shares(
+            self._shares_by_service.get(service, shares.OwnShares()),
+            self._node_id,
+            workers,
+            self._demand(service),
+            now,
+        )
+        self._shares_by_service[service] = own
         return {
-            worker.id: self._load(seen, worker, demand, slots, now)
+            worker.id: self._load(
+                seen, worker, own.slots_by_worker[worker.id], now
+            )
             for worker in workers
         }
 
@@ -233,14 +245,10 @@
         self,
         seen: snapshot.Snapshot,
         worker: types.Worker,
-        demand: Mapping[ids.NodeId, float],
-        service_slots: int,
+        share: int,
         now: float,
     ) -> routing.WorkerLoad:
         known = seen.loads_by_worker[worker.id]
-        share = shares.worker_shares(
-            worker.id, worker.slots, demand, service_slots
-        ).get(self._node_id, 1)
         state = seen.state_of(worker.id, now)
         # A suspect worker is avoided by its failure; one that was not heard
         # of yet is as good as any.
--- a/hornbeamrudder/routing/choose.py
+++ b/hornbeamrudder/routing/choose.py
@@ -1,6 +1,7 @@
 """Pure choice of a worker for one request."""
 
 import dataclasses
+import itertools
 import random
 from typing import AbstractSet, Iterable, Mapping, Sequence
 
@@ -173,10 +174,15 @@
     within = {
         worker: load for worker, load in free.items() if load.score <= bound
     } or free
-    ordered = [within[worker] for worker in ring_order if worker in within]
-    if not ordered:
+    # The rest of the ring is not walked: it has an entry for each worker.
+    window = list(
+        itertools.islice(
+            (within[worker] for worker in ring_order if worker in within),
+            RING_WINDOW,
+        )
+    )
+    if not window:
         return _two_choices(list(within.values()), rng)
-    window = ordered[:RING_WINDOW]
     cached = [
         load
         for load in window
--- a/hornbeamrudder/routing/features/routing.feature
+++ b/hornbeamrudder/routing/features/routing.feature
@@ -53,3 +53,18 @@
   Scenario: Losing a worker moves only its own prefixes
     # Guards against a wave that empties the caches of the remaining workers.
     Then removing a worker from the ring moves only the keys it held
+
+  Scenario: Shares are computed again when workers or nodes change
+    # Guards against a node that keeps using the share of a node that is back,
+    # or that computes all shares again for each request.
+    Given shares of node "n1" of 9 workers that were computed at 10 s for a demand of 4
+    Then a demand of 8 counts at 10.3 s and not at 10.1 s
+    And another node counts at 10.1 s
+    And the loss of a worker counts at 10.1 s
+
+  Scenario: A ring is built again only for other workers
+    # Guards against prefixes that go to a worker which was removed, and
+    # against a long computation on each configuration change.
+    Given the ring of workers "a,b,c"
+    Then a change that leaves the workers "c,b,a" keeps the ring
+    And a change to the workers "a,b,d" gives the ring of "a,b,d"
--- a/hornbeamrudder/routing/features/steps/routing_steps.py
+++ b/hornbeamrudder/routing/features/steps/routing_steps.py
@@ -315,3 +315,74 @@
         if owner != names[0]:
             assert next(prefix.ring_order(rest, key)) == owner
     assert len(set(before.values())) == len(names)
+
+
+@behave.given(
+    'shares of node "{node}" of {workers:d} workers that were computed at'
+    ' {at:g} s for a demand of {demand:g}'
+)
+def compute_own_shares(context, node, workers, at, demand):
+    context.node = node
+    context.all_workers = tuple(
+        types.Worker(f'w{n}', 's', f'h{n}', 'dc', types.Address('::', n), 16)
+        for n in range(workers)
+    )
+    context.own_demand = {node: demand, 'n2': 4.0}
+    context.own_shares = shares.own_shares(
+        shares.OwnShares(), node, context.all_workers, context.own_demand, at
+    )
+
+
+def own_shares_at(context, now, workers=None, **demand_by_node):
+    return shares.own_shares(
+        context.own_shares,
+        context.node,
+        context.all_workers if workers is None else workers,
+        context.own_demand | demand_by_node,
+        now,
+    )
+
+
+@behave.then(
+    'a demand of {demand:g} counts at {late:g} s and not at {early:g} s'
+)
+def check_other_demand(context, demand, late, early):
+    demand_by_node = {context.node: demand}
+    assert own_shares_at(context, early, **demand_by_node) is (
+        context.own_shares
+    )
+    after = own_shares_at(context, late, **demand_by_node)
+    assert after.demand_by_node[context.node] == demand
+    assert own_shares_at(context, late) is context.own_shares
+
+
+@behave.then('another node counts at {now:g} s')
+def check_other_node(context, now):
+    after = own_shares_at(context, now, n3=4.0)
+    before = context.own_shares.slots_by_worker
+    assert sum(after.slots_by_worker.values()) < sum(before.values())
+
+
+@behave.then('the loss of a worker counts at {now:g} s')
+def check_lost_worker(context, now):
+    after = own_shares_at(context, now, context.all_workers[1:])
+    assert after.slots_by_worker.keys() == {
+        worker.id for worker in context.all_workers[1:]
+    }
+
+
+@behave.given('the ring of workers "{names}"')
+def build_named_ring(context, names):
+    context.ring = prefix.build_ring(names.split(','))
+
+
+@behave.then('a change that leaves the workers "{names}" keeps the ring')
+def check_ring_kept(context, names):
+    kept = prefix.updated_ring(context.ring, names.split(','))
+    assert kept is context.ring
+
+
+@behave.then('a change to the workers "{names}" gives the ring of "{same}"')
+def check_ring_changed(context, names, same):
+    changed = prefix.updated_ring(context.ring, names.split(','))
+    assert changed == prefix.build_ring(same.split(','))
--- a/hornbeamrudder/routing/prefix.py
+++ b/hornbeamrudder/routing/prefix.py
@@ -100,10 +100,12 @@
 
     points: tuple[int, ...] = ()
     owners: tuple[ids.WorkerId, ...] = ()
+    workers: frozenset[ids.WorkerId] = frozenset()
 
 
 def build_ring(workers: Iterable[ids.WorkerId]) -> Ring:
     """Place each worker on the ring at several points."""
+    workers = frozenset(workers)
     placed = sorted(
         (hashing.stable_hash('ring', worker, str(number)), worker)
         for worker in workers
@@ -112,9 +114,20 @@
     return Ring(
         tuple(point for point, _ in placed),
         tuple(worker for _, worker in placed),
+        workers,
     )
 
 
+def updated_ring(ring: Ring, workers: Iterable[ids.WorkerId]) -> Ring:
+    """Return a ring of these workers, the same one where they are the same.
+
+    Most configuration changes leave the workers as they are, and a new ring
+    takes longer than all else that a change causes on a node.
+    """
+    workers = frozenset(workers)
+    return ring if workers == ring.workers else build_ring(workers)
+
+
 def ring_order(ring: Ring, key: str) -> Iterator[ids.WorkerId]:
     """Iterate over the workers in ring order from `key`, each once."""
     start = bisect.bisect(ring.points, hashing.stable_hash('key', key))
--- a/hornbeamrudder/routing/shares.py
+++ b/hornbeamrudder/routing/shares.py
@@ -4,14 +4,73 @@
 needed; reports that differ for one heartbeat only shift some slots.
 """
 
+import dataclasses
 import itertools
 import math
-from typing import Mapping, Sequence
+from typing import Iterable, Mapping, Sequence
 
 from ..core import hashing
 from ..core import ids
+from ..core import types
 
 HASH_RANGE = 2.0**64
+# The shares of all workers take time in proportion to workers times nodes.
+# Demand changes with each request, but peers report it every 0.5 s.
+REFRESH_S = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnShares:
+    """Slots that one node may use of each worker of a service.
+
+    Attributes
+    ----------
+    computed_at : float
+        Seconds; -inf where the shares were never computed.
+    """
+
+    demand_by_node: Mapping[ids.NodeId, float] = dataclasses.field(
+        default_factory=dict
+    )
+    workers: tuple[types.Worker, ...] = ()
+    computed_at: float = -math.inf
+    slots_by_worker: Mapping[ids.WorkerId, int] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def own_shares(
+    known: OwnShares,
+    node: ids.NodeId,
+    workers: Iterable[types.Worker],
+    demand_by_node: Mapping[ids.NodeId, float],
+    now: float,
+) -> OwnShares:
+    """Return the shares of `node`, computed again where that is needed.
+
+    Other workers and other live nodes count at once, other demand after
+    `REFRESH_S`.
+    """
+    workers = tuple(workers)
+    unchanged = demand_by_node == known.demand_by_node
+    recent = (
+        now - known.computed_at < REFRESH_S
+        and demand_by_node.keys() == known.demand_by_node.keys()
+    )
+    if workers == known.workers and (unchanged or recent):
+        return known
+    service_slots = sum(worker.slots for worker in workers)
+    return OwnShares(
+        dict(demand_by_node),
+        workers,
+        now,
+        {
+            worker.id: worker_shares(
+                worker.id, worker.slots, demand_by_node, service_slots
+            ).get(node, 1)
+            for worker in workers
+        },
+    )
 
 
 def max_min_fair(
