Shorten heartbeats and the check of the right to admit

Cause: each heartbeat named all live nodes, which no receiver reads, so that the traffic of a node grew with the square of their number. The check of the right to admit, made for each request, searched a tuple of voters for each peer.

Change: the field `members` of a heartbeat stays empty and keeps its place on the wire. The check takes the table's confirmation first and searches a set of voters.

--- a/hornbeamrudder/configuration/currency.py
+++ b/hornbeamrudder/configuration/currency.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 import math
-from typing import Mapping
+from typing import Collection, Mapping
 
 from ..core import ids
 from . import state
@@ -81,7 +81,7 @@
 
 
 def is_voter(
-    electorate: state.Electorate,
+    electorate: Collection[state.Voter],
     node: ids.NodeId,
     incarnation: ids.Incarnation,
 ) -> bool:
@@ -128,7 +128,10 @@
     # set does not name.
     if all(member.node != knowledge.node for member in row.members):
         return False
-    return now - confirmed_at(knowledge, now) < RIGHT_S
+    # Each request asks; the peers' answers take time in proportion to them.
+    if now - knowledge.table_confirmed_at < RIGHT_S:
+        return True
+    return now - _confirmed_by_peers_at(knowledge, now) < RIGHT_S
 
 
 def _confirmed_by_peers_at(knowledge: Knowledge, now: float) -> float:
@@ -136,11 +139,13 @@
     if row is None:
         return -math.inf
     electorate = state.voters(row)
-    own_vote = is_voter(electorate, knowledge.node, knowledge.incarnation)
+    # A search of the tuple for each peer takes time with their square.
+    voters = frozenset(electorate)
+    own_vote = is_voter(voters, knowledge.node, knowledge.incarnation)
     live = [
         heard.echoed_at
         for node, heard in knowledge.heard_by_node.items()
-        if is_voter(electorate, node, heard.incarnation)
+        if is_voter(voters, node, heard.incarnation)
         and (node, heard.incarnation) not in knowledge.released_versions
         and node != knowledge.node
         and heard.version <= row.version
--- a/hornbeamrudder/configuration/node.py
+++ b/hornbeamrudder/configuration/node.py
@@ -107,7 +107,6 @@
             messages.Released(*voter, version)
             for voter, version in knowledge.released_versions.items()
         ),
-        members=tuple(sorted(peer_view.alive(node.view, now))),
         demand=node.demand,
         leaving=node.leaving,
     )
--- a/hornbeamrudder/peers/messages.py
+++ b/hornbeamrudder/peers/messages.py
@@ -76,6 +76,9 @@
         The sender has stopped admitting; its version stays as it is.
     wants_answer : bool
         Asks the receiver to send its heartbeat at once.
+    members : tuple of NodeId
+        Always empty; keeps the place of the later fields on the wire. The
+        names of all live nodes made up most of a heartbeat and had no use.
     """
 
     sent_at: float
