Measure slopes for the capacity page

Cause: docs/CAPACITY.md needs measured slopes for the design size.

Change: `hornbeamrudder capacity [--quick] [--out DIR]` measures idle nodes, configuration changes, workers, accounts, orders, streams on one and more processes of a port, decision functions beyond the number of processes, sizes of calls and of state, and writes JSON, tables and a plot. The source of tokens now answers polls with a load report; without one, a node took its host as gone after 10 s, so that longer runs were refused. Callers accept any chooser of addresses. `deployment.free_ports` is public.

--- a/hornbeamrudder/bench/callers.py
+++ b/hornbeamrudder/bench/callers.py
@@ -9,12 +9,12 @@
 import enum
 import itertools
 import time
+from typing import Protocol
 
 import orjson
 from returns import result
 
 from ..answers import events
-from . import balancer
 from ..core import errors
 from ..core import types
 from ..platform import http
@@ -125,13 +125,20 @@
             self.arrivals.append(time.monotonic())
 
 
+class Addresses(Protocol):
+    """Chooses the entry address of a call."""
+
+    def pick(self) -> types.Address:
+        """Return the address for one call."""
+
+
 class Caller:
     """Makes calls through a list of entry addresses."""
 
     def __init__(
         self,
         client: http.HttpClient,
-        addresses: balancer.AddressList,
+        addresses: Addresses,
     ) -> None:
         self._client = client
         self._addresses = addresses
--- /dev/null
+++ b/hornbeamrudder/bench/capacity_peers.py
@@ -0,0 +1,148 @@
+"""Times what a node of a full mesh does for its peers, and sizes it."""
+
+import dataclasses
+import itertools
+from typing import Any
+
+from . import capacity_functions
+from ..configuration import currency
+from ..configuration import events
+from ..configuration import node as configuration_node
+from ..configuration import node_state
+from ..configuration import state
+from ..core import hashing
+from ..core import ids
+from ..core import types
+from ..peers import codec
+from ..peers import messages
+from . import process_usage
+from ..routing import shares
+
+INCARNATION = ids.Incarnation(1_800_000_000_000_000_000)
+DOCUMENT = b'{}'
+WORKER_SLOTS = 16
+SERVICE_SLOTS = 144
+
+
+def members(count: int) -> tuple[state.Member, ...]:
+    """Members with names and addresses of usual length."""
+    return tuple(
+        state.Member(
+            ids.NodeId(f'entry-levis-est-{number:04}'),
+            INCARNATION,
+            types.Address('10.20.30.40', 10_000 + number),
+        )
+        for number in range(count)
+    )
+
+
+def version_row(count: int, version: int = 1) -> state.VersionRow:
+    """Version row with a number of members."""
+    return state.VersionRow(
+        ids.Version(version),
+        ids.Version(version),
+        f'{state.CONTENT_PREFIX}{version}',
+        hashing.digest(DOCUMENT),
+        members(count),
+        ids.OperatorId('operator'),
+        (),
+        ids.AttemptId('attempt'),
+        0.0,
+    )
+
+
+def heartbeat(at: float, version: int = 1) -> messages.Heartbeat:
+    """Heartbeat of an idle peer that answers this node's latest."""
+    return messages.Heartbeat(
+        sent_at=at,
+        echo_incarnation=INCARNATION,
+        echo_sent_at=at,
+        version=ids.Version(version),
+        settled=ids.Version(version),
+        demand=(
+            (ids.ServiceName('modele-atelier'), 0.0),
+            (ids.ServiceName('app-comptoir'), 0.0),
+        ),
+    )
+
+
+def node_with_peers(count: int) -> node_state.NodeState:
+    """State of a node that hears all other members."""
+    listed = members(count)
+    own = listed[0]
+    node = node_state.start(own.node, own.incarnation, own.address, 0.0)
+    node, _ = node_state.install(
+        node, state.Content(version_row(count), DOCUMENT)
+    )
+    for member in listed[1:]:
+        node = _step(node, member.node, 0.1)
+    return node
+
+
+def _step(
+    node: node_state.NodeState, sender: ids.NodeId, at: float
+) -> node_state.NodeState:
+    event = events.Received(sender, INCARNATION, heartbeat(at))
+    return configuration_node.step(node, event, at)[0]
+
+
+def heartbeats_sent(node: node_state.NodeState, now: float) -> tuple[int, int]:
+    """Number and bytes of the heartbeats of one interval."""
+    _, effects = configuration_node.step(node, events.Tick((), 0.0), now)
+    bodies = [
+        _encoded(effect.message)
+        for effect in effects
+        if isinstance(effect, events.Send)
+    ]
+    return len(bodies), sum(map(len, bodies))
+
+
+def _encoded(message: messages.Message) -> bytes:
+    envelope = messages.Envelope(
+        ids.NodeId('entry-levis-est-0001'), INCARNATION, message
+    )
+    return codec.frame(codec.encode(envelope).unwrap())
+
+
+def peers_costs(count: int, runs: int) -> dict[str, Any]:
+    """Costs of a node with `count` members, all heard."""
+    node = node_with_peers(count)
+    peers = itertools.cycle(member.node for member in members(count)[1:])
+    sent, sent_bytes = heartbeats_sent(node, 0.2)
+    frame = _encoded(heartbeat(0.1))
+    knowledge = dataclasses.replace(node.knowledge, table_confirmed_at=-1e9)
+    demand = {member.node: 4.0 for member in members(count)}
+    row = version_row(count)
+    row_json = state.dump_row(row)
+
+    def timed(function: Any) -> list[float]:
+        return capacity_functions.cpu_s(function, runs)
+
+    return {
+        'nodes': count,
+        'heartbeat_bytes': sent_bytes / max(1, sent),
+        'row_bytes': len(row_json),
+        'cpu_s': {
+            'heartbeat_received': timed(lambda: _step(node, next(peers), 0.1)),
+            'heartbeats_made': timed(
+                lambda: configuration_node.step(
+                    node, events.Tick((), 0.0), 0.2
+                )
+            ),
+            'encode': timed(lambda: _encoded(heartbeat(0.1))),
+            'decode': timed(lambda: codec.decode(frame[4:])),
+            'may_admit': timed(lambda: currency.may_admit(knowledge, 0.2)),
+            'row_parsed': timed(lambda: state.parse_row(row_json)),
+            'shares_of_one_worker': timed(
+                lambda: shares.worker_shares(
+                    ids.WorkerId('worker'), WORKER_SLOTS, demand, SERVICE_SLOTS
+                )
+            ),
+        },
+        'memory_bytes': {
+            'state': capacity_functions.bytes_of(
+                lambda: node_with_peers(count)
+            ),
+        },
+        'load_average': process_usage.load_average(),
+    }
--- a/hornbeamrudder/bench/deployment.py
+++ b/hornbeamrudder/bench/deployment.py
@@ -69,7 +69,7 @@
         """Start all processes and put the configuration in force."""
         self._start_backends()
         self._start_platform()
-        self._peer_ports = _free_ports(self.plan.nodes)
+        self._peer_ports = free_ports(self.plan.nodes)
         self.processes.start_many(
             {
                 name: (('node',), self.node_settings(number))
@@ -343,7 +343,7 @@
     return {'ip': local.LOOPBACK, 'port': port}
 
 
-def _free_ports(count: int) -> tuple[int, ...]:
+def free_ports(count: int) -> tuple[int, ...]:
     """Find ports that are free now; the peers need them before the start."""
     sockets = [socket.create_server((local.LOOPBACK, 0)) for _ in range(count)]
     ports = tuple(item.getsockname()[1] for item in sockets)
--- a/hornbeamrudder/bench/token_source.py
+++ b/hornbeamrudder/bench/token_source.py
@@ -16,6 +16,8 @@
 import time
 from typing import Sequence
 
+from . import load_source
+
 TOKEN_INTERVAL_S = 0.035
 LISTEN_BACKLOG = 1024
 READ_BYTES = 65536
@@ -95,7 +97,7 @@
             return
         connection.received = rest[length:]
         if not lines[0].startswith('POST /v1/chat/completions '):
-            self._answer_empty(connection)
+            self._answer_idle(connection)
             return
         body = json.loads(rest[:length])
         connection.request_id = headers_by_name['x-request-id']
@@ -109,10 +111,9 @@
         )
         self._schedule(connection)
 
-    def _answer_empty(self, connection: _Connection) -> None:
-        self._send(
-            connection, b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
-        )
+    def _answer_idle(self, connection: _Connection) -> None:
+        """Answer polls; without load reports a node takes the host as gone."""
+        self._send(connection, load_source.RESPONSE)
 
     def _schedule(self, connection: _Connection) -> None:
         heapq.heappush(
--- a/hornbeamrudder/cli.py
+++ b/hornbeamrudder/cli.py
@@ -8,6 +8,7 @@
 import pydantic
 from returns import result
 
+from .bench import capacity
 from .bench import demo
 from .entry import daemon
 from .inventory import problems
@@ -92,6 +93,16 @@
         '--folder', help='folder for settings and logs of the processes'
     )
     demo_command.set_defaults(run=demo.main)
+    capacity_command = commands.add_parser(
+        'capacity', help='measure the slopes for docs/CAPACITY.md'
+    )
+    capacity_command.add_argument(
+        '--quick', action='store_true', help='fewer and smaller sizes'
+    )
+    capacity_command.add_argument(
+        '--out', metavar='DIR', help='folder for results and logs'
+    )
+    capacity_command.set_defaults(run=capacity.main)
     return parser
 
 
