--- a/hornbeamrudder/bench/deployment.py
+++ b/hornbeamrudder/bench/deployment.py
@@ -83,8 +83,8 @@
         """Start all processes and put the configuration in force."""
         self._start_backends()
         self._start_platform()
-        self._peer_ports = _free_ports(self.plan.nodes)
-        self._caller_ports = _free_ports(self.plan.nodes)
+        self._peer_ports = free_ports(self.plan.nodes)
+        self._caller_ports = free_ports(self.plan.nodes)
         self._start_relays()
         self.processes.start_many(
             {
@@ -304,7 +304,7 @@
 
     def _start_relays(self) -> None:
         links = self.plan.relays
-        self._relay_ports_by_link = dict(zip(links, _free_ports(len(links))))
+        self._relay_ports_by_link = dict(zip(links, free_ports(len(links))))
         self.processes.start_many(
             {
                 relay_name(link): (
@@ -410,7 +410,7 @@
     return {'ip': local.LOOPBACK, 'port': port}
 
 
-def _free_ports(count: int) -> tuple[int, ...]:
+def free_ports(count: int) -> tuple[int, ...]:
     """Find ports that are free now; the peers need them before the start."""
     sockets: list[socket.socket] = []
     candidates = random.SystemRandom().sample(FIXED_PORTS, len(FIXED_PORTS))
--- a/hornbeamrudder/bench/token_source.py
+++ b/hornbeamrudder/bench/token_source.py
@@ -16,10 +16,11 @@
 import time
 from typing import Sequence
 
+from . import load_source
+
 TOKEN_INTERVAL_S = 0.035
 LISTEN_BACKLOG = 1024
 READ_BYTES = 65536
-IDLE_REPORT = b'{"outstanding_tokens":0,"running":0,"waiting":0,"events":[]}'
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,7 +97,7 @@
             return
         connection.received = rest[length:]
         if not lines[0].startswith('POST /v1/chat/completions '):
-            self._answer_control(connection)
+            self._answer_idle(connection)
             return
         body = json.loads(rest[:length])
         connection.request_id = headers_by_name['x-request-id']
@@ -110,13 +111,9 @@
         )
         self._schedule(connection)
 
-    def _answer_control(self, connection: _Connection) -> None:
-        """Answer polls for load and cache events with an idle engine's."""
-        self._send(
-            connection,
-            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b'
-            % (len(IDLE_REPORT), IDLE_REPORT),
-        )
+    def _answer_idle(self, connection: _Connection) -> None:
+        """Answer polls; without load reports a node takes the host as gone."""
+        self._send(connection, load_source.RESPONSE)
 
     def _schedule(self, connection: _Connection) -> None:
         heapq.heappush(
--- a/hornbeamrudder/cli.py
+++ b/hornbeamrudder/cli.py
@@ -8,6 +8,7 @@
 import pydantic
 from returns import result
 
+from .bench import capacity
 from .bench import demo
 from .bench import experiment
 from .entry import daemon
@@ -96,6 +97,16 @@
     )
     demo_command.set_defaults(run=demo.main)
     commands.add_parser('bench', help='measure the policy in virtual time')
+    capacity_command = commands.add_parser(
+        'capacity', help='measure the slopes for docs/CAPACITY.md'
+    )
+    capacity_command.add_argument(
+        '--quick', action='store_true', help='fewer and smaller sizes'
+    )
+    capacity_command.add_argument(
+        '--out', metavar='DIR', help='folder for results and logs'
+    )
+    capacity_command.set_defaults(run=capacity.main)
     return parser
 
 
