Apply floors, limits and quiet workers on the running node

Change: Controller.set_floors changes the floors without touching the queues; admission/limits.py divides the limits of accounts equally between live nodes; rules.quiet_part with a cross check; small demand in the heartbeat; the pool closes quiet workers to large accounts; answers and plain calls wait for a worker within their deadline, orders before their record is dispatching. A first attempt never exceeds its node's share because of closed workers.

--- a/hornbeamrudder/admission/controller.py
+++ b/hornbeamrudder/admission/controller.py
@@ -170,17 +170,17 @@
 
     def release(
         self, slot: Slot, used_tokens: float, completed: bool = True
-    ) -> None:
+    ) -> bool:
         """Return a slot with the tokens that its request used.
 
         `completed` is false where the attempt failed or was cancelled.
 
-        A second release of the same slot has no effect.
+        A second release of the same slot has no effect and returns False.
         """
         now = self._clock()
         with self._changed:
             if slot.entry.key not in self._held_keys:
-                return
+                return False
             self._held_keys.discard(slot.entry.key)
             self._states_by_service[slot.service] = states.release(
                 self._state(slot.service),
@@ -200,6 +200,7 @@
                 )
             resolved = self._grant(slot.service, now)
         _resolve(resolved)
+        return True
 
     def set_capacity(
         self, service: ids.ServiceName, slots: int, quiet_free: int = 0
@@ -230,6 +231,38 @@
         with self._changed:
             self._weights_by_account = dict(weights_by_account)
 
+    def set_floors(self, floors: tuple[float, ...]) -> None:
+        """Set the floors of all ranks; waiting requests stay queued.
+
+        Parameters
+        ----------
+        floors : tuple of float, shape (ranks,)
+            Shares of the capacity, from 0 to 1 in all.
+        """
+        now = self._clock()
+        with self._changed:
+            if floors == self._floors:
+                return
+            self._floors = floors
+            resolved: list[tuple[SlotFuture, SlotResult]] = []
+            for service, state in tuple(self._states_by_service.items()):
+                self._states_by_service[service] = states.with_floors(
+                    state, floors
+                )
+                resolved += self._grant(service, now)
+        _resolve(resolved)
+
+    def queued(self) -> tuple[int, float]:
+        """Waiting requests of all services and their expected tokens."""
+        with self._changed:
+            waiting = [
+                state.queue for state in self._states_by_service.values()
+            ]
+        return (
+            sum(queue.length for queue in waiting),
+            sum(rank.tokens for queue in waiting for rank in queue.ranks),
+        )
+
     def snapshot(self, service: ids.ServiceName) -> Snapshot:
         """Figures of one service."""
         with self._changed:
--- /dev/null
+++ b/hornbeamrudder/admission/features/steps/limit_steps.py
@@ -0,0 +1,211 @@
+"""Steps for limits of accounts, changed floors and waiting for workers."""
+
+from concurrent import futures
+import time
+
+import behave
+from returns import result
+
+from hornbeamrudder.admission import controller
+from hornbeamrudder.admission import limits
+from hornbeamrudder.answers import generation
+from hornbeamrudder.answers import scheduler
+from hornbeamrudder.core import errors
+from hornbeamrudder.core import types
+from hornbeamrudder.inventory import schema
+
+SERVICE = 'modele-atelier'
+
+
+def parse_floors(text):
+    return tuple(map(float, text.split(',')))
+
+
+@behave.given(
+    'a controller with floors {floors}, no slots and {count:d} waiting'
+    ' requests of each rank'
+)
+def make_waiting(context, floors, count):
+    context.granted = []
+    context.controller = controller.Controller(parse_floors(floors))
+    context.add_cleanup(context.controller.close)
+
+    def note(future):
+        entry = future.result().unwrap().entry
+        context.granted.append(entry.rank.name[0].lower())
+
+    deadline = time.monotonic() + 1e6
+
+    def submit(rank, account):
+        return context.controller.submit(
+            rank, account, SERVICE, 100.0, deadline
+        )
+
+    context.controller.set_capacity(SERVICE, 1)
+    first = submit(types.Rank.URGENT, 'first').result().unwrap()
+    for number in range(count):
+        for rank in types.Rank:
+            submit(rank, f'account-{number}').add_done_callback(note)
+    # Much work is served while the ranks below wait without a floor.
+    context.controller.set_capacity(SERVICE, 0)
+    context.controller.release(first, 10_000.0)
+
+
+@behave.when('the floors become {floors} and {slots:d} slots are given')
+def change_floors(context, floors, slots):
+    context.controller.set_floors(parse_floors(floors))
+    for capacity in range(1, slots + 1):
+        context.controller.set_capacity(SERVICE, capacity)
+
+
+@behave.then('all {count:d} requests are granted')
+def check_granted(context, count):
+    assert len(context.granted) == count, context.granted
+
+
+@behave.then('all {count:d} requests are granted in the order "{order}"')
+def check_order(context, count, order):
+    assert ''.join(context.granted) == order, context.granted
+    assert len(context.granted) == count
+
+
+@behave.given('a limit of {limit:d} {name} and {nodes:d} live nodes')
+def set_limit(context, limit, name, nodes):
+    context.limits = schema.AccountLimits(
+        **({} if name == 'nothing' else {name: limit})
+    )
+    context.nodes = nodes
+    context.usage = limits.Usage()
+    context.taken, context.refusals = 0, []
+
+
+def offer(context, now, tokens=10.0):
+    taken = limits.take(
+        context.usage, context.limits, context.nodes, tokens, now
+    )
+    if isinstance(taken, errors.Failure):
+        context.refusals.append(taken)
+    else:
+        context.usage = taken
+        context.taken += 1
+
+
+@behave.when(
+    '{count:d} requests of {tokens:d} tokens arrive in {seconds:d} seconds on'
+    ' one node'
+)
+def offer_many(context, count, tokens, seconds):
+    for number in range(count):
+        offer(context, 100 + seconds * number / count, tokens)
+
+
+@behave.then('between {low:d} and {high:d} of them are taken')
+def check_taken(context, low, high):
+    assert low <= context.taken <= high, context.taken
+
+
+@behave.then('the refusal is not run, at step "{step}", with a retry time')
+def check_refusal(context, step):
+    for failure in context.refusals:
+        assert failure.outcome is types.Outcome.NOT_RUN
+        assert failure.kind is errors.FailureKind.OVERLOADED
+        assert failure.step.value == step and failure.retry_after_s >= 1
+
+
+@behave.when(
+    '{count:d} requests arrive and one node dies before {more:d} more'
+)
+def lose_node(context, count, more):  # fmt: skip
+    for _ in range(count):
+        offer(context, 100.0)
+    context.before = context.usage.open_requests
+    context.nodes -= 1
+    for _ in range(more):
+        offer(context, 100.0)
+
+
+@behave.then('{before:d} are open before and {after:d} after it')
+def check_open(context, before, after):
+    assert context.before == before
+    assert context.usage.open_requests == after
+    assert limits.ended(context.usage).open_requests == after - 1
+
+
+@behave.then(
+    'a queue of {requests:d} requests and {tokens:d} tokens {state} at limits'
+    ' of {most_requests:d} and {most_tokens:d}'
+)
+def check_queue(context, requests, tokens, state, most_requests, most_tokens):
+    refusal = limits.queue_refusal(
+        schema.AdmissionLimits(
+            max_queued_requests=most_requests, max_queued_tokens=most_tokens
+        ),
+        requests, float(tokens), 10.0,
+    )  # fmt: skip
+    assert (refusal is not None) is (state == 'is full')
+    assert refusal is None or refusal.outcome is types.Outcome.NOT_RUN
+
+
+class Workers:
+    """A pool that has no worker for the first looks."""
+
+    def __init__(self, tries):
+        self._left = tries
+
+    def choose(self, request, excluded):
+        self._left -= 1
+        if self._left > 0:
+            return result.Failure(
+                errors.Failure(
+                    errors.FailureKind.UNAVAILABLE, errors.Step.ROUTE, '', ''
+                )
+            )
+        return result.Success(
+            types.Worker(
+                'w', SERVICE, 'h', 'dc', types.Address('127.0.0.1', 1), 1
+            )
+        )
+
+
+class Calls:
+    """A client whose calls never end."""
+
+    future = futures.Future()
+
+    def start(self, request, on_piece):
+        return self
+
+
+@behave.given(
+    'an answer with a deadline in {milliseconds:d} ms and a worker after'
+    ' {tries:d} tries'
+)
+def make_answer(context, milliseconds, tries):
+    executor = futures.ThreadPoolExecutor(1)
+    waits = scheduler.Scheduler(executor)
+    context.add_cleanup(executor.shutdown)
+    context.add_cleanup(waits.close)
+    request = generation.GenerationRequest(
+        'n-1', 'a', SERVICE, types.Rank.URGENT, b'{}', '', 5, 5.0,
+        time.monotonic() + milliseconds / 1000,
+    )  # fmt: skip
+    context.answer = generation.Generation(
+        request, Calls(), Workers(tries), executor, waits, lambda item: None
+    )
+
+
+@behave.when('its first attempt is run')
+def run_attempt(context):
+    context.answer.run_first_attempt()
+    context.answer.wait_begun(10.0)
+
+
+@behave.then('it was sent')
+def check_sent(context):
+    assert context.answer.attempts == 1
+
+
+@behave.then('it failed as not run')
+def check_failed(context):
+    assert context.answer.attempts == 0
+    assert context.answer.buffer.failure.outcome is types.Outcome.NOT_RUN
--- a/hornbeamrudder/admission/queue.py
+++ b/hornbeamrudder/admission/queue.py
@@ -147,6 +147,21 @@
     )
 
 
+def with_floors(queue: Queue, floors: tuple[float, ...]) -> Queue:
+    """Change the floors; waiting entries and their order stay.
+
+    A changed floor is owed from now on: the tag of a rank without a floor
+    does not advance and would claim all the service of the past.
+    """
+    ranks = tuple(
+        rank
+        if rank.floor == floor
+        else dataclasses.replace(rank, floor=floor, floor_tag=queue.clock)
+        for rank, floor in zip(queue.ranks, floors, strict=True)
+    )
+    return dataclasses.replace(queue, ranks=ranks)
+
+
 def enqueue(queue: Queue, entry: Entry) -> tuple[Queue, Entry | None]:
     """Add an entry; where the rank is full, one entry is dropped.
 
--- a/hornbeamrudder/admission/state.py
+++ b/hornbeamrudder/admission/state.py
@@ -22,6 +22,9 @@
 FLOOR_HEADROOM = 1.1
 # A rank counts as overloaded for this long after a refusal.
 OVERLOAD_S = 5.0
+# The rules allow floors that add up to 1; a queue needs a remainder for the
+# most urgent waiting rank.
+MOST_SERVED_FLOORS = 0.99
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,8 +117,24 @@
     floors : tuple of float, shape (ranks,)
         Shares of the answers in time that are kept for each rank.
     """
-    served = tuple(floor * FLOOR_HEADROOM for floor in floors)
-    return ServiceState(queues.new_queue(served, length_limit))
+    return ServiceState(queues.new_queue(_served(floors), length_limit))
+
+
+def with_floors(
+    state: ServiceState, floors: tuple[float, ...]
+) -> ServiceState:
+    """Change the floors of a service; its waiting requests stay."""
+    return dataclasses.replace(
+        state, queue=queues.with_floors(state.queue, _served(floors))
+    )
+
+
+def _served(floors: tuple[float, ...]) -> tuple[float, ...]:
+    total = sum(floors)
+    headroom = (
+        min(FLOOR_HEADROOM, MOST_SERVED_FLOORS / total) if total else 1.0
+    )
+    return tuple(floor * headroom for floor in floors)
 
 
 def new_entry(
--- a/hornbeamrudder/answers/generation.py
+++ b/hornbeamrudder/answers/generation.py
@@ -17,6 +17,7 @@
 from ..core import types
 from ..platform import http
 from . import reader
+from ..retries import decide
 from . import scheduler
 
 MAX_ATTEMPTS = 8
@@ -127,6 +128,7 @@
         self._failed_workers: frozenset[ids.WorkerId] = frozenset()
         self._paused = False
         self._told_end = False
+        self._begun = threading.Event()
 
     @property
     def first_token_at(self) -> float | None:
@@ -143,6 +145,10 @@
         """Start the first attempt on the calling thread."""
         self._start_attempt()
 
+    def wait_begun(self, timeout_s: float) -> None:
+        """Wait until an attempt was sent or the answer has ended."""
+        self._begun.wait(timeout_s)
+
     def cancel(self, failure: errors.Failure) -> None:
         """End the answer with `failure` and stop the engine's work."""
         self.buffer.fail(failure)
@@ -232,7 +238,7 @@
 
     def _start_attempt(self, cache_blob: bytes = b'') -> None:
         running = self.buffer.state is buffer.AnswerState.RUNNING
-        if self._paused or not running:
+        if self._paused or not running or self._current is not None:
             return
         chosen = self._pool.choose(self.request, self._failed_workers)
         match chosen:
@@ -245,8 +251,12 @@
                 self._wait_for_worker(failure)
 
     def _wait_for_worker(self, failure: errors.Failure) -> None:
-        """Try again later where the answer has begun, else refuse."""
-        if self.attempts == 0 or time.monotonic() > self._latest_start():
+        """Try again later within the deadline, then refuse.
+
+        A slot of this node is no reservation of a worker: shares change, and
+        the free slots may be at workers that are closed to this request.
+        """
+        if time.monotonic() > self._latest_start():
             self._end_with(failure)
             return
         self._failed_workers = frozenset()
@@ -283,6 +293,7 @@
                 stream.feed,
             )
             self._current = _Attempt(number, worker, call)
+            self._begun.set()
         attempt = self._current
         call.future.add_done_callback(
             lambda future: self._executor.submit(
@@ -332,12 +343,9 @@
             or time.monotonic() > self._latest_start()
         ):
             return False
-        # Only attempts without a token come out of the retry budget: an
-        # answer that has begun was accepted, and each one resumes at most
-        # once for each worker that it loses.
-        return self.buffer.next_offset > 0 or self._pool.may_retry(
-            self.request
-        )
+        return not decide.needs_budget(
+            self.buffer.next_offset
+        ) or self._pool.may_retry(self.request)
 
     def _end_with(self, failure: errors.Failure) -> None:
         self.buffer.fail(failure)
@@ -346,6 +354,7 @@
     def _tell_end(self) -> None:
         with self._lock:
             first, self._told_end = not self._told_end, True
+        self._begun.set()
         if first:
             self._on_end(self)
 
--- a/hornbeamrudder/configuration/events.py
+++ b/hornbeamrudder/configuration/events.py
@@ -85,6 +85,7 @@
 
     demand: tuple[tuple[ids.ServiceName, float], ...]
     leaving: tuple[messages.Leaving, ...]
+    small_demand: tuple[tuple[ids.ServiceName, float], ...] = ()
 
 
 Event = Union[
--- a/hornbeamrudder/configuration/node.py
+++ b/hornbeamrudder/configuration/node.py
@@ -55,8 +55,13 @@
         case events.Ended(voter):
             ended = node.knowledge.ended | {voter}
             node, effects = node_state.know(node, ended=ended), ()
-        case events.Report(demand, leaving):
-            node = dataclasses.replace(node, demand=demand, leaving=leaving)
+        case events.Report(demand, leaving, small_demand):
+            node = dataclasses.replace(
+                node,
+                demand=demand,
+                leaving=leaving,
+                small_demand=small_demand,
+            )
             effects = ()
     node, started = proposals.start_next(node, now)
     node, read = _read_when_due(node, now)
@@ -111,6 +116,7 @@
         members=tuple(sorted(peer_view.alive(node.view, now))),
         demand=node.demand,
         leaving=node.leaving,
+        small_demand=node.small_demand,
     )
 
 
--- a/hornbeamrudder/configuration/node_state.py
+++ b/hornbeamrudder/configuration/node_state.py
@@ -61,6 +61,7 @@
     connected: tuple[ids.NodeId, ...] = ()
     demand: tuple[tuple[ids.ServiceName, float], ...] = ()
     leaving: tuple[messages.Leaving, ...] = ()
+    small_demand: tuple[tuple[ids.ServiceName, float], ...] = ()
     sequence: int = 0
     wall: float = 0.0
 
--- a/hornbeamrudder/configuration/service.py
+++ b/hornbeamrudder/configuration/service.py
@@ -185,9 +185,12 @@
         self,
         demand: Iterable[tuple[ids.ServiceName, float]],
         leaving: Iterable[messages.Leaving],
+        small_demand: Iterable[tuple[ids.ServiceName, float]] = (),
     ) -> None:
         """Set what the next heartbeats tell about demand and hosts."""
-        self._events.put(events.Report(tuple(demand), tuple(leaving)))
+        self._events.put(
+            events.Report(tuple(demand), tuple(leaving), tuple(small_demand))
+        )
 
     def confirm_ended(
         self, node: ids.NodeId, incarnation: ids.Incarnation
--- a/hornbeamrudder/entry/application.py
+++ b/hornbeamrudder/entry/application.py
@@ -115,7 +115,9 @@
         with self._lock:
             self._open_requests += 1
         request = werkzeug.Request(environ)
-        request.max_content_length = self._parts.body_bytes
+        request.max_content_length = min(
+            self._parts.body_bytes, self._parts.gate.max_body_bytes()
+        )
         response = self._respond(request, environ)
         response.call_on_close(self._closed)
         if self._refuses_new:
--- a/hornbeamrudder/entry/chat_calls.py
+++ b/hornbeamrudder/entry/chat_calls.py
@@ -120,13 +120,16 @@
                 deadline=prepared.deadline,
                 traceparent=traceparent,
             )
-            return self._admit(request, accepted, parsed.stream)
+            return self._admit(
+                request, accepted, parsed.stream, float(parsed.prompt_tokens)
+            )
 
     def _admit(
         self,
         request: werkzeug.Request,
         accepted: generation.GenerationRequest,
         stream: bool,
+        prompt_tokens: float,
     ) -> werkzeug.Response:
         with self._tracer.span('admit'):
             submitted = self._gate.submit(
@@ -135,6 +138,7 @@
                 accepted.service,
                 accepted.expected_tokens,
                 accepted.deadline,
+                prompt_tokens,
             )
             try:
                 granted = submitted.result(
@@ -167,6 +171,10 @@
 
         item = self._answers.create(accepted, end)
         item.run_first_attempt()
+        # Until a worker is found the answer can still be refused as a whole.
+        item.wait_begun(
+            gates.remaining_s(accepted.deadline) + ADMISSION_GRACE_S
+        )
         if item.buffer.state is generation.buffer.AnswerState.FAILED:
             self._answers.remove(accepted.id)
             return problems.to_response(chat.failure_of(item), accepted.id)
--- a/hornbeamrudder/entry/gate.py
+++ b/hornbeamrudder/entry/gate.py
@@ -2,13 +2,16 @@
 
 import collections
 from concurrent import futures
+import dataclasses
 import threading
 import time
-from typing import Callable
+from typing import Callable, Mapping
 
 from returns import result
 
 from ..admission import controller
+from ..admission import isolation
+from ..admission import limits
 from ..core import errors
 from ..core import ids
 from ..core import types
@@ -16,6 +19,8 @@
 from . import pool
 
 REFRESH_INTERVAL_S = 0.1
+# `isolation.smoothed_demand` is meant for one call in each heartbeat.
+SMOOTHING_INTERVAL_S = 0.5
 RETRY_AFTER_S = 1.0
 # Share of the request threads that requests of a rank and of the less
 # urgent ones may occupy, so that a flood leaves threads to the others.
@@ -25,6 +30,8 @@
     types.Rank.BATCH: 0.5,
 }
 
+# Small accounts' demand that the live peers report, in slots.
+PeerDemand = Callable[[], Mapping[ids.ServiceName, float]]
 SlotResult = result.Result[controller.Slot, errors.Failure]
 
 
@@ -35,6 +42,8 @@
     ----------
     threads : int
         Request threads of the node.
+    live_nodes : callable
+        Number of nodes between which limits of accounts are divided.
     """
 
     def __init__(
@@ -43,11 +52,18 @@
         admission: controller.Controller,
         document: Callable[[], schema.Document],
         threads: int,
+        live_nodes: Callable[[], int] = lambda: 1,
+        peer_small_demand: PeerDemand = dict,
     ) -> None:
         self._workers = workers
         self._admission = admission
         self._document = document
         self._threads = threads
+        self._live_nodes = live_nodes
+        self._peer_small_demand = peer_small_demand
+        self._small_demand_by_service: dict[ids.ServiceName, float] = {}
+        self._smoothed_at = time.monotonic()
+        self._usage_by_account: dict[ids.AccountId, limits.Usage] = {}
         self._lock = threading.Lock()
         self._open_by_rank: collections.Counter[types.Rank] = (
             collections.Counter()
@@ -88,16 +104,42 @@
         service: ids.ServiceName,
         expected_tokens: float,
         deadline: float,
+        prompt_tokens: float = 0.0,
+        limited: bool = True,
     ) -> 'futures.Future[SlotResult]':
-        """Ask for a slot; as `Controller.submit`."""
+        """Ask for a slot; as `Controller.submit`.
+
+        Parameters
+        ----------
+        prompt_tokens : float
+            Counted for the account's limit only.
+        limited : bool
+            False for an order that was accepted before: it may wait, but
+            no limit may refuse it.
+        """
+        refusal = self._take_usage(
+            account, expected_tokens, prompt_tokens, limited
+        )
+        if refusal is not None:
+            refused: futures.Future[SlotResult] = futures.Future()
+            refused.set_result(result.Failure(refusal))
+            return refused
         self._workers.count_first_attempt(service)
-        return self._admission.submit(
+        submitted = self._admission.submit(
             rank, account, service, expected_tokens, deadline
         )
+        submitted.add_done_callback(
+            lambda done: self._end_refused(account, done)
+        )
+        return submitted
 
     def withdraw(self, future: 'futures.Future[SlotResult]') -> None:
         """Give up a submission, and its slot where it was granted."""
-        self._admission.withdraw(future)
+        future.add_done_callback(self._release_unused)
+
+    def max_body_bytes(self) -> int:
+        """Largest request body that the rules allow."""
+        return self._document().rules.admission.max_body_bytes
 
     def expected_tokens(
         self,
@@ -118,14 +160,18 @@
         completed: bool = True,
     ) -> None:
         """Return a slot; as `Controller.release`."""
-        self._admission.release(slot, used_tokens, completed)
+        if self._admission.release(slot, used_tokens, completed):
+            self._count_end(slot.entry.account)
         self.refresh(slot.service)
 
     def refresh(self, service: ids.ServiceName) -> None:
-        """Set the capacity of a service from its workers' state."""
-        self._admission.set_capacity(
-            service, self._workers.usable_slots(service)
-        )
+        """Set the capacity of a service from its workers' state.
+
+        With quiet workers the controller grants one slot at a time, so that
+        this is called after each dispatch too.
+        """
+        usable = self._workers.usable_slots(service)
+        self._admission.set_capacity(service, usable.slots, usable.quiet_free)
 
     def demand(self) -> tuple[tuple[ids.ServiceName, float], ...]:
         """Slots of each service that this node could use now."""
@@ -134,6 +180,11 @@
             for service in self._services()
         )
 
+    def small_demand(self) -> tuple[tuple[ids.ServiceName, float], ...]:
+        """Smoothed slots of small accounts, to report with heartbeats."""
+        with self._lock:
+            return tuple(self._small_demand_by_service.items())
+
     def snapshots(self) -> dict[ids.ServiceName, controller.Snapshot]:
         """Figures by service, for metrics and status."""
         return {
@@ -152,11 +203,88 @@
             ids.ServiceName(name) for name in self._document().services_by_name
         )
 
+    def _take_usage(
+        self,
+        account: ids.AccountId,
+        expected_tokens: float,
+        prompt_tokens: float,
+        limited: bool,
+    ) -> errors.Failure | None:
+        document = self._document()
+        if limited:
+            full = limits.queue_refusal(
+                document.rules.admission,
+                *self._admission.queued(),
+                expected_tokens,
+            )
+            if full is not None:
+                return full
+        nodes = max(1, self._live_nodes())
+        with self._lock:
+            usage = self._usage_by_account.get(account, limits.Usage())
+            account_limits = document.limits_by_account.get(account)
+            if not limited or account_limits is None:
+                taken: limits.Usage | errors.Failure = dataclasses.replace(
+                    usage, open_requests=usage.open_requests + 1
+                )
+            else:
+                taken = limits.take(
+                    usage,
+                    account_limits,
+                    nodes,
+                    expected_tokens + prompt_tokens,
+                    time.monotonic(),
+                )
+            if isinstance(taken, errors.Failure):
+                return taken
+            self._usage_by_account[account] = taken
+            return None
+
+    def _count_end(self, account: ids.AccountId) -> None:
+        with self._lock:
+            self._usage_by_account[account] = limits.ended(
+                self._usage_by_account.get(account, limits.Usage())
+            )
+
+    def _end_refused(
+        self, account: ids.AccountId, done: 'futures.Future[SlotResult]'
+    ) -> None:
+        if isinstance(done.result(), result.Failure):
+            self._count_end(account)
+
+    def _release_unused(self, done: 'futures.Future[SlotResult]') -> None:
+        match done.result():
+            case result.Success(slot):
+                self.release(slot, 0.0, completed=False)
+
     def _refresh_loop(self) -> None:
         while not self._stop.wait(REFRESH_INTERVAL_S):
+            self._smooth_small_demand()
+            self._set_quiet()
             for service in self._services():
                 self.refresh(service)
 
+    def _smooth_small_demand(self) -> None:
+        now = time.monotonic()
+        if now - self._smoothed_at < SMOOTHING_INTERVAL_S:
+            return
+        self._smoothed_at = now
+        smoothed = {
+            service: isolation.smoothed_demand(
+                self._small_demand_by_service.get(service, 0.0),
+                self._admission.snapshot(service).small_demand,
+            )
+            for service in self._services()
+        }
+        with self._lock:
+            self._small_demand_by_service = smoothed
+
+    def _set_quiet(self) -> None:
+        told = self._peer_small_demand()
+        part = self._document().rules.quiet_part
+        for service, own in self.small_demand():
+            self._workers.set_quiet(service, own + told.get(service, 0), part)
+
 
 def _too_many_open(rank: types.Rank) -> errors.Failure:
     return errors.Failure(
--- a/hornbeamrudder/entry/node.py
+++ b/hornbeamrudder/entry/node.py
@@ -82,18 +82,23 @@
         self._client = http.HttpClient('backends')
         self._platform = http.HttpClient('platform')
         self._table = table.TableClient(self._platform, str(settings.table))
+        self._admission = controller.Controller()
         self._make_backends()
         self._configuration_service = self._make_configuration_service()
         self.configuration = configured.NodeConfiguration(
             self._configuration_service, self._on_document
         )
-        self._admission = controller.Controller()
         self.gate = gates.Gate(
             self.pool,
             self._admission,
             self.configuration.document,
             settings.limits.threads,
+            lambda: len(self.live_nodes()),
+            lambda: peer_view.small_demand(
+                self.view(), configuration_service.boot_clock()
+            ),
         )
+        self.pool.on_dispatch(self.gate.refresh)
         self.answers = answers_service.AnswerService(
             self._client, self.pool, settings.limits.kept_answer_s
         )
@@ -189,6 +194,7 @@
             self.watcher,
             self._demand_by_node,
             random.Random(self._incarnation),
+            self._admission.small_accounts,
         )
         self._cache_watcher = cache_watch.CacheWatcher(
             self._platform, self.pool
@@ -311,6 +317,10 @@
                 for account in document.accounts_by_id.values()
             }
         )
+        floors = document.rules.floors
+        self._admission.set_floors(
+            tuple(floors.share_of(rank) for rank in types.Rank)
+        )
         log.info(
             'document in use',
             workers=len(workers),
@@ -402,6 +412,7 @@
         self._configuration_service.report(
             self.gate.demand(),
             map(_leaving_message, self.watcher.leaving_hosts()),
+            self.gate.small_demand(),
         )
 
     def _staying_peers(self) -> tuple[ids.NodeId, ...]:
--- a/hornbeamrudder/entry/pool.py
+++ b/hornbeamrudder/entry/pool.py
@@ -1,5 +1,6 @@
 """Chooses workers for requests and counts the work sent to each."""
 
+import dataclasses
 import random
 import threading
 import time
@@ -7,6 +8,7 @@
 
 from returns import result
 
+from ..admission import isolation
 from ..answers import generation
 from ..backends import load as backend_load
 from ..backends import snapshot
@@ -25,6 +27,26 @@
 
 # Slots that each live node, this one included, could use of a service.
 DemandFunction = Callable[[ids.ServiceName], Mapping[ids.NodeId, float]]
+# Accounts that may use quiet workers of a service; None without contention.
+SmallAccounts = Callable[[ids.ServiceName], frozenset[ids.AccountId] | None]
+Dispatched = Callable[[ids.ServiceName], None]
+AVAILABLE_STATES = (types.HostState.LIVE, types.HostState.SUSPECT)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsableSlots:
+    """Slots that this node may use, and the free ones at quiet workers."""
+
+    slots: int
+    quiet_free: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Client:
+    """Account and rank for which a worker is chosen."""
+
+    account: ids.AccountId
+    rank: types.Rank
 
 
 class NodeWorkerPool:
@@ -36,11 +58,17 @@
         watcher: watch.Watcher,
         demand: DemandFunction,
         rng: random.Random,
+        small_accounts: SmallAccounts = lambda service: None,
     ) -> None:
         self._node_id = node_id
         self._watcher = watcher
         self._demand = demand
         self._rng = rng
+        self._small_accounts = small_accounts
+        self._quiet_by_service: dict[
+            ids.ServiceName, frozenset[ids.WorkerId]
+        ] = {}
+        self._on_dispatch: Dispatched = lambda service: None
         self._lock = threading.Lock()
         self._rings_by_service: dict[ids.ServiceName, prefix.Ring] = {}
         self._caches_by_worker: dict[ids.WorkerId, prefix.CacheView] = {}
@@ -67,6 +95,41 @@
                 if worker in known
             }
 
+    def on_dispatch(self, callback: Callable[[ids.ServiceName], None]) -> None:
+        """Call back after each dispatch while a service has quiet workers."""
+        self._on_dispatch = callback
+
+    def set_quiet(
+        self, service: ids.ServiceName, small_demand: float, part: float
+    ) -> None:
+        """Choose the quiet workers of a service.
+
+        Parameters
+        ----------
+        small_demand : float
+            Demand of small accounts on all live nodes, in slots.
+        part : float
+            Largest part of the workers, from the rules.
+        """
+        now = time.monotonic()
+        seen = self._watcher.snapshot()
+        live = [
+            worker.id
+            for worker in seen.workers_by_id.values()
+            if worker.service == service
+            and seen.state_of(worker.id, now) in AVAILABLE_STATES
+        ]
+        count = isolation.quiet_count(small_demand, len(live), part)
+        with self._lock:
+            self._quiet_by_service[service] = routing.quiet_workers(
+                service, live, count
+            )
+
+    def quiet(self, service: ids.ServiceName) -> frozenset[ids.WorkerId]:
+        """Quiet workers of a service."""
+        with self._lock:
+            return self._quiet_by_service.get(service, frozenset())
+
     def take_cache_events(
         self, worker: ids.WorkerId, events: Iterable[prefix.CacheEvent]
     ) -> None:
@@ -81,10 +144,27 @@
             view = self._caches_by_worker.get(worker)
             return 0 if view is None else view.last_sequence
 
-    def usable_slots(self, service: ids.ServiceName) -> int:
+    def usable_slots(self, service: ids.ServiceName) -> UsableSlots:
         """Slots of a service that this node may use now."""
         now = time.monotonic()
-        return routing.usable_slots(self._loads(service, now).values(), now)
+        loads = self._loads(service, now)
+        return UsableSlots(
+            routing.usable_slots(loads.values(), now),
+            routing.free_slots(loads, self.quiet(service) & loads.keys(), now),
+        )
+
+    def has_room(self, service: ids.ServiceName, client: Client) -> bool:
+        """Whether `choose_for` would find a worker for a first attempt."""
+        now = time.monotonic()
+        loads, excluded = self._open_to(
+            service, client, self._loads(service, now), frozenset(), now
+        )
+        return any(
+            load.in_flight < load.share
+            and load.state is types.HostState.LIVE
+            and worker not in excluded
+            for worker, load in loads.items()
+        )
 
     def choose(
         self,
@@ -99,6 +179,7 @@
             request.expected_tokens,
             excluded,
             blocks,
+            Client(request.account, request.rank),
         )
 
     def choose_for(
@@ -108,6 +189,7 @@
         expected_tokens: float,
         excluded: frozenset[ids.WorkerId],
         blocks: tuple[int, ...] = (),
+        client: Client | None = None,
     ) -> result.Result[types.Worker, errors.Failure]:
         """Choose a worker of a service.
 
@@ -115,13 +197,20 @@
         ----------
         blocks : tuple of int
             Hashes of the prompt's blocks, empty for calls without prompt.
+        client : Client or None
+            None for a request to which all workers are open.
         """
         now = time.monotonic()
         key = prefix.ring_key(blocks)
+        loads = self._loads(service, now)
+        if client is not None:
+            loads, excluded = self._open_to(
+                service, client, loads, excluded, now
+            )
         with self._lock:
             ring = self._rings_by_service.get(service, prefix.Ring())
             chosen = routing.choose(
-                self._loads(service, now),
+                loads,
                 prefix.ring_order(ring, key) if key else (),
                 {
                     worker: prefix.cached_blocks(view, blocks)
@@ -136,6 +225,9 @@
             if chosen is None:
                 return result.Failure(_no_worker(service))
             self._watcher.request_started(chosen, request, expected_tokens)
+            has_quiet = bool(self._quiet_by_service.get(service))
+        if has_quiet:
+            self._on_dispatch(service)
         return result.Success(self._watcher.snapshot().workers_by_id[chosen])
 
     def claim(
@@ -208,6 +300,36 @@
             for worker, load in self._loads(service, now).items()
         )
 
+    def _open_to(
+        self,
+        service: ids.ServiceName,
+        client: Client,
+        loads: dict[ids.WorkerId, routing.WorkerLoad],
+        excluded: frozenset[ids.WorkerId],
+        now: float,
+    ) -> tuple[
+        dict[ids.WorkerId, routing.WorkerLoad], frozenset[ids.WorkerId]
+    ]:
+        quiet = self.quiet(service) & loads.keys()
+        small = self._small_accounts(service) if quiet else None
+        if small is None:
+            return loads, excluded
+        allowed, closed = routing.open_to(
+            loads,
+            quiet,
+            isolation.may_use_quiet(client.account, client.rank, small),
+            client.account in small,
+            excluded,
+            now,
+        )
+        # `choose` lets a retry, known by its excluded workers, exceed the
+        # shares; closed workers must not make a retry of a first attempt.
+        return {
+            worker: load
+            for worker, load in allowed.items()
+            if worker in excluded or worker not in closed
+        }, excluded
+
     def _budget(self, service: ids.ServiceName) -> budgets.Budget:
         return self._budgets_by_service.get(
             service, budgets.Budget(saved=FIRST_RETRIES)
--- a/hornbeamrudder/entry/service_calls.py
+++ b/hornbeamrudder/entry/service_calls.py
@@ -3,7 +3,9 @@
 from concurrent import futures
 import dataclasses
 import random
+import threading
 import time
+from typing import Callable
 
 from returns import result
 import werkzeug
@@ -27,6 +29,8 @@
 # Work of one call in the units of admission, which are tokens for engines.
 CALL_TOKENS = 1.0
 ANSWER_GRACE_S = 2.0
+# Pause between two looks for a worker with room.
+WORKER_PAUSE_S = 0.05
 # Longest wait for the answer to an order; after it the outcome is unknown.
 ORDER_TIMEOUT_S = 30.0
 PASSED_RESPONSE_HEADERS = (
@@ -75,6 +79,8 @@
         self, request: record.StoredRequest, holder: record.Holder
     ) -> order_messages.SendResult:
         """Send to one worker; a failure tells whether it may have run."""
+        # The record is `dispatching`, so that there is no time to wait here;
+        # capacity was granted when a worker had room.
         chosen = self._workers.choose_for(
             request.service, request.request_id, CALL_TOKENS, frozenset()
         )
@@ -177,11 +183,12 @@
             order.request.service,
             CALL_TOKENS,
             time.monotonic() + order.deadline_wall - time.time(),
+            limited=False,
         )
         # The slot is only a permission to start; recovery is rare, so that
         # it is given back at once.
         self._gate.withdraw(submitted)
-        return _capacity(submitted)
+        return _capacity(submitted, lambda: True, 0.0)
 
     def _call_once(
         self,
@@ -206,7 +213,14 @@
                 self._incarnation,
             ),
             timeout_s,
-            _capacity(submitted),
+            _capacity(
+                submitted,
+                lambda: self._workers.has_room(
+                    incoming.service,
+                    pool.Client(incoming.account, incoming.rank),
+                ),
+                incoming.deadline,
+            ),
         )
         try:
             return replied.result(timeout_s + ANSWER_GRACE_S).answer
@@ -240,12 +254,7 @@
         try:
             tried: tuple[ids.WorkerId, ...] = ()
             while True:
-                chosen = self._workers.choose_for(
-                    incoming.service,
-                    incoming.request_id,
-                    CALL_TOKENS,
-                    frozenset(tried),
-                )
+                chosen = self._choose(incoming, frozenset(tried))
                 if isinstance(chosen, result.Failure):
                     return result.Failure(chosen.failure())
                 worker = chosen.unwrap()
@@ -261,6 +270,23 @@
         finally:
             self._gate.release(slot, CALL_TOKENS)
 
+    def _choose(
+        self, incoming: IncomingCall, tried: frozenset[ids.WorkerId]
+    ) -> result.Result[types.Worker, errors.Failure]:
+        """Choose a worker, and wait for one within the deadline."""
+        while True:
+            chosen = self._workers.choose_for(
+                incoming.service,
+                incoming.request_id,
+                CALL_TOKENS,
+                tried,
+                client=pool.Client(incoming.account, incoming.rank),
+            )
+            left_s = gates.remaining_s(incoming.deadline)
+            if isinstance(chosen, result.Success) or left_s == 0:
+                return chosen
+            time.sleep(min(WORKER_PAUSE_S, left_s))
+
     def _failure_to_tell(
         self,
         incoming: IncomingCall,
@@ -310,11 +336,26 @@
 
 def _capacity(
     submitted: 'futures.Future[gates.SlotResult]',
+    has_room: Callable[[], bool],
+    deadline: float,
 ) -> execute.CapacityFuture:
+    """Capacity for an order, once it has a slot and a worker has room.
+
+    An order whose record is `dispatching` has no time to wait for a worker.
+    At the deadline the capacity is granted in any case; without a worker
+    the order then becomes `not_run`.
+    """
     capacity: execute.CapacityFuture = futures.Future()
 
     def settle(done: 'futures.Future[gates.SlotResult]') -> None:
-        capacity.set_result(done.result().map(lambda slot: None))
+        granted = done.result()
+        waits = isinstance(granted, result.Success) and not has_room()
+        if waits and time.monotonic() < deadline - WORKER_PAUSE_S:
+            timer = threading.Timer(WORKER_PAUSE_S, settle, (done,))
+            timer.daemon = True
+            timer.start()
+            return
+        capacity.set_result(granted.map(lambda slot: None))
 
     submitted.add_done_callback(settle)
     return capacity
--- a/hornbeamrudder/inventory/cross_checks.py
+++ b/hornbeamrudder/inventory/cross_checks.py
@@ -20,12 +20,12 @@
 
 
 def find(value: Any) -> tuple[problems.Finding, ...]:
-    """Find duplicates, unknown references and floors over 1."""
+    """Find duplicates, unknown references, floors over 1, no quiet worker."""
     if not isinstance(value, dict):
         return ()
     return tuple(
         finding
-        for check in (_duplicates, _unknown_references, _floors)
+        for check in (_duplicates, _unknown_references, _floors, _quiet)
         for finding in check(value)
     )
 
@@ -179,3 +179,20 @@
         yield problems.Finding(
             ('rules', 'floors'), f'floors add up to {total:.4g}, more than 1'
         )
+
+
+def _quiet(value: dict[str, Any]) -> Iterator[problems.Finding]:
+    """Find a part too small for one quiet worker in every service."""
+    rules = value.get('rules')
+    part = rules.get('quiet_part') if isinstance(rules, dict) else None
+    if isinstance(part, bool) or not isinstance(part, (int, float)):
+        return
+    counts = collections.Counter(
+        service for _, service in _keyed(_workers(value), 'service')
+    )
+    most = max(counts.values(), default=0)
+    if most and 0 < part * most < 1:
+        yield problems.Finding(
+            ('rules', 'quiet_part'),
+            f'keeps no worker quiet: the largest service has {most} workers',
+        )
--- a/hornbeamrudder/inventory/schema.py
+++ b/hornbeamrudder/inventory/schema.py
@@ -63,6 +63,7 @@
 IpNumber = Annotated[str, pydantic.AfterValidator(_check_ip)]
 Positive = Annotated[float, pydantic.Field(gt=0, le=1e12)]
 Share = Annotated[float, pydantic.Field(ge=0, le=1)]
+QuietPart = Annotated[float, pydantic.Field(ge=0, lt=1)]
 Count = Annotated[int, pydantic.Field(ge=1, le=10**12)]
 Deadline = Annotated[float, pydantic.Field(gt=0, le=MAX_DEADLINE_S)]
 
@@ -196,7 +197,15 @@
 
 
 class Rules(Entry):
-    """Rules that operators add on top of the inventory."""
+    """Rules that operators add on top of the inventory.
+
+    Attributes
+    ----------
+    quiet_part : float
+        Largest part of the workers of a service that is closed to standard
+        and batch requests of large accounts while demand exceeds the slots;
+        0 switches it off. Below 1, so that these requests keep a worker.
+    """
 
     ranks: tuple[RankRule, ...] = ()
     default_rank: Rank = types.Rank.STANDARD
@@ -205,6 +214,7 @@
     account_weights: tuple[AccountWeight, ...] = ()
     non_idempotent: tuple[NonIdempotent, ...] = ()
     admission: AdmissionLimits = AdmissionLimits()
+    quiet_part: QuietPart = 0.0
     order_retention_s: Annotated[
         float, pydantic.Field(ge=60, le=30 * 24 * 3600)
     ] = DEFAULT_ORDER_RETENTION_S
@@ -257,6 +267,14 @@
             for account in self.accounts
         }
 
+    @functools.cached_property
+    def limits_by_account(self) -> Mapping[ids.AccountId, AccountLimits]:
+        """Limits of all accounts."""
+        return {
+            ids.AccountId(account.id): account.limits
+            for account in self.accounts
+        }
+
     @functools.cached_property
     def accounts_by_token_digest(self) -> Mapping[str, types.Account]:
         """The accounts of `accounts_by_id` by their token digest."""
--- a/hornbeamrudder/peers/messages.py
+++ b/hornbeamrudder/peers/messages.py
@@ -76,6 +76,9 @@
         The sender has stopped admitting; its version stays as it is.
     wants_answer : bool
         Asks the receiver to send its heartbeat at once.
+    small_demand : tuple of (ServiceName, float)
+        Smoothed demand of small accounts in slots, for the number of quiet
+        workers.
     """
 
     sent_at: float
@@ -89,6 +92,7 @@
     members: tuple[ids.NodeId, ...] = ()
     demand: tuple[tuple[ids.ServiceName, float], ...] = ()
     leaving: tuple[Leaving, ...] = ()
+    small_demand: tuple[tuple[ids.ServiceName, float], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamrudder/peers/view.py
+++ b/hornbeamrudder/peers/view.py
@@ -85,6 +85,16 @@
     return dict(demand)
 
 
+def small_demand(view: View, now: float) -> dict[ids.ServiceName, float]:
+    """Demand of small accounts that live peers report, summed by service."""
+    total: dict[ids.ServiceName, float] = collections.defaultdict(float)
+    for node in alive(view, now):
+        reported = view.peers_by_node[node].heartbeat.small_demand
+        for service, amount in reported:
+            total[service] += amount
+    return dict(total)
+
+
 def leaving_hosts(view: View, now: float) -> frozenset[ids.HostId]:
     """Hosts that a peer has reported as leaving."""
     return frozenset(
--- a/hornbeamrudder/retries/decide.py
+++ b/hornbeamrudder/retries/decide.py
@@ -46,6 +46,16 @@
     failure: errors.Failure
 
 
+def needs_budget(tokens_received: int) -> bool:
+    """Whether another attempt for an answer comes out of the budget.
+
+    The resumption of an answer that has begun does not: the caller has read
+    a part of it, and each answer resumes at most once for each worker that
+    it loses. The repetition of an attempt without a token does.
+    """
+    return tokens_received == 0
+
+
 def decide(
     attempt: FailedAttempt,
     now: float,
--- /dev/null
+++ b/hornbeamrudder/routing/features/steps/node_pool_steps.py
@@ -0,0 +1,123 @@
+"""Steps for quiet workers on a node."""
+
+import random
+import types as python_types
+
+import behave
+import msgpack
+from returns import result
+
+from hornbeamrudder.backends import load as backend_load
+from hornbeamrudder.core import types
+from hornbeamrudder.entry import pool
+from hornbeamrudder.peers import codec
+from hornbeamrudder.peers import messages
+from hornbeamrudder.peers import view
+
+SERVICE = 'quill-llm'
+
+
+class Watcher:
+    """Live workers and the work that was sent to them."""
+
+    def __init__(self, count, slots):
+        self._workers = {
+            f'w{number}': types.Worker(
+                f'w{number}', SERVICE, 'h', 'dc',
+                types.Address('127.0.0.1', number), slots,
+            )
+            for number in range(count)
+        }  # fmt: skip
+        self._loads = dict.fromkeys(self._workers, backend_load.WorkerLoad())
+
+    def snapshot(self):
+        return python_types.SimpleNamespace(
+            workers_by_id=self._workers,
+            loads_by_worker=self._loads,
+            state_of=lambda worker, now: types.HostState.LIVE,
+        )
+
+    def request_started(self, worker, request, tokens):
+        self._loads[worker] = backend_load.started(
+            self._loads[worker], request, tokens, 0.0
+        )
+
+
+@behave.given(
+    'a node with {count:d} workers of {slots:d} slots and a quiet part of'
+    ' {part:g}'
+)
+def make_pool(context, count, slots, part):
+    context.small = None
+    context.dispatched = []
+    context.pool = pool.NodeWorkerPool(
+        'n1',
+        Watcher(count, slots),
+        lambda service: {'n1': 8.0},
+        random.Random(1),
+        lambda service: context.small,
+    )
+    context.pool.on_dispatch(context.dispatched.append)
+    context.pool.set_quiet(SERVICE, 2.0, part)
+
+
+@behave.given('account "{small}" is small while "{large}" wants all slots')
+def set_small(context, small, large):
+    context.small = frozenset({small})
+
+
+def send(context, account, rank, name):
+    client = pool.Client(account, rank)
+    room = context.pool.has_room(SERVICE, client)
+    chosen = context.pool.choose_for(
+        SERVICE, name, 10.0, frozenset(), client=client
+    )
+    assert isinstance(chosen, result.Success) is room
+    return room
+
+
+@behave.when('"{account}" sends {count:d} standard requests')
+def send_many(context, account, count):
+    context.placed = sum(
+        send(context, account, types.Rank.STANDARD, f'r{number}')
+        for number in range(count)
+    )
+
+
+@behave.then(
+    '{placed:d} of them find a worker and {free:d} quiet slots are free'
+)
+def check_placed(context, placed, free):
+    assert context.placed == placed, context.placed
+    assert context.pool.usable_slots(SERVICE).quiet_free == free
+    quiet = bool(context.pool.quiet(SERVICE))
+    assert len(context.dispatched) == (placed if quiet else 0)
+
+
+@behave.then('"{small}" and an urgent request of "{large}" {found}')
+def check_small(context, small, large, found):
+    finds = found == 'find a worker'
+    assert send(context, small, types.Rank.STANDARD, 's') is finds
+    assert send(context, large, types.Rank.URGENT, 'u') is finds
+
+
+@behave.then('a heartbeat without its last field is read with no small demand')
+def check_old_heartbeat(context):
+    beat = messages.Heartbeat(1.0, 1, 1.0, 1, small_demand=((SERVICE, 2.0),))
+    body = codec.encode(messages.Envelope('n2', 1, beat)).unwrap()
+    assert codec.decode(body).unwrap().message == beat
+    raw = msgpack.unpackb(body)
+    raw[5] = raw[5][:-1]
+    old = codec.decode(msgpack.packb(raw)).unwrap().message
+    assert old.small_demand == ()
+
+
+@behave.then('the small demand of a silent peer is left out of the sum')
+def check_sum(context):
+    seen = view.View()
+    for name, now in (('n2', 10.0), ('n3', 10.0), ('n4', 1.0)):
+        beat = messages.Heartbeat(
+            now, 1, 1.0, 1, small_demand=((SERVICE, 2.0),)
+        )
+        seen = view.hear(seen, name, 1, beat, now)
+    assert view.small_demand(seen, 11.0) == {SERVICE: 4.0}
