Add the flood command for measurements with real processes

Cause: the policy was measured in virtual time only.

Change: hornbeamrudder flood runs 7 nodes, 9 engines and 4 services with and without a batch flood, an urgent flood, a large caller or an unannounced loss of 4 engines, and reports by rank and account.

--- /dev/null
+++ b/hornbeamrudder/bench/flood.py
@@ -0,0 +1,277 @@
+"""Measures the policy with real nodes and stand-ins during floods.
+
+Each run starts a deployment of processes on loopback, offers one load from
+one asynchronous client that does not try again, and reads the nodes' counters
+at the end.
+"""
+
+import argparse
+import os
+import pathlib
+import signal
+import tempfile
+import threading
+import time
+from typing import Any, Mapping
+
+import orjson
+from returns import result
+
+from . import balancer
+from ..core import errors
+from ..core import types
+from . import deployment
+from . import flood_load
+from . import flood_report
+from . import local
+from ..platform import http
+
+MODEL_SERVICE = 'modele-atelier'
+MODEL = 'assistant'
+PLAIN_SERVICE = 'app-comptoir'
+# Time for the answers that are still expected after the last arrival.
+DRAIN_S = 22.0
+TOKENS_BY_ACCOUNT = {
+    account: f'token-{account}'
+    for account in (
+        'fitters', 'front-desk', 'planning', 'shop-a', 'shop-b', 'chain'
+    )
+}  # fmt: skip
+
+
+def add_parser(commands: Any) -> None:
+    """Add the command to the parser of the command line."""
+    parser = commands.add_parser(
+        'flood', help='measure floods with real processes'
+    )
+    parser.add_argument('--seeds', type=int, default=1)
+    parser.add_argument('--first-seed', type=int, default=1)
+    parser.add_argument('--out', default='results/flood', metavar='FOLDER')
+    parser.add_argument(
+        '--scenario',
+        action='append',
+        choices=sorted(flood_load.SCENARIOS),
+        help='only this one; may be given more than once',
+    )
+    parser.set_defaults(run=main)
+
+
+def main(arguments: argparse.Namespace) -> int:
+    """Run the scenarios with and without their disturbance."""
+    folder = pathlib.Path(arguments.out)
+    folder.mkdir(parents=True, exist_ok=True)
+    for name in arguments.scenario or flood_load.SCENARIOS:
+        scenario = flood_load.SCENARIOS[name]
+        runs = []
+        for number in range(arguments.seeds):
+            seed = arguments.first_seed + number
+            for kind, load in (
+                ('reference', scenario.reference()),
+                ('flood', scenario),
+            ):
+                measured = measure(load, seed)
+                runs.append({'kind': kind, 'seed': seed} | measured)
+        path = folder / f'{name}.json'
+        path.write_bytes(orjson.dumps(runs, option=orjson.OPT_INDENT_2))
+        print(flood_report.table(name, runs), flush=True)
+    return 0
+
+
+def measure(scenario: flood_load.Scenario, seed: int) -> dict[str, Any]:
+    """Run one load on a deployment of its own and return its figures."""
+    load_before = os.getloadavg()[0]
+    client = http.HttpClient('flood')
+    folder = tempfile.mkdtemp(prefix='hornbeamrudder-flood-')
+    try:
+        with local.local_processes(pathlib.Path(folder)) as processes:
+            running = deployment.Deployment(_plan(scenario), processes, client)
+            running.start()
+            started = time.monotonic()
+            records = _offer(running, scenario, seed)
+            counters = _counters(running)
+            doubled = [
+                key
+                for key, count in running.runs_by_key().items()
+                if count > 1
+            ]
+    finally:
+        client.close()
+    return {
+        'load_average': [load_before, os.getloadavg()[0]],
+        'seconds': time.monotonic() - started,
+        'groups': flood_report.groups(records),
+        'nodes': counters,
+        'doubled_orders': len(doubled),
+        'logs': folder,
+    }
+
+
+def _plan(scenario: flood_load.Scenario) -> deployment.Plan:
+    ranks = {
+        'fitters': types.Rank.URGENT,
+        'planning': types.Rank.BATCH,
+    }
+    return deployment.Plan(
+        region='capitale-qc',
+        data_centres=('levis-est', 'beauport-n', 'foy-centre', 'bourg-ouest'),
+        nodes=7,
+        model_service=MODEL_SERVICE,
+        model=MODEL,
+        engines=flood_load.ENGINES,
+        plain_service=PLAIN_SERVICE,
+        services=4,
+        tokens_by_account=TOKENS_BY_ACCOUNT,
+        rules={
+            'ranks': [
+                {
+                    'account': account,
+                    'rank': rank.name.lower(),
+                    'deadline_s': flood_load.DEADLINE_S_BY_RANK[rank],
+                }
+                for account in TOKENS_BY_ACCOUNT
+                for rank in (ranks.get(account, types.Rank.STANDARD),)
+            ],
+            'non_idempotent': [
+                {
+                    'service': PLAIN_SERVICE,
+                    'method': 'POST',
+                    'path_prefix': '/visits',
+                }
+            ],
+            'quiet_part': scenario.quiet_part,
+        },
+        engine={
+            'step_s': flood_load.STEP_S,
+            'step_per_sequence_s': flood_load.STEP_PER_SEQUENCE_S,
+        },
+    )
+
+
+class _Recorder:
+    """Collects the ends of calls from the thread of the client."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Condition()
+        self._records: list[flood_report.Record] = []
+        self._open = 0
+
+    def start(
+        self, client: http.HttpClient, request: http.HttpRequest,
+        stream: flood_load.Stream,
+    ) -> None:  # fmt: skip
+        """Start a call and record its end."""
+        sent_at = time.monotonic()
+        with self._lock:
+            self._open += 1
+
+        def end(answer: http.HttpResult) -> None:
+            record = flood_report.Record(
+                stream.account,
+                stream.rank,
+                stream.tokens,
+                time.monotonic() - sent_at,
+                *_end(answer),
+            )
+            with self._lock:
+                self._records.append(record)
+                self._open -= 1
+                self._lock.notify()
+
+        client.start(request).future.add_done_callback(
+            lambda future: end(future.result())
+        )
+
+    def wait(self, timeout_s: float) -> list[flood_report.Record]:
+        """Wait for the open calls and return all records."""
+        with self._lock:
+            self._lock.wait_for(lambda: self._open == 0, timeout_s)
+            return list(self._records)
+
+
+def _offer(
+    running: deployment.Deployment, scenario: flood_load.Scenario, seed: int
+) -> list[flood_report.Record]:
+    addresses = balancer.AddressList(
+        running.client, running.node_addresses(), seed
+    )
+    recorder = _Recorder()
+    started_at = time.monotonic()
+    wave_due = scenario.wave
+    for arrival in flood_load.arrivals(scenario.streams, seed):
+        if wave_due and arrival.at >= flood_load.WAVE_AT_S:
+            wave_due = False
+            for name in running.engine_names[: flood_load.WAVE_ENGINES]:
+                running.processes.by_name[name].send(signal.SIGKILL)
+        time.sleep(max(0.0, started_at + arrival.at - time.monotonic()))
+        recorder.start(
+            running.client, _request(arrival, addresses.pick()), arrival.stream
+        )
+    records = recorder.wait(DRAIN_S)
+    addresses.close()
+    return records
+
+
+def _request(
+    arrival: flood_load.Arrival, address: types.Address
+) -> http.HttpRequest:
+    stream = arrival.stream
+    token = TOKENS_BY_ACCOUNT[stream.account]
+    key = f'{stream.account}-{arrival.number}'
+    headers: tuple[tuple[str, str], ...] = (
+        ('Authorization', f'Bearer {token}'),
+        ('Content-Type', 'application/json'),
+    )
+    path = '/v1/chat/completions'
+    body: Mapping[str, Any] = {
+        'model': MODEL,
+        'max_tokens': stream.tokens,
+        'messages': [{'role': 'user', 'content': key}],
+    }
+    if not stream.tokens:
+        path = f'/v1/services/{PLAIN_SERVICE}/visits'
+        headers += (('Idempotency-Key', key),)
+        body = {}
+    return http.HttpRequest(
+        method='POST',
+        peer=str(address),
+        path=path,
+        step=errors.Step.READ_ANSWER,
+        headers=headers,
+        body=orjson.dumps(body),
+        connect_timeout_s=5.0,
+        first_byte_timeout_s=DRAIN_S,
+        total_timeout_s=DRAIN_S,
+    )
+
+
+def _end(answer: http.HttpResult) -> tuple[str, str]:
+    match answer:
+        case result.Success(response) if response.status < 300:
+            return flood_report.ANSWERED, ''
+        case result.Success(response):
+            try:
+                told = orjson.loads(response.body)
+                detail = f'{told["step"]}: {told["detail"]}'
+                return str(told['outcome']), detail[:100]
+            except (orjson.JSONDecodeError, KeyError, TypeError):
+                return 'failed', f'status {response.status}'
+        case result.Failure(failure):
+            return 'lost', str(failure)[:100]
+    raise AssertionError(answer)
+
+
+def _counters(running: deployment.Deployment) -> dict[str, float]:
+    """Sums of the model service's counters over all nodes."""
+    pages = []
+    for address in running.node_addresses():
+        answer = running.client.call(
+            http.HttpRequest(
+                method='GET',
+                peer=str(address),
+                path='/metrics',
+                step=errors.Step.PEER_EXCHANGE,
+            )
+        )
+        if isinstance(answer, result.Success):
+            pages.append(answer.unwrap().body.decode())
+    return flood_report.sum_counters(pages, MODEL_SERVICE)
--- a/hornbeamrudder/cli.py
+++ b/hornbeamrudder/cli.py
@@ -10,6 +10,7 @@
 
 from .bench import demo
 from .bench import experiment
+from .bench import flood
 from .entry import daemon
 from .inventory import problems
 from .operators import commands as commands_of_operators
@@ -93,6 +94,7 @@
         '--folder', help='folder for settings and logs of the processes'
     )
     demo_command.set_defaults(run=demo.main)
+    flood.add_parser(commands)
     commands.add_parser('bench', help='measure the policy in virtual time')
     return parser
 
