--- a/hornbeamrudder/cli.py
+++ b/hornbeamrudder/cli.py
@@ -11,6 +11,7 @@
 from .bench import capacity
 from .bench import demo
 from .bench import experiment
+from .bench import flood
 from .entry import daemon
 from .inventory import problems
 from .operators import commands as commands_of_operators
@@ -96,6 +97,7 @@
         '--folder', help='folder for settings and logs of the processes'
     )
     demo_command.set_defaults(run=demo.main)
+    flood.add_parser(commands)
     commands.add_parser('bench', help='measure the policy in virtual time')
     capacity_command = commands.add_parser(
         'capacity', help='measure the slopes for docs/CAPACITY.md'
--- a/hornbeamrudder/peers/messages.py
+++ b/hornbeamrudder/peers/messages.py
@@ -76,9 +76,9 @@
         The sender has stopped admitting; its version stays as it is.
     wants_answer : bool
         Asks the receiver to send its heartbeat at once.
-    members : tuple of NodeId
-        Always empty; keeps the place of the later fields on the wire. The
-        names of all live nodes made up most of a heartbeat and had no use.
+    small_demand : tuple of (ServiceName, float)
+        Smoothed demand of small accounts in slots, for the number of quiet
+        workers.
     """
 
     sent_at: float
@@ -89,9 +89,9 @@
     released: bool = False
     wants_answer: bool = False
     releases: tuple[Released, ...] = ()
-    members: tuple[ids.NodeId, ...] = ()
     demand: tuple[tuple[ids.ServiceName, float], ...] = ()
     leaving: tuple[Leaving, ...] = ()
+    small_demand: tuple[tuple[ids.ServiceName, float], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
