Let the engine stand-in take orders, and the cloud one tell addresses

Cause: fleet/orders.py expects the key `engine` in `GET /v1/load` and in the answer to `POST /v1/orders`, which the engine stand-in did not have; it took any target at once. The cloud stand-in told no address of a started host and forgot hosts that had ended.

Change: the engine keeps model, version, adapters, role, present and loading models; a model that is absent is loaded for the time that the weight store states. Expired orders, stale numbers (where it checks them) and orders for another model during a load are refused with 409 instead of 410. Started hosts get the addresses given in `backends`, and `GET /v1/hosts/<id>` answers with the record of a host also after its end.

Conclusion: role changes and loads run against the stand-in over HTTP.

--- a/hornbeamrudder/standins/cloud.py
+++ b/hornbeamrudder/standins/cloud.py
@@ -1,8 +1,9 @@
 """Stand-in of the cloud API: offers, starts, stops and reclaim notices.
 
 `POST /control` also takes `refuse` and `unlist` (lists of patterns with any
-of zone, machine_class and pricing) and `reclaim` with `hosts` or a whole
-`zone`, `seconds` of notice, and `notify: false` for a reclaim without one.
+of zone, machine_class and pricing), `reclaim` with `hosts` or a whole
+`zone`, `seconds` of notice, and `notify: false` for a reclaim without one,
+and `backends`, which adds to those of the settings.
 """
 
 import dataclasses
@@ -51,11 +52,30 @@
     service: str
 
 
+class BackendSettings(pydantic.BaseModel):
+    """A backend server for the next started host of a service."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    service: str
+    ip: str
+    port: int = pydantic.Field(ge=1, le=65535)
+    slots: int = pydantic.Field(gt=0)
+
+
 class Settings(server.ListenSettings):
-    """Settings of the cloud stand-in, times in seconds."""
+    """Settings of the cloud stand-in, times in seconds.
+
+    Attributes
+    ----------
+    backends : tuple of BackendSettings
+        Each is the address of one host that is started later; hosts that
+        are started when none is left have no address.
+    """
 
     offers: tuple[OfferSettings, ...] = ()
     hosts: tuple[HostSettings, ...] = ()
+    backends: tuple[BackendSettings, ...] = ()
     start_delay_s: float = pydantic.Field(default=5.0, ge=0.0)
     notice_s: float = pydantic.Field(default=5.0, ge=0.0)
 
@@ -71,6 +91,7 @@
     incarnation: int = 1
     ends_at: float | None = None
     notified: bool = True
+    backend: BackendSettings | None = None
 
     def phase(self, now: float) -> hosts.HostPhase:
         if self.ends_at is not None and now >= self.ends_at:
@@ -82,7 +103,12 @@
         return hosts.HostPhase.RUNNING
 
     def message(self, now: float) -> dict[str, Any]:
-        return {
+        address = (
+            self.backend.model_dump(exclude={'service'})
+            if self.backend
+            else {}
+        )
+        return address | {
             'id': self.id,
             'zone': self.zone,
             'machine_class': self.machine_class,
@@ -106,6 +132,7 @@
             item.id: _Host(runs_at=clock(), **item.model_dump(mode='json'))
             for item in settings.hosts
         }
+        self._backends = list(settings.backends)
         self._host_by_order: dict[str, _Host] = {}
         self._notified_hosts: list[_Host] = []
         self._refused: Sequence[Mapping[str, Any]] = ()
@@ -119,6 +146,9 @@
                 routing.Rule(
                     '/v1/hosts', endpoint=self._start, methods=['POST']
                 ),
+                routing.Rule(
+                    '/v1/hosts/<host>', endpoint=self._find, methods=['GET']
+                ),
                 routing.Rule(
                     '/v1/hosts/<host>',
                     endpoint=self._stop,
@@ -147,6 +177,10 @@
                         self._refused = value
                     case 'unlist':
                         self._unlisted = value
+                    case 'backends':
+                        self._backends.extend(
+                            map(BackendSettings.model_validate, value)
+                        )
                     case 'reclaim':
                         self._reclaim(value)
                     case _:
@@ -221,12 +255,28 @@
         host = _Host(
             id=f'host-{len(self._hosts_by_id) + 1}',
             runs_at=now + self._settings.start_delay_s,
+            backend=self._take_backend(fields['service']),
             **fields,
         )
         self._hosts_by_id[host.id] = host
         self._host_by_order[order_id] = host
         return server.json_response(host.message(now), 201)
 
+    def _take_backend(self, service: str) -> BackendSettings | None:
+        for number, backend in enumerate(self._backends):
+            if backend.service == service:
+                return self._backends.pop(number)
+        return None
+
+    def _find(
+        self, _request: werkzeug.Request, host: str
+    ) -> werkzeug.Response:
+        """Answer with the record of a host, which is kept after its end."""
+        if host not in self._hosts_by_id:
+            return server.json_response({'error': 'unknown host'}, 404)
+        found = self._hosts_by_id[host]
+        return server.json_response(found.message(self._clock()))
+
     def _stop(
         self, _request: werkzeug.Request, host: str
     ) -> werkzeug.Response:
--- a/hornbeamrudder/standins/engine.py
+++ b/hornbeamrudder/standins/engine.py
@@ -1,4 +1,7 @@
-"""Stand-in of a model engine: streams, cache events, load, orders."""
+"""Stand-in of a model engine: streams, cache events, load, orders.
+
+`POST /v1/orders` is described in `engine_state`.
+"""
 
 import collections
 import hmac
@@ -13,6 +16,7 @@
 import werkzeug
 
 from . import engine_batch
+from . import engine_state
 from . import server
 
 LOAD_SAMPLE_INTERVAL_S = 0.05
@@ -21,7 +25,15 @@
 
 
 class Settings(server.ListenSettings):
-    """Settings of the model engine stand-in; times in seconds."""
+    """Settings of the model engine stand-in; times in seconds.
+
+    Attributes
+    ----------
+    models : tuple of str
+        Models whose weights are present; the first one is served.
+    weights : str
+        `ip:port` of the weight store; without it no model can be loaded.
+    """
 
     threads: int = 128
     worker_id: str = 'engine'
@@ -37,6 +49,9 @@
     seed: int = 1
     checks_fencing: bool = False
     sender_token: str = ''
+    weights: str = ''
+    role: str = 'both'
+    version: str = ''
 
 
 class Engine:
@@ -57,8 +72,17 @@
             collections.deque(maxlen=KEPT_LOAD_SAMPLES)
         )
         self._lock = threading.Lock()
-        self.highest_fencing = 0
-        self.target: dict[str, Any] = {'models': list(settings.models)}
+        self.state = engine_state.EngineState(
+            engine_state.Serving(
+                settings.models[0] if settings.models else '',
+                settings.version,
+                (),
+                settings.role,
+            ),
+            settings.models,
+            settings.checks_fencing,
+            engine_state.WeightClient(settings.weights),
+        )
         threading.Thread(target=self._sample_load, daemon=True).start()
 
     def load(self) -> dict[str, Any]:
@@ -92,17 +116,6 @@
             and not self._in_gap(event.number)
         ]
 
-    def order(self, fencing: int, order: dict[str, Any]) -> tuple[int, str]:
-        """Set the target state; return an HTTP status and a reason."""
-        with self._lock:
-            if self.settings.checks_fencing and fencing < self.highest_fencing:
-                return 409, 'fencing number is stale'
-            if order['expires_at'] < time.time():
-                return 410, 'order has expired'
-            self.highest_fencing = max(self.highest_fencing, fencing)
-            self.target = order['target']
-            return 200, 'accepted'
-
     def _in_gap(self, number: int) -> bool:
         draw = random.Random(f'{self.settings.seed}:{number}').random()
         return draw < self.settings.event_gap_share
@@ -116,7 +129,6 @@
             'slots': self.settings.max_batch,
             'lag_s': self.settings.load_lag_s,
             'incarnation': 1,
-            'target': self.target,
         }
 
     def _sample_load(self) -> None:
@@ -159,7 +171,9 @@
             )
             return server.json_response({'imported': blob['tokens']})
         case 'GET', '/v1/load':
-            return server.json_response(engine.load())
+            return server.json_response(
+                engine.load() | {'engine': engine.state.message()}
+            )
         case 'GET', '/totals':
             return server.json_response(engine.totals())
         case 'GET', '/v1/cache-events':
@@ -264,11 +278,13 @@
     given = request.headers.get('Authorization', '')
     if token and not hmac.compare_digest(given, f'Bearer {token}'):
         return server.json_response({'error': 'sender is not known'}, 403)
-    status, reason = engine.order(
+    refusal = engine.state.order(
         int(request.headers.get('X-Fencing', 0)),
         orjson.loads(request.get_data()),
     )
-    return server.json_response({'reason': reason}, status)
+    if refusal:
+        return server.json_response({'error': refusal}, 409)
+    return server.json_response({'engine': engine.state.message()})
 
 
 def run(settings: Settings) -> int:
--- a/hornbeamrudder/standins/features/standins.feature
+++ b/hornbeamrudder/standins/features/standins.feature
@@ -40,3 +40,39 @@
     # Guards against reading an object that a second write has replaced.
     Given an object store
     Then an object can be read by its digest, and not be replaced or altered
+
+  Scenario: An engine loads a model and changes its role by order
+    # Guards against a fleet that is only tested against engines that take
+    # every order at once.
+    Given a weight store with a rate of 400 bytes per second and 2 downloads at once
+    And an engine that checks fencing and has the model "base"
+    When it is ordered to serve "quill" as "decode" under number 7
+    Then it loads "quill" and serves "base" meanwhile
+    And it refuses an order for another model during the load
+    And it serves "quill" as "decode" after the time of the download
+    And it refuses an expired order and one under number 6
+    When it is ordered to serve "base" as "prefill" under number 7
+    Then it serves "base" as "prefill" at once
+
+  Scenario: An engine that ignores fencing takes a stale order
+    # Shows that the setting of the stand-in decides the refusal above.
+    Given a weight store with a rate of 400 bytes per second and 2 downloads at once
+    And an engine that ignores fencing and has the model "base"
+    When it is ordered to serve "base" as "decode" under number 7
+    And it is ordered to serve "base" as "both" under number 6
+    Then it serves "base" as "both" at once
+
+  Scenario: A failed download leaves the engine as it was
+    # Guards against an engine that claims weights which it never received.
+    Given a weight store with a rate of 400 bytes per second and 2 downloads at once
+    And an engine that checks fencing and has the model "base"
+    When it is ordered to serve "absent" as "both" under number 1
+    Then it serves "base" as "both" after the time of the download
+
+  Scenario: The cloud API tells addresses of started hosts and keeps records
+    # Guards against nodes that never learn where a started host serves, and
+    # against taking an unknown host for one that has ended.
+    Given a cloud stand-in with the address 10.0.0.9:80 for 1 host of quill-llm
+    When two hosts run in "levis-est" and one in "foy-centre"
+    Then the first host has this address and the others have none
+    And a stopped host is recorded as gone and an unknown one is not found
