Let the running nodes control the fleet

Cause: the controller, the leases and the weight plan existed, but no node ran them, and started hosts never entered the document.

Change: - Nodes with fleet_control compete for the fleet lease and run the controller (entry/fleet_duty.py); a graceful stop ends the duty first and gives the lease up.

--- a/hornbeamrudder/bench/deployment.py
+++ b/hornbeamrudder/bench/deployment.py
@@ -18,6 +18,7 @@
 POLL_S = 0.1
 OPERATOR_TOKEN = 'demo-operator'
 MACHINE_CLASS = 'small-gpu'
+ENGINE_SLOTS = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,8 +29,11 @@
     ----------
     tokens_by_account : mapping
         Bearer token of each account.
-    engine, service, table, node : mapping
+    engine, service, table, cloud, weights, node : mapping
         Settings that replace the defaults of these processes.
+    spare_engines : int
+        Engines outside the document; the cloud stand-in gives their
+        addresses to the hosts that are started later.
     rules : mapping
         Rules of the configuration document.
     """
@@ -48,6 +52,9 @@
     service: Mapping[str, Any] = dataclasses.field(default_factory=dict)
     table: Mapping[str, Any] = dataclasses.field(default_factory=dict)
     node: Mapping[str, Any] = dataclasses.field(default_factory=dict)
+    cloud: Mapping[str, Any] = dataclasses.field(default_factory=dict)
+    weights: Mapping[str, Any] = dataclasses.field(default_factory=dict)
+    spare_engines: int = 0
 
 
 class Deployment:
@@ -101,6 +108,13 @@
             f'app-{number + 1}' for number in range(self.plan.services)
         )
 
+    @property
+    def spare_names(self) -> tuple[str, ...]:
+        """Names of the engines for hosts that are started later."""
+        return tuple(
+            f'spare-{number + 1}' for number in range(self.plan.spare_engines)
+        )
+
     def address(self, name: str) -> types.Address:
         """Address of a process."""
         return self.processes.by_name[name].address
@@ -235,12 +249,18 @@
         return total
 
     def _start_backends(self) -> None:
+        weights = str(
+            self.processes.start(
+                'weights', ('standin', 'weights'), dict(self.plan.weights)
+            ).address
+        )
         engines = {
             name: (
                 ('standin', 'engine'),
-                {'worker_id': name, 'seed': number} | dict(self.plan.engine),
+                {'worker_id': name, 'seed': number, 'weights': weights}
+                | dict(self.plan.engine),
             )
-            for number, name in enumerate(self.engine_names)
+            for number, name in enumerate(self.engine_names + self.spare_names)
         }
         services = {
             name: (('standin', 'service'), dict(self.plan.service))
@@ -254,7 +274,6 @@
             {
                 'table': (('standin', 'table'), dict(self.plan.table)),
                 'objects': (('standin', 'objects'), {}),
-                'weights': (('standin', 'weights'), {}),
                 'cloud': (
                     ('standin', 'cloud'),
                     {
@@ -263,15 +282,24 @@
                             for number, name in enumerate(
                                 (*workers, *self.node_names)
                             )
-                        ]
-                    },
+                        ],
+                        'backends': [
+                            _endpoint(self.address(name).port)
+                            | {
+                                'service': self.plan.model_service,
+                                'slots': ENGINE_SLOTS,
+                            }
+                            for name in self.spare_names
+                        ],
+                    }
+                    | dict(self.plan.cloud),
                 ),
             }
         )
         self.processes.start(
             'hosts',
             ('standin', 'hosts'),
-            {'cloud': str(started[3].address)},
+            {'cloud': str(started[2].address)},
         )
 
     def _cloud_host(self, name: str, number: int) -> dict[str, Any]:
@@ -280,7 +308,13 @@
             'zone': self._data_centre(number),
             'machine_class': MACHINE_CLASS,
             'pricing': 'reclaimable',
-            'service': name.rpartition('-')[0],
+            'service': (
+                self.plan.model_service
+                if name in self.engine_names
+                else self.plan.plain_service
+                if name in self.service_names
+                else 'entry'
+            ),
         }
 
     def _data_centre(self, number: int) -> str:
@@ -308,7 +342,7 @@
                 for account, token in plan.tokens_by_account.items()
             ],
             'hosts': [
-                self._host(name, number, plan.model_service, 16)
+                self._host(name, number, plan.model_service, ENGINE_SLOTS)
                 for number, name in enumerate(self.engine_names)
             ]
             + [
--- /dev/null
+++ b/hornbeamrudder/entry/fleet_duty.py
@@ -0,0 +1,171 @@
+"""The part of the fleet's control that runs on each node."""
+
+import dataclasses
+import random
+import threading
+import time
+from typing import Callable, Iterable, Mapping
+
+import structlog
+
+from ..backends import watch
+from ..configuration import ended
+from ..configuration import service as configuration_service
+from . import configured
+from ..core import ids
+from ..fleet import controller
+from ..fleet import orders
+from ..fleet import registrar
+from ..fleet import wishes
+from ..leases import holder as lease_holder
+from ..peers import messages
+from ..platform import cloud
+from ..platform import http
+from ..platform import table
+from ..settings import schema
+
+DUTY = 'fleet'
+INTERVAL_S = 1.0
+
+log = structlog.get_logger()
+
+
+class _Lease:
+    """The lease as the controller asks for it.
+
+    The holder reads its clock itself: a time that was read before a pause
+    of this thread would show an ended term as running.
+    """
+
+    def __init__(self, holder: lease_holder.LeaseHolder) -> None:
+        self._holder = holder
+
+    def fencing_number(self, _now: float) -> int | None:
+        """Return the number while the lease is held."""
+        return self._holder.fencing_number()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """The parts of the node that the fleet's control uses.
+
+    Attributes
+    ----------
+    rates : callable
+        Demand of all live nodes, this one included.
+    """
+
+    incarnation: ids.Incarnation
+    client: http.HttpClient
+    rows: table.TableClient
+    cloud: cloud.CloudClient | None
+    watcher: watch.Watcher
+    service: configuration_service.ConfigurationService
+    configuration: configured.NodeConfiguration
+    rates: Callable[[], Iterable[messages.Rate]]
+
+
+class Fleet:
+    """Reports ended members, and takes the duty where settings say so."""
+
+    def __init__(self, settings: schema.NodeSettings, parts: Parts) -> None:
+        self._ended: ended.EndedMembers | None = None
+        self._duty: FleetDuty | None = None
+        if parts.cloud is None:
+            return
+        self._ended = ended.EndedMembers(
+            ids.NodeId(settings.node_id),
+            parts.service,
+            parts.cloud.find_host,
+            configuration_service.boot_clock,
+        )
+        if settings.fleet_control:
+            self._duty = FleetDuty(settings, parts, parts.cloud)
+
+    def start(self) -> None:
+        """Start the threads."""
+        if self._ended is not None:
+            self._ended.start()
+        if self._duty is not None:
+            self._duty.start()
+
+    def leases(self) -> Mapping[str, int | None]:
+        """Fencing number by duty, empty where the node takes none."""
+        if self._duty is None:
+            return {}
+        return {DUTY: self._duty.fencing_number()}
+
+    def give_up(self) -> None:
+        """End the duty and give up its lease."""
+        if self._duty is not None:
+            self._duty.close()
+
+    def close(self) -> None:
+        """Stop all threads."""
+        self.give_up()
+        if self._ended is not None:
+            self._ended.close()
+
+
+class FleetDuty:
+    """Competes for the `fleet` lease and controls the fleet as its holder."""
+
+    def __init__(
+        self,
+        settings: schema.NodeSettings,
+        parts: Parts,
+        cloud_client: cloud.CloudClient,
+    ) -> None:
+        self._lease = lease_holder.LeaseHolder(
+            parts.rows,
+            DUTY,
+            ids.RegionName(settings.region),
+            ids.NodeId(settings.node_id),
+            parts.incarnation,
+            random.Random(parts.incarnation),
+        )
+        self._controller = controller.Controller(
+            _Lease(self._lease),
+            cloud_client,
+            parts.watcher,
+            orders.EngineClient(parts.client),
+            lambda: wishes.wish(parts.configuration.document(), parts.rates()),
+            random.Random(parts.incarnation),
+        )
+        self._registrar = registrar.Registrar(
+            cloud_client,
+            parts.service,
+            lambda: self._lease.fencing_number() is not None,
+            time.monotonic,
+        )
+        self._closing = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name='fleet-hosts', daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the threads."""
+        self._controller.start()
+        self._thread.start()
+
+    def fencing_number(self) -> int | None:
+        """Fencing number while this node holds the lease."""
+        return self._lease.fencing_number()
+
+    def close(self) -> None:
+        """End the current steps, then give the lease up."""
+        if self._closing.is_set():
+            return
+        self._closing.set()
+        self._controller.close()
+        if self._thread.is_alive():
+            self._thread.join()
+        self._lease.close()
+
+    def _run(self) -> None:
+        while not self._closing.wait(INTERVAL_S):
+            try:
+                self._registrar.step()
+            except Exception:
+                # The next step compares everything again.
+                log.exception('update of the hosts failed')
--- a/hornbeamrudder/entry/gate.py
+++ b/hornbeamrudder/entry/gate.py
@@ -12,6 +12,7 @@
 from ..core import errors
 from ..core import ids
 from ..core import types
+from ..fleet import traffic
 from ..inventory import schema
 from . import pool
 
@@ -48,6 +49,7 @@
         self._admission = admission
         self._document = document
         self._threads = threads
+        self.traffic = traffic.Meter()
         self._lock = threading.Lock()
         self._open_by_rank: collections.Counter[types.Rank] = (
             collections.Counter()
@@ -91,6 +93,7 @@
     ) -> 'futures.Future[SlotResult]':
         """Ask for a slot; as `Controller.submit`."""
         self._workers.count_first_attempt(service)
+        self.traffic.arrived(service, rank)
         return self._admission.submit(
             rank, account, service, expected_tokens, deadline
         )
@@ -119,6 +122,12 @@
     ) -> None:
         """Return a slot; as `Controller.release`."""
         self._admission.release(slot, used_tokens, completed)
+        if completed:
+            self.traffic.served(
+                slot.service,
+                slot.entry.rank,
+                time.monotonic() - slot.granted_at,
+            )
         self.refresh(slot.service)
 
     def refresh(self, service: ids.ServiceName) -> None:
--- a/hornbeamrudder/entry/node.py
+++ b/hornbeamrudder/entry/node.py
@@ -19,9 +19,9 @@
 from . import chat_calls
 from ..configuration import service as configuration_service
 from . import configured
-from ..core import hosts
 from ..core import ids
 from ..core import types
+from . import fleet_duty
 from . import gate as gates
 from ..inventory import schema as inventory_schema
 from ..leases import holder as lease_holder
@@ -37,6 +37,7 @@
 from ..platform import objects
 from ..platform import table
 from . import pool
+from . import reports
 from . import server
 from . import service_calls
 from ..settings import certificates
@@ -52,10 +53,6 @@
 # Time that is kept for the hand-over before a deadline.
 HANDOVER_MARGIN_S = 3.0
 RELEASE_TIMEOUT_S = 3.0
-# A node that has not been heard of for this long is gone, as far as the
-# recovery of orders is concerned; its record can still be taken by none
-# but one holder.
-NODE_GONE_S = 10.0
 RECOVERY_DUTY = 'recovery'
 
 log = structlog.get_logger()
@@ -106,6 +103,19 @@
             self._on_generation_end,
         )
         self._make_orders()
+        self._fleet = fleet_duty.Fleet(
+            settings,
+            fleet_duty.Parts(
+                self._incarnation,
+                self._platform,
+                self._table,
+                self._cloud,
+                self.watcher,
+                self._configuration_service,
+                self.configuration,
+                self._all_rates,
+            ),
+        )
         self.application = self._make_application()
         self._server = server.CallerServer(
             self.application,
@@ -121,6 +131,7 @@
         """Begin to serve."""
         self.watcher.start()
         self._reporter.start()
+        self._fleet.start()
         self._server.start()
         self.application.set_ready(True)
         log.info('node serves', address=str(self._server.address))
@@ -134,6 +145,8 @@
         """
         deadline = self._stop_deadline()
         self.application.set_ready(False)
+        # Another node takes the fleet over while this one drains.
+        self._fleet.give_up()
         log.info('node leaves', open_requests=self.application.open_requests)
         self._stopping.wait(READINESS_GRACE_S)
         self.application.refuse_new()
@@ -143,7 +156,9 @@
         ):
             self._stopping.wait(DRAIN_POLL_S)
         # Answers whose caller is away for the moment are handed over too.
-        self._handovers.leave(self._staying_peers())
+        self._handovers.leave(
+            reports.staying(self.view(), configuration_service.boot_clock())
+        )
         self._wait_closed(deadline)
         self._configuration_service.release(RELEASE_TIMEOUT_S)
         self._close()
@@ -162,7 +177,10 @@
 
     def leases(self) -> Mapping[str, int | None]:
         """Fencing numbers of the leases that this node holds."""
-        return {RECOVERY_DUTY: self._recovery_lease.fencing_number()}
+        return {
+            RECOVERY_DUTY: self._recovery_lease.fencing_number(),
+            **self._fleet.leases(),
+        }
 
     def settled(self) -> ids.Version:
         """Highest version known to be in force everywhere."""
@@ -174,11 +192,14 @@
 
     def _make_backends(self) -> None:
         settings = self._settings
-        self.watcher = watch.Watcher(
-            self._platform,
+        self._cloud = (
             cloud.CloudClient(self._platform, str(settings.cloud))
             if settings.cloud
-            else None,
+            else None
+        )
+        self.watcher = watch.Watcher(
+            self._platform,
+            self._cloud,
             host_list.HostListClient(self._platform, str(settings.host_list))
             if settings.host_list
             else None,
@@ -218,6 +239,7 @@
             if settings.objects
             else None,
             on_message=self._on_message,
+            host=ids.HostId(settings.host_id or ''),
         )
 
     def _make_orders(self) -> None:
@@ -367,20 +389,19 @@
     def _demand_by_node(
         self, service: ids.ServiceName
     ) -> Mapping[ids.NodeId, float]:
-        told = peer_view.demand_by_service(
-            self.view(), configuration_service.boot_clock()
-        ).get(service, {})
         own = dict(self.gate.demand()).get(service, 0.0)
-        return {**told, self._id: own}
+        now = configuration_service.boot_clock()
+        return reports.demand(self.view(), now, service) | {self._id: own}
 
     def _is_gone(self, node: ids.NodeId, incarnation: ids.Incarnation) -> bool:
+        now = configuration_service.boot_clock()
         if node == self._id:
             return incarnation != self._incarnation
-        peer = self.view().peers_by_node.get(node)
-        if peer is None:
-            return True
-        silent_s = configuration_service.boot_clock() - peer.heard_at
-        return peer.incarnation > incarnation or silent_s > NODE_GONE_S
+        return reports.is_gone(self.view(), node, incarnation, now)
+
+    def _all_rates(self) -> tuple[messages.Rate, ...]:
+        own = self.gate.traffic.rates()
+        return own + reports.rates(self.view(), self.live_nodes() - {self._id})
 
     def _report_loop(self) -> None:
         while not self._stopping.wait(REPORT_INTERVAL_S):
@@ -396,21 +417,13 @@
         view = self.view()
         for node in peer_view.alive(view, now):
             self.watcher.report_from_peer(
-                _leaving_host(item)
+                reports.leaving_host(item)
                 for item in view.peers_by_node[node].heartbeat.leaving
             )
         self._configuration_service.report(
             self.gate.demand(),
-            map(_leaving_message, self.watcher.leaving_hosts()),
-        )
-
-    def _staying_peers(self) -> tuple[ids.NodeId, ...]:
-        view = self.view()
-        now = configuration_service.boot_clock()
-        return tuple(
-            node
-            for node in peer_view.alive(view, now)
-            if not view.peers_by_node[node].heartbeat.released
+            map(reports.leaving_message, self.watcher.leaving_hosts()),
+            self.gate.traffic.rates(),
         )
 
     def _stop_deadline(self) -> float:
@@ -426,6 +439,7 @@
     def _close(self) -> None:
         self._stopping.set()
         self._server.stop()
+        self._fleet.close()
         self._recovery.close()
         self._recovery_lease.close()
         self.gate.close()
@@ -440,19 +454,3 @@
         self._tracer.close()
         if self._certificates is not None:
             self._certificates.close()
-
-
-def _leaving_host(item: messages.Leaving) -> hosts.LeavingHost:
-    known = item.seconds_left < messages.NO_RECLAIM_S
-    return hosts.LeavingHost(
-        item.host, item.incarnation, item.seconds_left if known else None
-    )
-
-
-def _leaving_message(host: hosts.LeavingHost) -> messages.Leaving:
-    left = host.seconds_left
-    return messages.Leaving(
-        host.id,
-        host.incarnation,
-        messages.NO_RECLAIM_S if left is None else left,
-    )
--- a/hornbeamrudder/fleet/controller.py
+++ b/hornbeamrudder/fleet/controller.py
@@ -13,6 +13,7 @@
 
 from ..core import hosts
 from ..core import ids
+from ..core import types
 from . import demand
 from . import orders
 from . import placement
@@ -40,6 +41,10 @@
         Services whose hosts the controller starts and stops.
     models : tuple
         Models of the engines, and `target_by_model` with the full state.
+    classes_by_service : mapping
+        Machine classes to start for a service; all where it is absent.
+    urgent_by_service : mapping
+        Fewest slots to keep after the loss of a zone.
     store_bytes_per_s, longest_load_s : float
         Rate of the weight store and accepted time of one download.
     """
@@ -51,6 +56,12 @@
     target_by_model: Mapping[str, orders.Target] = dataclasses.field(
         default_factory=dict
     )
+    classes_by_service: Mapping[
+        ids.ServiceName, frozenset[ids.MachineClass]
+    ] = dataclasses.field(default_factory=dict)
+    urgent_by_service: Mapping[ids.ServiceName, int] = dataclasses.field(
+        default_factory=dict
+    )
     store_bytes_per_s: float = 2e9
     longest_load_s: float = 60.0
 
@@ -179,7 +190,16 @@
         found: Sequence[hosts.CloudHost],
         now: float,
     ) -> None:
-        need = demand.need(service, wish.demands, wish.target)
+        need = demand.with_floor(
+            demand.need(service, wish.demands, wish.target),
+            wish.urgent_by_service.get(service, 0),
+        )
+        classes = wish.classes_by_service.get(service)
+        offers = [
+            offer
+            for offer in offers
+            if classes is None or offer.key.machine_class in classes
+        ]
         slots_by_offer = {offer.key: offer.slots for offer in offers}
         started: list[hosts.CloudHost] = []
         for _ in range(MAX_ROUNDS):
@@ -263,12 +283,32 @@
         if not wish.target_by_model:
             return
         seen = self._backends.snapshot()
-        services = {model.service for model in wish.models}
-        engines = [
-            worker
-            for service in sorted(services)
-            for worker in seen.candidates(service, now)
-        ]
+        # An engine only serves the models of its own service, to which the
+        # nodes route.
+        for service in sorted({model.service for model in wish.models}):
+            self._order_engines_of(
+                holding,
+                dataclasses.replace(
+                    wish,
+                    models=tuple(
+                        model
+                        for model in wish.models
+                        if model.service == service
+                    ),
+                ),
+                tuple(seen.candidates(service, now)),
+                now,
+                wall,
+            )
+
+    def _order_engines_of(
+        self,
+        holding: orders.Holding,
+        wish: Wish,
+        engines: Sequence[types.Worker],
+        now: float,
+        wall: float,
+    ) -> None:
         answers = self._pool.map(self._engines.observe, engines)
         observed = {
             engine.id: answer.unwrap()
--- a/hornbeamrudder/fleet/demand.py
+++ b/hornbeamrudder/fleet/demand.py
@@ -86,6 +86,15 @@
     return Need(service, total, urgent_slots)
 
 
+def with_floor(needed: Need, urgent: int) -> Need:
+    """Raise a need to at least `urgent` slots after the loss of a zone."""
+    return dataclasses.replace(
+        needed,
+        total=max(needed.total, urgent),
+        urgent=max(needed.urgent, urgent),
+    )
+
+
 def slots_for(
     arrivals_per_s: float, service_s: float, target: LatencyTarget
 ) -> int:
--- a/hornbeamrudder/fleet/ports.py
+++ b/hornbeamrudder/fleet/ports.py
@@ -19,6 +19,23 @@
         """Return the number while the lease is held at `now`."""
 
 
+class RecordedHosts(Protocol):
+    """The part of the cloud API that tells which hosts there are."""
+
+    def offers(self) -> result.Result[tuple[hosts.Offer, ...], errors.Failure]:
+        """Read what can be started now."""
+
+    def list_hosts(
+        self,
+    ) -> result.Result[tuple[hosts.CloudHost, ...], errors.Failure]:
+        """Read the hosts that run."""
+
+    def find_host(
+        self, host: ids.HostId
+    ) -> result.Result[hosts.CloudHost, errors.Failure]:
+        """Read the record of one host, also after its end."""
+
+
 class Cloud(Protocol):
     """The part of the cloud API that the controller uses."""
 
--- a/hornbeamrudder/inventory/cross_checks.py
+++ b/hornbeamrudder/inventory/cross_checks.py
@@ -25,7 +25,7 @@
         return ()
     return tuple(
         finding
-        for check in (_duplicates, _unknown_references, _floors)
+        for check in (_duplicates, _unknown_references, _floors, _fleet)
         for finding in check(value)
     )
 
@@ -126,6 +126,13 @@
         'weight for account',
         _keyed(_rule_items(value, 'account_weights'), 'account'),
     )
+    fleet = _rule_items(value, 'fleet')
+    yield from _repeats('rule for service', _keyed(fleet, 'service'))
+    for path, rule in fleet:
+        yield from _repeats(
+            'machine class',
+            _keyed(_items(rule, 'offers', path), 'machine_class'),
+        )
     for name, fields in (
         ('ranks', RANK_KEY),
         ('non_idempotent', NON_IDEMPOTENT_KEY),
@@ -149,6 +156,7 @@
             services,
             _keyed(_rule_items(value, 'non_idempotent'), 'service'),
         ),
+        ('service', services, _keyed(_rule_items(value, 'fleet'), 'service')),
         ('account', accounts, _keyed(ranks, 'account')),
         (
             'account',
@@ -163,6 +171,32 @@
                 )
 
 
+def _fleet(value: dict[str, Any]) -> Iterator[problems.Finding]:
+    """Find offers whose model does not belong to their service."""
+    services_by_name = {
+        service['name']: service
+        for _, service in _items(value, 'services')
+        if isinstance(service.get('name'), str)
+    }
+    for path, rule in _rule_items(value, 'fleet'):
+        name = rule.get('service')
+        if not isinstance(name, str) or name not in services_by_name:
+            continue
+        service = services_by_name[name]
+        models = service.get('models') or []
+        for offer_path, offer in _items(rule, 'offers', path):
+            model = offer.get('model')
+            if model is None and service.get('kind') == 'model_engine':
+                yield problems.Finding(
+                    (*offer_path, 'model'), f'service {name} needs a model'
+                )
+            elif model is not None and model not in models:
+                yield problems.Finding(
+                    (*offer_path, 'model'),
+                    f'{model!r} is no model of service {name}',
+                )
+
+
 def _floors(value: dict[str, Any]) -> Iterator[problems.Finding]:
     rules = value.get('rules')
     floors = rules.get('floors') if isinstance(rules, dict) else None
--- a/hornbeamrudder/inventory/features/document.feature
+++ b/hornbeamrudder/inventory/features/document.feature
@@ -23,6 +23,7 @@
       | rules.ranks.1.service   | "none"                             |
       | rules.floors            | {"standard": 0.7, "batch": 0.6}    |
       | rules.account_weights   | [{"account": "x", "weight": 2}]    |
+      | rules.fleet             | [{"service": "none", "offers": [{"machine_class": "g1"}]}, {"service": "llm", "offers": [{"machine_class": "g1"}, {"machine_class": "g1", "model": "x"}]}, {"service": "app", "offers": []}, {"service": "app", "offers": [{"machine_class": "g1"}]}] |
     Then the problems name exactly these fields
       | field                     | reason            |
       | surplus                   | Extra inputs      |
@@ -36,6 +37,12 @@
       | rules.ranks[1].service    | unknown service   |
       | rules.floors              | add up to 1.3     |
       | rules.account_weights[0].account | unknown account |
+      | rules.fleet[0].service    | unknown service   |
+      | rules.fleet[1].offers[0].model | needs a model |
+      | rules.fleet[1].offers[1].machine_class | duplicate machine class |
+      | rules.fleet[1].offers[1].model | no model of service llm |
+      | rules.fleet[2].offers     | at least 1 item   |
+      | rules.fleet[3].service    | duplicate rule    |
 
   Scenario Outline: The most specific rank rule decides
     # Guards against a result that depends on the order of the rules.
--- a/hornbeamrudder/inventory/schema.py
+++ b/hornbeamrudder/inventory/schema.py
@@ -195,6 +195,37 @@
     max_body_bytes: Count = 1_048_576
 
 
+class FleetOffer(Entry):
+    """A machine class on which hosts of a service may be started.
+
+    Attributes
+    ----------
+    model : str or None
+        Model that the engines of such hosts serve; None for plain services.
+    checks_fencing, checks_sender : bool
+        As in `Worker`, for the workers of the started hosts.
+    """
+
+    machine_class: Id
+    model: Optional[Id] = None
+    checks_fencing: bool = False
+    checks_sender: bool = False
+
+
+class FleetRule(Entry):
+    """A service whose hosts the nodes start and stop.
+
+    Attributes
+    ----------
+    urgent_slots : int
+        Slots to keep after the loss of any one zone, also without demand.
+    """
+
+    service: Id
+    offers: Annotated[tuple[FleetOffer, ...], pydantic.Field(min_length=1)]
+    urgent_slots: Annotated[int, pydantic.Field(ge=0, le=10**6)] = 0
+
+
 class Rules(Entry):
     """Rules that operators add on top of the inventory."""
 
@@ -205,6 +236,7 @@
     account_weights: tuple[AccountWeight, ...] = ()
     non_idempotent: tuple[NonIdempotent, ...] = ()
     admission: AdmissionLimits = AdmissionLimits()
+    fleet: tuple[FleetRule, ...] = ()
     order_retention_s: Annotated[
         float, pydantic.Field(ge=60, le=30 * 24 * 3600)
     ] = DEFAULT_ORDER_RETENTION_S
--- a/hornbeamrudder/settings/features/settings.feature
+++ b/hornbeamrudder/settings/features/settings.feature
@@ -12,6 +12,7 @@
       | limits: {threads: 1}            | limits      |
       | stop_timeout_s: .nan            | stop_timeo  |
       | seeds: [{ip: localhost, port: 1}] | seeds.0.ip  |
+      | fleet_control: true             | fleet_contr |
 
   Scenario: No file ends the loading
     # Guards against an exception on a damaged or hostile settings file.
--- a/hornbeamrudder/settings/schema.py
+++ b/hornbeamrudder/settings/schema.py
@@ -126,6 +126,10 @@
         The platform's services.
     peer_key_file : str
         File with the key by which nodes authenticate each other.
+    host_id : str
+        Host of this node in the records of the cloud API.
+    fleet_control : bool
+        Whether the node competes for the `fleet` lease; needs `cloud`.
     stop_timeout_s : float
         Longest wait for work in progress on a graceful stop.
     """
@@ -152,6 +156,16 @@
     tracing: Tracing = Tracing()
     tls: Tls | None = None
 
+    @pydantic.field_validator('fleet_control')
+    @classmethod
+    def _check_fleet_control(
+        cls, value: bool, info: pydantic.ValidationInfo
+    ) -> bool:
+        # An invalid `cloud` is absent here and has a problem of its own.
+        if value and info.data.get('cloud', value) is None:
+            raise ValueError('needs the key cloud')
+        return value
+
     def peer_key(self) -> bytes:
         """Read the peer key.
 
