Start the processes of a test deployment in fewer groups

Change: the weight store and the cloud API get ports that are known before their start, so that three groups are left.

Conclusion: fewer groups, gain not measured on an idle machine.

--- a/hornbeamrudder/bench/deployment.py
+++ b/hornbeamrudder/bench/deployment.py
@@ -75,7 +75,7 @@
     def start(self) -> None:
         """Start all processes and put the configuration in force."""
         self._start_backends()
-        self._start_platform()
+        self._start_cloud()
         self._peer_ports = _free_ports(self.plan.nodes)
         self.processes.start_many(
             {
@@ -249,15 +249,13 @@
         return total
 
     def _start_backends(self) -> None:
-        weights = str(
-            self.processes.start(
-                'weights', ('standin', 'weights'), dict(self.plan.weights)
-            ).address
-        )
+        # Known before its start, so that all these start side by side.
+        (port,) = _free_ports(1)
+        weights = types.Address(local.LOOPBACK, port)
         engines = {
             name: (
                 ('standin', 'engine'),
-                {'worker_id': name, 'seed': number, 'weights': weights}
+                {'worker_id': name, 'seed': number, 'weights': str(weights)}
                 | dict(self.plan.engine),
             )
             for number, name in enumerate(self.engine_names + self.spare_names)
@@ -266,17 +264,26 @@
             name: (('standin', 'service'), dict(self.plan.service))
             for name in self.service_names
         }
-        self.processes.start_many({**engines, **services})
+        platform = {
+            'weights': (
+                ('standin', 'weights'),
+                {'port': port} | dict(self.plan.weights),
+            ),
+            'table': (('standin', 'table'), dict(self.plan.table)),
+            'objects': (('standin', 'objects'), {}),
+        }
+        self.processes.start_many({**engines, **services, **platform})
 
-    def _start_platform(self) -> None:
+    def _start_cloud(self) -> None:
         workers = self.engine_names + self.service_names
-        started = self.processes.start_many(
+        (port,) = _free_ports(1)
+        cloud = types.Address(local.LOOPBACK, port)
+        self.processes.start_many(
             {
-                'table': (('standin', 'table'), dict(self.plan.table)),
-                'objects': (('standin', 'objects'), {}),
                 'cloud': (
                     ('standin', 'cloud'),
                     {
+                        'port': port,
                         'hosts': [
                             self._cloud_host(name, number)
                             for number, name in enumerate(
@@ -294,13 +301,9 @@
                     }
                     | dict(self.plan.cloud),
                 ),
+                'hosts': (('standin', 'hosts'), {'cloud': str(cloud)}),
             }
         )
-        self.processes.start(
-            'hosts',
-            ('standin', 'hosts'),
-            {'cloud': str(started[2].address)},
-        )
 
     def _cloud_host(self, name: str, number: int) -> dict[str, Any]:
         return {
--- a/hornbeamrudder/entry/node.py
+++ b/hornbeamrudder/entry/node.py
@@ -293,12 +293,7 @@
             self._configuration_service,
             self.configuration,
             self.watcher,
-            tuple(
-                inventory_schema.Operator(
-                    id=operator.id, token_sha256=operator.token_sha256
-                )
-                for operator in self._settings.operators
-            ),
+            operator_backend.from_settings(self._settings.operators),
             lambda: status.describe(self),
         )
         return application.Application(
@@ -390,13 +385,14 @@
         self, service: ids.ServiceName
     ) -> Mapping[ids.NodeId, float]:
         own = dict(self.gate.demand()).get(service, 0.0)
-        now = configuration_service.boot_clock()
-        return reports.demand(self.view(), now, service) | {self._id: own}
+        return reports.demand(
+            self.view(), configuration_service.boot_clock(), service
+        ) | {self._id: own}
 
     def _is_gone(self, node: ids.NodeId, incarnation: ids.Incarnation) -> bool:
-        now = configuration_service.boot_clock()
         if node == self._id:
             return incarnation != self._incarnation
+        now = configuration_service.boot_clock()
         return reports.is_gone(self.view(), node, incarnation, now)
 
     def _all_rates(self) -> tuple[messages.Rate, ...]:
--- a/hornbeamrudder/entry/operator_backend.py
+++ b/hornbeamrudder/entry/operator_backend.py
@@ -14,6 +14,7 @@
 from ..core import types
 from ..inventory import schema
 from ..operators import messages
+from ..settings import schema as settings_schema
 
 APPLY_TIMEOUT_S = 15.0
 
@@ -112,6 +113,16 @@
         return result.Success(types.HostState.LEAVING)
 
 
+def from_settings(
+    operators: Sequence[settings_schema.Operator],
+) -> tuple[schema.Operator, ...]:
+    """Operators of the settings as those of a document."""
+    return tuple(
+        schema.Operator(id=operator.id, token_sha256=operator.token_sha256)
+        for operator in operators
+    )
+
+
 def _told(outcome: publish.Result) -> messages.ChangeResult:
     match outcome:
         case publish.Accepted(version, _, seconds_by_node):
