--- a/hornbeamrudder/bench/deployment.py
+++ b/hornbeamrudder/bench/deployment.py
@@ -24,6 +24,7 @@
 # Below the ports that the system gives to outgoing connections, one of which
 # would take a port between its choice and the start of its process.
 FIXED_PORTS = range(10_000, 32_000)
+ENGINE_SLOTS = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,8 +35,11 @@
     ----------
     tokens_by_account : mapping
         Bearer token of each account.
-    engine, service, table, node : mapping
+    engine, service, table, cloud, weights, node : mapping
         Settings that replace the defaults of these processes.
+    spare_engines : int
+        Engines outside the document; the cloud stand-in gives their
+        addresses to the hosts that are started later.
     rules : mapping
         Rules of the configuration document.
     relays : tuple of str
@@ -60,6 +64,9 @@
     table: Mapping[str, Any] = dataclasses.field(default_factory=dict)
     node: Mapping[str, Any] = dataclasses.field(default_factory=dict)
     relays: tuple[str, ...] = ()
+    cloud: Mapping[str, Any] = dataclasses.field(default_factory=dict)
+    weights: Mapping[str, Any] = dataclasses.field(default_factory=dict)
+    spare_engines: int = 0
 
 
 class Deployment:
@@ -82,7 +89,7 @@
     def start(self) -> None:
         """Start all processes and put the configuration in force."""
         self._start_backends()
-        self._start_platform()
+        self._start_cloud()
         self._peer_ports = free_ports(self.plan.nodes)
         self._caller_ports = free_ports(self.plan.nodes)
         self._start_relays()
@@ -117,6 +124,13 @@
             f'app-{number + 1}' for number in range(self.plan.services)
         )
 
+    @property
+    def spare_names(self) -> tuple[str, ...]:
+        """Names of the engines for hosts that are started later."""
+        return tuple(
+            f'spare-{number + 1}' for number in range(self.plan.spare_engines)
+        )
+
     def address(self, name: str) -> types.Address:
         """Address of a process."""
         return self.processes.by_name[name].address
@@ -263,44 +277,61 @@
         )
 
     def _start_backends(self) -> None:
+        # Known before its start, so that all these start side by side.
+        (port,) = free_ports(1)
+        weights = types.Address(local.LOOPBACK, port)
         engines = {
             name: (
                 ('standin', 'engine'),
-                {'worker_id': name, 'seed': number} | dict(self.plan.engine),
+                {'worker_id': name, 'seed': number, 'weights': str(weights)}
+                | dict(self.plan.engine),
             )
-            for number, name in enumerate(self.engine_names)
+            for number, name in enumerate(self.engine_names + self.spare_names)
         }
         services = {
             name: (('standin', 'service'), dict(self.plan.service))
             for name in self.service_names
         }
-        self.processes.start_many({**engines, **services})
+        platform = {
+            'weights': (
+                ('standin', 'weights'),
+                {'port': port} | dict(self.plan.weights),
+            ),
+            'table': (('standin', 'table'), dict(self.plan.table)),
+            'objects': (('standin', 'objects'), {}),
+        }
+        self.processes.start_many({**engines, **services, **platform})
 
-    def _start_platform(self) -> None:
+    def _start_cloud(self) -> None:
         workers = self.engine_names + self.service_names
-        started = self.processes.start_many(
+        (port,) = free_ports(1)
+        cloud = types.Address(local.LOOPBACK, port)
+        self.processes.start_many(
             {
-                'table': (('standin', 'table'), dict(self.plan.table)),
-                'objects': (('standin', 'objects'), {}),
-                'weights': (('standin', 'weights'), {}),
                 'cloud': (
                     ('standin', 'cloud'),
                     {
+                        'port': port,
                         'hosts': [
                             self._cloud_host(name, number)
                             for number, name in enumerate(
                                 (*workers, *self.node_names)
                             )
-                        ]
-                    },
+                        ],
+                        'backends': [
+                            _endpoint(self.address(name).port)
+                            | {
+                                'service': self.plan.model_service,
+                                'slots': ENGINE_SLOTS,
+                            }
+                            for name in self.spare_names
+                        ],
+                    }
+                    | dict(self.plan.cloud),
                 ),
+                'hosts': (('standin', 'hosts'), {'cloud': str(cloud)}),
             }
         )
-        self.processes.start(
-            'hosts',
-            ('standin', 'hosts'),
-            {'cloud': str(started[3].address)},
-        )
 
     def _start_relays(self) -> None:
         links = self.plan.relays
@@ -340,7 +371,13 @@
             'zone': self._data_centre(number),
             'machine_class': MACHINE_CLASS,
             'pricing': 'reclaimable',
-            'service': name.rpartition('-')[0],
+            'service': (
+                self.plan.model_service
+                if name in self.engine_names
+                else self.plan.plain_service
+                if name in self.service_names
+                else 'entry'
+            ),
         }
 
     def _data_centre(self, number: int) -> str:
@@ -368,7 +405,7 @@
                 for account, token in plan.tokens_by_account.items()
             ],
             'hosts': [
-                self._host(name, number, plan.model_service, 16)
+                self._host(name, number, plan.model_service, ENGINE_SLOTS)
                 for number, name in enumerate(self.engine_names)
             ]
             + [
--- a/hornbeamrudder/configuration/events.py
+++ b/hornbeamrudder/configuration/events.py
@@ -86,6 +86,7 @@
     demand: tuple[tuple[ids.ServiceName, float], ...]
     leaving: tuple[messages.Leaving, ...]
     small_demand: tuple[tuple[ids.ServiceName, float], ...] = ()
+    rates: tuple[messages.Rate, ...] = ()
 
 
 Event = Union[
--- a/hornbeamrudder/configuration/node.py
+++ b/hornbeamrudder/configuration/node.py
@@ -55,12 +55,13 @@
         case events.Ended(voter):
             ended = node.knowledge.ended | {voter}
             node, effects = node_state.know(node, ended=ended), ()
-        case events.Report(demand, leaving, small_demand):
+        case events.Report():
             node = dataclasses.replace(
                 node,
-                demand=demand,
-                leaving=leaving,
-                small_demand=small_demand,
+                demand=event.demand,
+                leaving=event.leaving,
+                small_demand=event.small_demand,
+                rates=event.rates,
             )
             effects = ()
     node, started = proposals.start_next(node, now)
@@ -116,6 +117,7 @@
         demand=node.demand,
         leaving=node.leaving,
         small_demand=node.small_demand,
+        rates=node.rates,
     )
 
 
--- a/hornbeamrudder/configuration/node_state.py
+++ b/hornbeamrudder/configuration/node_state.py
@@ -62,8 +62,10 @@
     demand: tuple[tuple[ids.ServiceName, float], ...] = ()
     leaving: tuple[messages.Leaving, ...] = ()
     small_demand: tuple[tuple[ids.ServiceName, float], ...] = ()
+    rates: tuple[messages.Rate, ...] = ()
     sequence: int = 0
     wall: float = 0.0
+    host: ids.HostId = ids.HostId('')
 
 
 def start(
@@ -71,9 +73,12 @@
     incarnation: ids.Incarnation,
     address: types.Address,
     now: float,
+    host: ids.HostId = ids.HostId(''),
 ) -> NodeState:
     """State of a process that has just started."""
-    return NodeState(currency.Knowledge(node, incarnation), address, now)
+    return NodeState(
+        currency.Knowledge(node, incarnation), address, now, host=host
+    )
 
 
 def may_admit(node: NodeState, now: float) -> bool:
--- a/hornbeamrudder/entry/gate.py
+++ b/hornbeamrudder/entry/gate.py
@@ -15,6 +15,7 @@
 from ..core import errors
 from ..core import ids
 from ..core import types
+from ..fleet import traffic
 from ..inventory import schema
 from . import pool
 
@@ -64,6 +65,7 @@
         self._small_demand_by_service: dict[ids.ServiceName, float] = {}
         self._smoothed_at = time.monotonic()
         self._usage_by_account: dict[ids.AccountId, limits.Usage] = {}
+        self.traffic = traffic.Meter()
         self._lock = threading.Lock()
         self._open_by_rank: collections.Counter[types.Rank] = (
             collections.Counter()
@@ -125,6 +127,7 @@
             refused.set_result(result.Failure(refusal))
             return refused
         self._workers.count_first_attempt(service)
+        self.traffic.arrived(service, rank)
         submitted = self._admission.submit(
             rank, account, service, expected_tokens, deadline
         )
@@ -162,6 +165,12 @@
         """Return a slot; as `Controller.release`."""
         if self._admission.release(slot, used_tokens, completed):
             self._count_end(slot.entry.account)
+        if completed:
+            self.traffic.served(
+                slot.service,
+                slot.entry.rank,
+                time.monotonic() - slot.granted_at,
+            )
         self.refresh(slot.service)
 
     def refresh(self, service: ids.ServiceName) -> None:
--- a/hornbeamrudder/routing/features/node_pool.feature
+++ b/hornbeamrudder/routing/features/node_pool.feature
@@ -22,5 +22,5 @@
 
   Scenario: A heartbeat of an earlier release has no small demand
     # Guards against peers that cannot talk to each other during an upgrade.
-    Then a heartbeat without its last field is read with no small demand
+    Then a heartbeat that ends before the small demand is read with none
     And the small demand of a silent peer is left out of the sum
--- a/hornbeamrudder/routing/features/steps/node_pool_steps.py
+++ b/hornbeamrudder/routing/features/steps/node_pool_steps.py
@@ -1,5 +1,6 @@
 """Steps for quiet workers on a node."""
 
+import dataclasses
 import random
 import types as python_types
 
@@ -101,13 +102,14 @@
     assert send(context, large, types.Rank.URGENT, 'u') is finds
 
 
-@behave.then('a heartbeat without its last field is read with no small demand')
+@behave.then('a heartbeat that ends before the small demand is read with none')
 def check_old_heartbeat(context):
     beat = messages.Heartbeat(1.0, 1, 1.0, 1, small_demand=((SERVICE, 2.0),))
     body = codec.encode(messages.Envelope('n2', 1, beat)).unwrap()
     assert codec.decode(body).unwrap().message == beat
     raw = msgpack.unpackb(body)
-    raw[5] = raw[5][:-1]
+    names = [field.name for field in dataclasses.fields(messages.Heartbeat)]
+    raw[5] = raw[5][: names.index('small_demand')]
     old = codec.decode(msgpack.packb(raw)).unwrap().message
     assert old.small_demand == ()
 
