--- a/hornbeamrudder/bench/features/capacity.feature
+++ b/hornbeamrudder/bench/features/capacity.feature
@@ -47,3 +47,9 @@
     # Guards against traffic that grows with the square of the nodes because
     # each heartbeat names all of them.
     Then a heartbeat among 300 nodes is as long as one among 3
+
+  Scenario: A process that does not start leaves no other running
+    # Guards against 47 nodes that ran on after one of 64 did not start, and
+    # spoiled the measurements after it.
+    When a stand-in with wrong settings is started beside a right one
+    Then the start fails and the right one is ended
--- a/hornbeamrudder/bench/features/steps/capacity_steps.py
+++ b/hornbeamrudder/bench/features/steps/capacity_steps.py
@@ -1,10 +1,14 @@
 """Steps for the fits and tables of the capacity measurements."""
 
+import pathlib
 import random
+import tempfile
+from unittest import mock
 
 import behave
 
 from hornbeamrudder.bench import capacity_peers
+from hornbeamrudder.bench import local
 from hornbeamrudder.bench import process_usage
 from hornbeamrudder.bench import slopes
 
@@ -155,3 +159,38 @@
     (count_1, bytes_1), (count_2, bytes_2) = lengths
     assert {count_1, count_2} == {many - 1, few - 1}
     assert bytes_1 / count_1 == bytes_2 / count_2, lengths
+
+
+@behave.when('a stand-in with wrong settings is started beside a right one')
+def start_beside(context):
+    started = []
+    spawn = local.LocalProcesses._spawn
+
+    def recorded(processes, *arguments):
+        started.append(spawn(processes, *arguments))
+        return started[-1]
+
+    context.started = started
+    words = ('standin', 'table')
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        mock.patch.object(local.LocalProcesses, '_spawn', recorded),
+        local.local_processes(pathlib.Path(folder)) as processes,
+    ):
+        context.start_failed = False
+        try:
+            processes.start_many(
+                {'wrong': (words, {'port': 'none'}), 'right': (words, {})}
+            )
+        except RuntimeError:
+            context.start_failed = True
+        # Before the block ends, which ends what it knows of.
+        context.ended = [process.poll() is not None for process in started]
+        for process in started:
+            process.kill()
+
+
+@behave.then('the start fails and the right one is ended')
+def check_ended(context):
+    assert context.start_failed
+    assert context.ended == [True, True], context.ended
