Compute shares from reported demand and vary the flood's answers

Cause: a node computed its shares from its demand of the moment, its peers from the last heartbeat, so that nodes disagreed on the shares of a worker; the design asks for the same value everywhere. In a batch flood an urgent request that had a slot found no worker until its deadline. Refused requests earned retries, in a flood more than there were attempts. Flood answers of one length held all slots for the whole of that length.

Change: the gate reports the highest demand of each 0.5 s and uses the same value itself; a request earns retries when it is granted; the lengths of the flood's answers vary; misses are listed with their time and node.

--- a/hornbeamrudder/admission/controller.py
+++ b/hornbeamrudder/admission/controller.py
@@ -263,6 +263,11 @@
             sum(rank.tokens for queue in waiting for rank in queue.ranks),
         )
 
+    def demand(self, service: ids.ServiceName) -> int:
+        """Slots of a service in use and wanted."""
+        with self._changed:
+            return self._state(service).demand
+
     def snapshot(self, service: ids.ServiceName) -> Snapshot:
         """Figures of one service."""
         with self._changed:
--- a/hornbeamrudder/bench/flood.py
+++ b/hornbeamrudder/bench/flood.py
@@ -157,7 +157,7 @@
 
     def start(
         self, client: http.HttpClient, request: http.HttpRequest,
-        stream: flood_load.Stream,
+        arrival: flood_load.Arrival,
     ) -> None:  # fmt: skip
         """Start a call and record its end."""
         sent_at = time.monotonic()
@@ -166,11 +166,13 @@
 
         def end(answer: http.HttpResult) -> None:
             record = flood_report.Record(
-                stream.account,
-                stream.rank,
-                stream.tokens,
+                arrival.stream.account,
+                arrival.stream.rank,
+                arrival.tokens,
                 time.monotonic() - sent_at,
                 *_end(answer),
+                arrival.at,
+                request.peer,
             )
             with self._lock:
                 self._records.append(record)
@@ -204,7 +206,7 @@
                 running.processes.by_name[name].send(signal.SIGKILL)
         time.sleep(max(0.0, started_at + arrival.at - time.monotonic()))
         recorder.start(
-            running.client, _request(arrival, addresses.pick()), arrival.stream
+            running.client, _request(arrival, addresses.pick()), arrival
         )
     records = recorder.wait(DRAIN_S)
     addresses.close()
@@ -224,7 +226,7 @@
     path = '/v1/chat/completions'
     body: Mapping[str, Any] = {
         'model': MODEL,
-        'max_tokens': stream.tokens,
+        'max_tokens': arrival.tokens,
         'messages': [{'role': 'user', 'content': key}],
     }
     if not stream.tokens:
--- a/hornbeamrudder/bench/flood_load.py
+++ b/hornbeamrudder/bench/flood_load.py
@@ -17,6 +17,9 @@
 STEP_PER_SEQUENCE_S = 0.0005
 # Tokens per second of all engines with full batches.
 CAPACITY = ENGINES * SLOTS / (STEP_S + STEP_PER_SEQUENCE_S * SLOTS)
+# Answers of one length that begin together also end together, and a flood
+# would hold all slots for the whole of their first length.
+LENGTH_RANGE = (0.25, 1.75)
 DEADLINE_S_BY_RANK = {
     types.Rank.URGENT: 8.0,
     types.Rank.STANDARD: 14.0,
@@ -31,7 +34,7 @@
     Attributes
     ----------
     tokens : int
-        Length of each answer; 0 for an order at the plain service.
+        Mean length of the answers; 0 for an order at the plain service.
     per_second : float
         Mean arrivals.
     """
@@ -76,6 +79,7 @@
     at: float
     number: int
     stream: Stream = dataclasses.field(compare=False)
+    tokens: int = dataclasses.field(default=0, compare=False)
 
 
 def tokens_per_second(streams: Iterable[Stream]) -> float:
@@ -92,7 +96,9 @@
     rng = random.Random(f'{seed}/{stream}')
     at, number = rng.expovariate(stream.per_second), 0
     while at < LOAD_S:
-        yield Arrival(at, number, stream)
+        low, high = LENGTH_RANGE
+        tokens = round(stream.tokens * rng.uniform(low, high))
+        yield Arrival(at, number, stream, tokens)
         at, number = at + rng.expovariate(stream.per_second), number + 1
 
 
--- a/hornbeamrudder/bench/flood_report.py
+++ b/hornbeamrudder/bench/flood_report.py
@@ -14,6 +14,7 @@
 METRIC_PREFIX = 'hornbeamrudder_'
 ANSWERED = 'answered'
 NOT_RUN = 'not_run'
+MOST_MISSES = 20
 COUNTERS = (
     'requests_total',
     'backend_attempts_total',
@@ -31,6 +32,8 @@
         Length of the answer; 0 for an order.
     seconds : float
         From the call to its end.
+    at : float
+        Arrival, in seconds from the start of the load.
     """
 
     account: str
@@ -39,6 +42,8 @@
     seconds: float
     end: str
     detail: str = ''
+    at: float = 0.0
+    node: str = ''
 
     @property
     def in_time(self) -> bool:
@@ -91,6 +96,11 @@
         'p99_s': None if p99 is None else float(p99),
         'share': tokens / (flood_load.CAPACITY * flood_load.LOAD_S),
         'refusals': dict(others.most_common(8)),
+        'misses': [
+            [round(item.at, 1), round(item.seconds, 1), item.end, item.node]
+            for item in records
+            if not item.in_time
+        ][:MOST_MISSES],
     }
 
 
--- a/hornbeamrudder/entry/gate.py
+++ b/hornbeamrudder/entry/gate.py
@@ -19,8 +19,9 @@
 from . import pool
 
 REFRESH_INTERVAL_S = 0.1
-# `isolation.smoothed_demand` is meant for one call in each heartbeat.
-SMOOTHING_INTERVAL_S = 0.5
+# Demand is taken once in each heartbeat, as `isolation.smoothed_demand` and
+# the measurements in virtual time assume.
+DEMAND_INTERVAL_S = 0.5
 RETRY_AFTER_S = 1.0
 # Share of the request threads that requests of a rank and of the less
 # urgent ones may occupy, so that a flood leaves threads to the others.
@@ -62,7 +63,9 @@
         self._live_nodes = live_nodes
         self._peer_small_demand = peer_small_demand
         self._small_demand_by_service: dict[ids.ServiceName, float] = {}
-        self._smoothed_at = time.monotonic()
+        self._demand_at = time.monotonic()
+        self._peak_by_service: dict[ids.ServiceName, int] = {}
+        self._demand_by_service: dict[ids.ServiceName, float] = {}
         self._usage_by_account: dict[ids.AccountId, limits.Usage] = {}
         self._lock = threading.Lock()
         self._open_by_rank: collections.Counter[types.Rank] = (
@@ -124,13 +127,13 @@
             refused: futures.Future[SlotResult] = futures.Future()
             refused.set_result(result.Failure(refusal))
             return refused
-        self._workers.count_first_attempt(service)
         submitted = self._admission.submit(
             rank, account, service, expected_tokens, deadline
         )
         submitted.add_done_callback(
-            lambda done: self._end_refused(account, done)
+            lambda done: self._settled(service, account, done)
         )
+        self._note_demand(service)
         return submitted
 
     def withdraw(self, future: 'futures.Future[SlotResult]') -> None:
@@ -172,13 +175,26 @@
         """
         usable = self._workers.usable_slots(service)
         self._admission.set_capacity(service, usable.slots, usable.quiet_free)
+        self._note_demand(service)
+
+    def _note_demand(self, service: ids.ServiceName) -> None:
+        demand = self._admission.demand(service)
+        with self._lock:
+            self._peak_by_service[service] = max(
+                demand, self._peak_by_service.get(service, 0)
+            )
 
     def demand(self) -> tuple[tuple[ids.ServiceName, float], ...]:
-        """Slots of each service that this node could use now."""
-        return tuple(
-            (service, float(self._admission.snapshot(service).demand))
-            for service in self._services()
-        )
+        """Highest demand in the last interval, in slots by service.
+
+        Shares are computed from this value here and from the same one at the
+        peers, so that they agree on the shares of each worker.
+        """
+        with self._lock:
+            return tuple(
+                (service, self._demand_by_service.get(service, 0.0))
+                for service in self._services()
+            )
 
     def small_demand(self) -> tuple[tuple[ids.ServiceName, float], ...]:
         """Smoothed slots of small accounts, to report with heartbeats."""
@@ -246,11 +262,18 @@
                 self._usage_by_account.get(account, limits.Usage())
             )
 
-    def _end_refused(
-        self, account: ids.AccountId, done: 'futures.Future[SlotResult]'
+    def _settled(
+        self,
+        service: ids.ServiceName,
+        account: ids.AccountId,
+        done: 'futures.Future[SlotResult]',
     ) -> None:
         if isinstance(done.result(), result.Failure):
             self._count_end(account)
+        else:
+            # Refused requests cause no attempt; in a flood they would earn
+            # more retries than there are attempts.
+            self._workers.count_first_attempt(service)
 
     def _release_unused(self, done: 'futures.Future[SlotResult]') -> None:
         match done.result():
@@ -259,16 +282,16 @@
 
     def _refresh_loop(self) -> None:
         while not self._stop.wait(REFRESH_INTERVAL_S):
-            self._smooth_small_demand()
+            self._take_demand()
             self._set_quiet()
             for service in self._services():
                 self.refresh(service)
 
-    def _smooth_small_demand(self) -> None:
+    def _take_demand(self) -> None:
         now = time.monotonic()
-        if now - self._smoothed_at < SMOOTHING_INTERVAL_S:
+        if now - self._demand_at < DEMAND_INTERVAL_S:
             return
-        self._smoothed_at = now
+        self._demand_at = now
         smoothed = {
             service: isolation.smoothed_demand(
                 self._small_demand_by_service.get(service, 0.0),
@@ -278,6 +301,11 @@
         }
         with self._lock:
             self._small_demand_by_service = smoothed
+            self._demand_by_service = {
+                service: float(peak)
+                for service, peak in self._peak_by_service.items()
+            }
+            self._peak_by_service = {}
 
     def _set_quiet(self) -> None:
         told = self._peer_small_demand()
