Show that a used key is not told 'not run' in a table outage

Cause: the rule for repeated keys had no scenario, and the test callers took 'not run' at a later attempt for an unknown outcome by themselves.

Change: the callers state the number of their attempt and ask again where an unknown outcome carries Retry-After; a scenario with real processes lets an order run, takes the table service down and tries its key and a new key.

Conclusion: the promise holds for callers that send a key.

--- a/hornbeamrudder/bench/callers.py
+++ b/hornbeamrudder/bench/callers.py
@@ -223,34 +223,34 @@
     ) -> CallRecord:
         """Call a plain service; tries again with the same key.
 
-        The path ends with the key, by which the runs are counted. `not run`
-        speaks of one attempt: after an attempt without an answer it is
-        tried again, and at the time limit the outcome is unknown.
+        The path ends with the key, by which the runs are counted. The call
+        states the number of its attempt, so that `not run` can be believed
+        at the first one; an unknown outcome with `Retry-After` is asked for
+        again until the time limit.
         """
         started_at = time.monotonic()
         deadline = started_at + timeout_s
         end, detail, text = CallEnd.LOST, 'time limit of the caller', ''
-        unanswered = False
+        attempt = 1
         for connection in itertools.count(1):
+            headers = _headers(identity, key)
             answer = self._client.call(
                 http.HttpRequest(
                     method=method,
                     peer=str(self._address()),
                     path=f'/v1/services/{service}{path}/{key}',
                     step=errors.Step.DISPATCH,
-                    headers=_headers(identity, key),
+                    headers=(*headers, ('Idempotency-Attempt', str(attempt))),
                     body=body,
                     first_byte_timeout_s=SILENCE_TIMEOUT_S,
                 )
             )
             decided = _call_end(answer)
-            if decided is None:
-                unanswered |= not _not_sent(answer)
-            else:
+            if decided is not None:
                 end, detail, text = decided
-                if end is not CallEnd.NOT_RUN or not unanswered:
+                if not _may_ask_again(end, answer):
                     break
-                end = CallEnd.UNKNOWN
+            attempt += not _not_sent(answer)
             if time.monotonic() > deadline:
                 break
             time.sleep(RETRY_PAUSE_S)
@@ -363,6 +363,14 @@
     )
 
 
+def _may_ask_again(end: CallEnd, answer: http.HttpResult) -> bool:
+    return (
+        end is CallEnd.UNKNOWN
+        and isinstance(answer, result.Success)
+        and 'retry-after' in answer.unwrap().headers_by_name
+    )
+
+
 def _not_sent(answer: http.HttpResult) -> bool:
     return (
         isinstance(answer, result.Failure)
--- a/hornbeamrudder/entry/features/steps/check_steps.py
+++ b/hornbeamrudder/entry/features/steps/check_steps.py
@@ -5,12 +5,15 @@
 import time
 
 import behave
+import orjson
 
 from hornbeamrudder.bench import callers
 from hornbeamrudder.bench import local
+from hornbeamrudder.core import errors
 from hornbeamrudder.core import types
 from hornbeamrudder.entry.features import history
 from hornbeamrudder.orders import record
+from hornbeamrudder.platform import http
 
 # Section 2 of the design page: no new work "after a few seconds", 3 s.
 NO_NEW_WORK_S = 3.0
@@ -177,6 +180,51 @@
         assert call.result().end is callers.CallEnd.ANSWERED, call.result()
 
 
+@behave.when('an order has run')
+def run_order(context):
+    item = context.trial
+    context.used_key = item.key('used')
+    context.first = item.order(key=context.used_key)
+    assert context.first.end is callers.CallEnd.ANSWERED, context.first
+
+
+@behave.then('its key is answered as unknown and a new key as not run')
+def check_used_key(context):
+    item = context.trial
+    new = item.order()
+    assert new.end is callers.CallEnd.NOT_RUN, new
+    assert _end_of_repeat(item, context.used_key) == 'unknown'
+
+
+def _end_of_repeat(item, key):
+    # Without `Idempotency-Attempt`, as a caller that tries again sends it.
+    answer = item.client.call(
+        http.HttpRequest(
+            method='POST',
+            peer=str(item.running.address('entry-2')),
+            path=f'/v1/services/{item.running.plan.plain_service}'
+            f'/visits/{key}',
+            step=errors.Step.DISPATCH,
+            headers=(
+                ('Authorization', 'Bearer token-clerks'),
+                ('Idempotency-Key', key),
+            ),
+            body=b'{}',
+            first_byte_timeout_s=30.0,
+        )
+    ).unwrap()
+    return orjson.loads(answer.body)['outcome']
+
+
+@behave.then('its key gets the stored answer')
+def check_stored(context):
+    again = context.trial.order(key=context.used_key)
+    assert (again.end, again.text) == (
+        context.first.end,
+        context.first.text,
+    ), again
+
+
 # The checker itself.
 
 
--- a/hornbeamrudder/entry/features/table.feature
+++ b/hornbeamrudder/entry/features/table.feature
@@ -19,6 +19,16 @@
     Then orders are answered again
     And the history keeps the promises, orders may be unknown
 
+  Scenario: a used key is tried again while the table service is down
+    Guards against "not run" for an order that ran in an earlier attempt.
+    Given a load of streams and orders
+    When an order has run
+    And the table service is down
+    Then its key is answered as unknown and a new key as not run
+    When the table service answers again
+    Then its key gets the stored answer
+    And the history keeps the promises, orders may be unknown
+
   @long
   Scenario: the table service goes down in the middle of orders
     Guards against orders that run without a confirmed record, and against
