--- a/hornbeamrudder/bench/deployment.py
+++ b/hornbeamrudder/bench/deployment.py
@@ -77,19 +77,33 @@
         self.document: dict[str, Any] = {}
         self._peer_ports: tuple[int, ...] = ()
         self._caller_ports: tuple[int, ...] = ()
+        self._hosts_port = 0
         self._relay_ports_by_link: dict[str, int] = {}
 
     def start(self) -> None:
         """Start all processes and put the configuration in force."""
-        self._start_backends()
-        self._start_platform()
+        self._start_services()
         self._peer_ports = _free_ports(self.plan.nodes)
         self._caller_ports = _free_ports(self.plan.nodes)
-        self._start_relays()
+        (self._hosts_port,) = _free_ports(1)
+        links = self.plan.relays
+        self._relay_ports_by_link = dict(zip(links, _free_ports(len(links))))
+        # Each start takes seconds on a busy machine; with ports that are
+        # known before, these start side by side.
         self.processes.start_many(
             {
-                name: (('node',), self.node_settings(number))
-                for number, name in enumerate(self.node_names)
+                'hosts': (('standin', 'hosts'), self._hosts_settings()),
+                **{
+                    relay_name(link): (
+                        ('standin', 'relay'),
+                        self._relay_settings(link),
+                    )
+                    for link in links
+                },
+                **{
+                    name: (('node',), self.node_settings(number))
+                    for number, name in enumerate(self.node_names)
+                },
             }
         )
         self.document = self._document()
@@ -262,7 +276,8 @@
             if line.startswith('run /')
         )
 
-    def _start_backends(self) -> None:
+    def _start_services(self) -> None:
+        """Start what needs no address of another process."""
         engines = {
             name: (
                 ('standin', 'engine'),
@@ -274,12 +289,11 @@
             name: (('standin', 'service'), dict(self.plan.service))
             for name in self.service_names
         }
-        self.processes.start_many({**engines, **services})
-
-    def _start_platform(self) -> None:
         workers = self.engine_names + self.service_names
-        started = self.processes.start_many(
+        self.processes.start_many(
             {
+                **engines,
+                **services,
                 'table': (('standin', 'table'), dict(self.plan.table)),
                 'objects': (('standin', 'objects'), {}),
                 'weights': (('standin', 'weights'), {}),
@@ -296,32 +310,23 @@
                 ),
             }
         )
-        self.processes.start(
-            'hosts',
-            ('standin', 'hosts'),
-            {'cloud': str(started[3].address)},
-        )
 
-    def _start_relays(self) -> None:
-        links = self.plan.relays
-        self._relay_ports_by_link = dict(zip(links, _free_ports(len(links))))
-        self.processes.start_many(
-            {
-                relay_name(link): (
-                    ('standin', 'relay'),
-                    {
-                        'listen': f'{local.LOOPBACK}:{port}',
-                        'target': f'{local.LOOPBACK}:{self._target(link)}',
-                    },
-                )
-                for link, port in self._relay_ports_by_link.items()
-            }
-        )
+    def _hosts_settings(self) -> dict[str, Any]:
+        return {'port': self._hosts_port, 'cloud': str(self.address('cloud'))}
+
+    def _relay_settings(self, link: str) -> dict[str, Any]:
+        port = self._relay_ports_by_link[link]
+        return {
+            'listen': f'{local.LOOPBACK}:{port}',
+            'target': f'{local.LOOPBACK}:{self._target(link)}',
+        }
 
     def _target(self, link: str) -> int:
         name, _, end = link.partition(':')
         if end == 'peers':
             return self._peer_ports[self.node_names.index(name)]
+        if end == 'hosts':
+            return self._hosts_port
         return self.address(end or name).port
 
     def _peer_port(self, number: int) -> int:
@@ -331,7 +336,10 @@
 
     def _platform_port(self, number: int, service: str) -> int:
         return self._relay_ports_by_link.get(
-            f'{self.node_names[number]}:{service}', self.address(service).port
+            f'{self.node_names[number]}:{service}',
+            self._hosts_port
+            if service == 'hosts'
+            else self.address(service).port,
         )
 
     def _cloud_host(self, name: str, number: int) -> dict[str, Any]:
--- a/hornbeamrudder/bench/local.py
+++ b/hornbeamrudder/bench/local.py
@@ -71,10 +71,16 @@
             name: self._spawn(name, words, settings)
             for name, (words, settings) in commands.items()
         }
-        for name, process in started.items():
-            self.by_name[name] = LocalProcess(
-                name, process, self._wait_listening(name, process)
-            )
+        try:
+            for name, process in started.items():
+                self.by_name[name] = LocalProcess(
+                    name, process, self._wait_listening(name, process)
+                )
+        except RuntimeError:
+            # Those that are not in `by_name` yet would outlive the program.
+            for process in started.values():
+                process.kill()
+            raise
         return tuple(self.by_name[name] for name in started)
 
     def start(
