End all processes where one of them does not start

Cause: a run on a machine with a load average above 160 raised because an engine did not listen within 20 s, and 12 processes that had been started with it were left running.

Change: LocalProcesses knows all processes before it waits for the first.

Conclusion: a failed start leaves no process.

--- a/hornbeamrudder/bench/features/flood.feature
+++ b/hornbeamrudder/bench/features/flood.feature
@@ -10,3 +10,8 @@
     # other services in the attempts per request.
     Then an answer after its deadline is late and a refusal is not run
     And counters are added up over nodes for one service only
+
+  Scenario: Processes are ended where one of them does not start
+    # Guards against processes that outlive a failed run and load the machine.
+    When two processes are started whose settings are wrong
+    Then none of them is left
--- a/hornbeamrudder/bench/features/steps/flood_steps.py
+++ b/hornbeamrudder/bench/features/steps/flood_steps.py
@@ -1,9 +1,13 @@
 """Steps for the measurements of floods."""
 
+import pathlib
+import tempfile
+
 import behave
 
 from hornbeamrudder.bench import flood_load
 from hornbeamrudder.bench import flood_report
+from hornbeamrudder.bench import local
 from hornbeamrudder.core import types
 
 
@@ -59,3 +63,22 @@
         [page('a', 10, 11), page('a', 10, 12), page('b', 1, 9)], 'a'
     )
     assert totals['attempts_per_request'] == 23 / 20
+
+
+@behave.when('two processes are started whose settings are wrong')
+def start_wrong(context):
+    wrong = (('standin', 'table'), {'surplus': 1})
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            with local.local_processes(pathlib.Path(folder)) as processes:
+                context.by_name = processes.by_name
+                processes.start_many({'a': wrong, 'b': wrong})
+        except RuntimeError:
+            return
+    raise AssertionError('the processes started')
+
+
+@behave.then('none of them is left')
+def check_none_left(context):
+    assert sorted(context.by_name) == ['a', 'b']
+    assert not any(item.running for item in context.by_name.values())
--- a/hornbeamrudder/bench/local.py
+++ b/hornbeamrudder/bench/local.py
@@ -23,6 +23,7 @@
 STOP_TIMEOUT_S = 30.0
 LOOPBACK = '127.0.0.1'
 LISTENING = 'listening on '
+NO_ADDRESS = types.Address(LOOPBACK, 0)
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,10 +72,12 @@
             name: self._spawn(name, words, settings)
             for name, (words, settings) in commands.items()
         }
+        # Known before the first wait: where one does not start, all of them
+        # are ended by `stop_all`.
         for name, process in started.items():
-            self.by_name[name] = LocalProcess(
-                name, process, self._wait_listening(name, process)
-            )
+            self.by_name[name] = LocalProcess(name, process, NO_ADDRESS)
+        for name, process in started.items():
+            self.by_name[name].address = self._wait_listening(name, process)
         return tuple(self.by_name[name] for name in started)
 
     def start(
