Run the operator commands against nodes and document operation

Cause: the commands had only been run against a backend in memory. Conflicts and history named top-level keys, so that `rules history` printed nothing; history had one time; `status` did not tell who answered; a node could give a version with the document before it, so that an edit reverted a change.

Change: difference keys in the version row, bounded in number and length; times of recent versions; version and document of one content; readiness in heartbeats; `status` by node; drain logged with the operator. Limits on Idempotency-Key and number of headers; deep JSON is refused (it was status 502 with outcome unknown).

--- a/hornbeamrudder/answers/generation.py
+++ b/hornbeamrudder/answers/generation.py
@@ -10,6 +10,7 @@
 from returns import result
 import structlog
 
+from . import attempts
 from ..backends import client as backends_client
 from . import buffer
 from ..core import errors
@@ -64,6 +65,30 @@
     MOVED = 'moved'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndedAttempt:
+    """One attempt that has ended, for traces; none is made for a token.
+
+    Attributes
+    ----------
+    seconds : float
+        From the sending of the request to the end.
+    """
+
+    request: GenerationRequest
+    number: int
+    worker: types.Worker
+    reason: EndReason
+    seconds: float
+
+
+AttemptCallback = Callable[[EndedAttempt], None]
+
+
+def ignore_attempt(ended: EndedAttempt) -> None:
+    """Do nothing at the end of an attempt."""
+
+
 class WorkerPool(Protocol):
     """Chooses workers and keeps count of the work sent to them."""
 
@@ -94,6 +119,7 @@
     number: int
     worker: types.Worker
     call: http.Call | None = None
+    started_at: float = dataclasses.field(default_factory=time.monotonic)
 
 
 class Generation:
@@ -111,6 +137,7 @@
         executor: futures.Executor,
         waits: scheduler.Scheduler,
         on_end: Callable[['Generation'], None],
+        on_attempt: AttemptCallback = ignore_attempt,
     ) -> None:
         self.request = request
         self.buffer = buffer.AnswerBuffer(request.id)
@@ -122,6 +149,7 @@
         self._executor = executor
         self._waits = waits
         self._on_end = on_end
+        self._on_attempt = on_attempt
         self._lock = threading.Lock()
         self._current: _Attempt | None = None
         self._failed_workers: frozenset[ids.WorkerId] = frozenset()
@@ -314,12 +342,12 @@
         # after it was lost.
         self.buffer.complete(attempt.number)
         if self.buffer.state is buffer.AnswerState.COMPLETE:
-            self._pool.ended(self.request, attempt.worker, EndReason.COMPLETE)
+            self._attempt_ended(attempt, EndReason.COMPLETE)
             self._tell_end()
             return
-        self._pool.ended(self.request, attempt.worker, EndReason.FAILED)
+        self._attempt_ended(attempt, EndReason.FAILED)
         self._failed_workers |= {attempt.worker.id}
-        failure = _attempt_failure(outcome, attempt.worker)
+        failure = attempts.failure_of(outcome, attempt.worker)
         if self._may_go_on(failure):
             self._waits.run_after(RETRY_PAUSE_S, self._start_attempt)
         else:
@@ -349,6 +377,18 @@
         if first:
             self._on_end(self)
 
+    def _attempt_ended(self, attempt: _Attempt, reason: EndReason) -> None:
+        self._pool.ended(self.request, attempt.worker, reason)
+        self._on_attempt(
+            EndedAttempt(
+                self.request,
+                attempt.number,
+                attempt.worker,
+                reason,
+                time.monotonic() - attempt.started_at,
+            )
+        )
+
     def _take_current(self, attempt: _Attempt) -> bool:
         with self._lock:
             if self._current is not attempt:
@@ -366,7 +406,7 @@
             ):
                 return False
             self._current = None
-        self._pool.ended(self.request, attempt.worker, reason)
+        self._attempt_ended(attempt, reason)
         if attempt.call is not None:
             self._client.cancel(attempt.call)
         self._client.start(
@@ -404,28 +444,3 @@
 def export_body(request_id: ids.RequestId) -> bytes:
     """Body of a KV cache export."""
     return b'{"request_id":"%s"}' % request_id.encode()
-
-
-def _attempt_failure(
-    outcome: http.HttpResult, worker: types.Worker
-) -> errors.Failure:
-    match outcome:
-        case result.Success(response) if response.status == 400:
-            return errors.Failure(
-                errors.FailureKind.INVALID,
-                errors.Step.READ_ANSWER,
-                str(worker.address),
-                response.body[:200].decode('utf-8', 'replace'),
-                types.Outcome.FAILED,
-            )
-        case result.Success(response):
-            return errors.Failure(
-                errors.FailureKind.INTERRUPTED,
-                errors.Step.READ_ANSWER,
-                str(worker.address),
-                f'status {response.status}, answer is not whole',
-                types.Outcome.FAILED,
-            )
-        case result.Failure(failure):
-            return dataclasses.replace(failure, outcome=types.Outcome.FAILED)
-    raise AssertionError(outcome)
--- a/hornbeamrudder/answers/handover.py
+++ b/hornbeamrudder/answers/handover.py
@@ -23,6 +23,7 @@
 from ..peers import messages
 from ..platform import table
 from . import service
+from ..telemetry import traces
 
 MAX_SUCCESSOR_HOPS = 8
 REQUEST_TIMEOUT_S = 2.0
@@ -127,6 +128,7 @@
         store: table.TableClient,
         find_worker: WorkerLookup,
         on_end: EndCallback,
+        tracer: traces.Tracer,
     ) -> None:
         self._node_id = node_id
         self._answers = answers
@@ -134,6 +136,7 @@
         self._store = store
         self._find_worker = find_worker
         self._on_end = on_end
+        self._tracer = tracer
         self._leaving = False
         self._successors_by_node: dict[ids.NodeId, ids.NodeId] = {}
 
@@ -184,6 +187,12 @@
                 )
             case result.Success(request):
                 item = self._answers.create(request, self._on_end)
+                self._tracer.record(
+                    'take over',
+                    request.traceparent,
+                    0.0,
+                    request_id=item.request.id,
+                )
                 # The same message may come twice, when its first answer
                 # was late.
                 if item.attempts == 0:
@@ -232,9 +241,15 @@
         worker = item.pause()
         if item.buffer.state is not buffer.AnswerState.RUNNING:
             return True
-        answer = self._exchange.request(
-            peer, to_message(item, worker, time.monotonic())
-        ).result()
+        with self._tracer.span(
+            'hand over',
+            item.request.traceparent,
+            request_id=item.request.id,
+            peer=peer,
+        ):
+            answer = self._exchange.request(
+                peer, to_message(item, worker, time.monotonic())
+            ).result()
         match answer:
             case result.Success(messages.HandoverAck(accepted=True)):
                 item.finish_handover()
--- a/hornbeamrudder/answers/service.py
+++ b/hornbeamrudder/answers/service.py
@@ -32,10 +32,12 @@
         client: http.HttpClient,
         pool: generation.WorkerPool,
         kept_answer_s: float,
+        on_attempt: generation.AttemptCallback = generation.ignore_attempt,
     ) -> None:
         self._client = client
         self._pool = pool
         self._kept_answer_s = kept_answer_s
+        self._on_attempt = on_attempt
         self._executor = futures.ThreadPoolExecutor(
             EXECUTOR_THREADS, thread_name_prefix='answers'
         )
@@ -75,6 +77,7 @@
                 self._executor,
                 self._waits,
                 on_end,
+                self._on_attempt,
             )
             self._generations_by_request_id[request.id] = created
             self._unread_since_by_request_id[request.id] = time.monotonic()
--- a/hornbeamrudder/cli.py
+++ b/hornbeamrudder/cli.py
@@ -11,9 +11,12 @@
 from .bench import demo
 from .bench import experiment
 from .entry import daemon
+from .inventory import mapping
 from .inventory import problems
+from .inventory import schema as inventory_schema
 from .operators import commands as commands_of_operators
 from .settings import load
+from .settings import reference
 from .settings import schema
 from .standins import cloud
 from .standins import engine
@@ -25,6 +28,12 @@
 
 EXIT_PROBLEMS = 1
 
+MODEL_BY_TITLE: dict[str, type[pydantic.BaseModel]] = {
+    'Node settings': schema.NodeSettings,
+    'Configuration document with its rules': inventory_schema.Document,
+    'Mapping file of a register': mapping.RegisterMapping,
+}
+
 Runner = tuple[type[pydantic.BaseModel], Callable[[Any], int]]
 
 STANDINS_BY_ROLE: dict[str, Runner] = {
@@ -61,6 +70,22 @@
     )
 
 
+def settings_reference() -> str:
+    """Return docs/settings.md as it has to be."""
+    return reference.render(
+        MODEL_BY_TITLE
+        | {
+            f'Stand-in `{role}`': model
+            for role, (model, _) in STANDINS_BY_ROLE.items()
+        }
+    )
+
+
+def _reference(arguments: argparse.Namespace) -> int:
+    print(settings_reference(), end='')
+    return 0
+
+
 def _settings_problems(path: pathlib.Path) -> tuple[problems.Problem, ...]:
     match load.load(str(path), schema.NodeSettings):
         case result.Failure(found):
@@ -93,6 +118,9 @@
         '--folder', help='folder for settings and logs of the processes'
     )
     demo_command.set_defaults(run=demo.main)
+    commands.add_parser(
+        'reference', help='print the settings reference (docs/settings.md)'
+    ).set_defaults(run=_reference)
     commands.add_parser('bench', help='measure the policy in virtual time')
     return parser
 
--- a/hornbeamrudder/configuration/node.py
+++ b/hornbeamrudder/configuration/node.py
@@ -111,6 +111,7 @@
         members=tuple(sorted(peer_view.alive(node.view, now))),
         demand=node.demand,
         leaving=node.leaving,
+        may_admit=currency.may_admit(knowledge, now),
     )
 
 
--- a/hornbeamrudder/configuration/publish.py
+++ b/hornbeamrudder/configuration/publish.py
@@ -224,7 +224,7 @@
     version = ids.Version((current.version if current else 0) + 1)
     old_document = table.document or b'{}'
     document = old_document if proposal.document is None else proposal.document
-    keys = state.differing_keys(old_document, document)
+    keys = state.row_keys(state.differing_keys(old_document, document))
     added = {member.node for member in proposal.add}
     kept = tuple(
         member
@@ -232,7 +232,9 @@
         if member.node not in added
         and (member.node, member.incarnation) not in proposal.remove
     )
-    change = state.Change(version, proposal.author, keys, proposal.attempt)
+    change = state.Change(
+        version, proposal.author, keys, proposal.attempt, proposal.wall
+    )
     unchanged = proposal.document is None and current is not None
     content_key = f'{state.CONTENT_PREFIX}{version}/{proposal.attempt}'
     in_objects = len(document) > state.MAX_ROW_CONTENT_BYTES
--- a/hornbeamrudder/configuration/state.py
+++ b/hornbeamrudder/configuration/state.py
@@ -1,7 +1,8 @@
 """Content and version row of the configuration; pure."""
 
+import collections
 import dataclasses
-from typing import Any, Mapping
+from typing import Any
 
 import orjson
 import pydantic
@@ -11,6 +12,7 @@
 from ..core import hashing
 from ..core import ids
 from ..core import types
+from ..inventory import difference
 
 CURRENT_KEY = 'config/current'
 CONTENT_PREFIX = 'config/content/'
@@ -18,6 +20,12 @@
 MAX_ROW_CONTENT_BYTES = 64 * 1024
 # Changes named in the row, from which a conflict tells the authors.
 RECENT_CHANGES = 16
+# Keys named for each of them. 16 changes with 600 characters of keys take
+# less than 12 KB in the row.
+MAX_CHANGE_KEYS = 16
+MAX_CHANGE_KEY_CHARACTERS = 600
+# Stands for all keys of a section.
+ANY_KEY = '/*'
 # Member sets that may still confirm nodes below the current version.
 MAX_ELECTORATES = 32
 
@@ -36,12 +44,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Change:
-    """What one version changed; no keys where only members changed."""
+    """What one version changed; no keys where only members changed.
+
+    Attributes
+    ----------
+    keys : tuple of str
+        Difference keys, some of them as `<section>/*`; an earlier release
+        wrote the top-level keys of the document.
+    wall : float
+        Seconds since 1970; 0 in a row of an earlier release.
+    """
 
     version: ids.Version
     author: ids.OperatorId
     keys: tuple[str, ...]
     attempt: ids.AttemptId
+    wall: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -149,9 +167,9 @@
 
 
 def differing_keys(base: bytes, current: bytes) -> tuple[str, ...]:
-    """Top-level keys whose values differ between two documents."""
-    before: Mapping[str, Any] = orjson.loads(base)
-    after: Mapping[str, Any] = orjson.loads(current)
+    """Difference keys whose values differ between two documents."""
+    before = difference.json_by_key(orjson.loads(base))
+    after = difference.json_by_key(orjson.loads(current))
     absent = object()
     return tuple(
         sorted(
@@ -162,6 +180,36 @@
     )
 
 
+def row_keys(keys: tuple[str, ...]) -> tuple[str, ...]:
+    """Shorten a list of keys to what the version row holds for a change.
+
+    All nodes read the row every second. While the list is too long, the
+    section with most keys becomes `<section>/*`.
+    """
+    while len(keys) > MAX_CHANGE_KEYS or (
+        sum(map(len, keys)) > MAX_CHANGE_KEY_CHARACTERS
+    ):
+        counts = collections.Counter(
+            key.partition('/')[0] for key in keys if not _is_section(key)
+        )
+        if not counts:
+            break
+        section = counts.most_common(1)[0][0]
+        kept = {key for key in keys if key.partition('/')[0] != section}
+        keys = tuple(sorted(kept | {section + ANY_KEY}))
+    return keys
+
+
+def covers(keys: tuple[str, ...], key: str) -> bool:
+    """Whether a change with these keys in its row changed `key`."""
+    section = key.partition('/')[0]
+    return not {key, section, section + ANY_KEY}.isdisjoint(keys)
+
+
+def _is_section(key: str) -> bool:
+    return '/' not in key or key.endswith(ANY_KEY)
+
+
 def describe_conflict(
     row: VersionRow, current: bytes, base: ids.Version, base_document: bytes
 ) -> tuple[KeyConflict, ...]:
@@ -184,7 +232,9 @@
             key,
             tuple(
                 dict.fromkeys(
-                    change.author for change in changes if key in change.keys
+                    change.author
+                    for change in changes
+                    if covers(change.keys, key)
                 )
             ),
         )
--- a/hornbeamrudder/entry/application.py
+++ b/hornbeamrudder/entry/application.py
@@ -50,6 +50,11 @@
 )
 EVENT_STREAM = 'text/event-stream'
 RETRY_AFTER_S = 1.0
+# The key is a part of an order record's row and is hashed into its name.
+MAX_KEY_CHARACTERS = 256
+# The head is limited in bytes by the settings; each header also costs a
+# string and a pass through the filters of forwarded headers.
+MAX_HEADERS = 100
 
 Handler = Callable[..., werkzeug.Response]
 
@@ -100,6 +105,11 @@
         """Requests whose response has not been closed."""
         return self._open_requests
 
+    @property
+    def ready(self) -> bool:
+        """Whether the node takes new requests, as `/readyz` tells."""
+        return self._ready and self._parts.configuration.may_admit()
+
     def set_ready(self, ready: bool) -> None:
         """Set what `/readyz` tells the balancer."""
         self._ready = ready
@@ -129,6 +139,9 @@
     def _respond(
         self, request: werkzeug.Request, environ: dict[str, Any]
     ) -> werkzeug.Response:
+        over = _over_limit(request)
+        if over is not None:
+            return self._refuse(over)
         try:
             endpoint, arguments = URLS.bind_to_environ(environ).match()
             return self._handlers_by_endpoint[endpoint](request, **arguments)
@@ -154,7 +167,7 @@
         return werkzeug.Response('ok\n')
 
     def _readiness(self, request: werkzeug.Request) -> werkzeug.Response:
-        ready = self._ready and self._parts.configuration.may_admit()
+        ready = self.ready
         return werkzeug.Response(
             'ready\n' if ready else 'not ready\n', 200 if ready else 503
         )
@@ -286,6 +299,19 @@
     return found.unwrap()
 
 
+def _over_limit(request: werkzeug.Request) -> errors.Failure | None:
+    headers = sum(name.startswith('HTTP_') for name in request.environ)
+    if headers > MAX_HEADERS:
+        return problems.invalid(
+            f'{headers} headers, the limit is {MAX_HEADERS}'
+        )
+    if len(request.headers.get('Idempotency-Key', '')) > MAX_KEY_CHARACTERS:
+        return problems.invalid(
+            f'Idempotency-Key is over {MAX_KEY_CHARACTERS} characters'
+        )
+    return None
+
+
 def _http_error(error: exceptions.HTTPException) -> werkzeug.Response:
     response = problems.to_response(
         problems.invalid(error.description or error.name)
--- a/hornbeamrudder/entry/chat_calls.py
+++ b/hornbeamrudder/entry/chat_calls.py
@@ -98,7 +98,7 @@
         parsed = prepared.body
         request_id = ids.new_request_id(self._node_id, self._rng)
         with self._tracer.span(
-            'generate',
+            'receive',
             request.headers.get('traceparent', ''),
             request_id=request_id,
             service=parsed.service.name,
--- a/hornbeamrudder/entry/chat_request.py
+++ b/hornbeamrudder/entry/chat_request.py
@@ -85,13 +85,18 @@
         return result.Failure(
             problems.invalid(f'max_tokens is over the limit of {limit}')
         )
+    try:
+        engine_body = _engine_body(value, max_tokens)
+    except orjson.JSONEncodeError:
+        # orjson reads 1024 levels and writes 254.
+        return result.Failure(problems.invalid('body is nested too deeply'))
     prompt = '\n'.join(
         f'{message.role}: {message.content}' for message in completion.messages
     )
     return result.Success(
         ChatRequest(
             service=service,
-            body=_engine_body(value, max_tokens),
+            body=engine_body,
             prompt_key=prompt,
             prompt_tokens=len(prompt.split()),
             max_tokens=max_tokens,
--- a/hornbeamrudder/entry/node.py
+++ b/hornbeamrudder/entry/node.py
@@ -1,5 +1,6 @@
 """All parts of one running node, wired together."""
 
+import functools
 import random
 import threading
 import time
@@ -8,6 +9,7 @@
 import structlog
 
 from ..admission import controller
+from ..answers import attempt_traces
 from ..answers import buffer
 from ..answers import generation
 from ..answers import handover
@@ -69,7 +71,7 @@
     ) -> None:
         self._settings = settings
         self._on_reclaim = on_reclaim
-        self._id = ids.NodeId(settings.node_id)
+        self._id = self.node_id = ids.NodeId(settings.node_id)
         self._incarnation = ids.Incarnation(time.time_ns())
         self._rng = random.SystemRandom()
         self._reclaim_at: float | None = None
@@ -95,7 +97,10 @@
             settings.limits.threads,
         )
         self.answers = answers_service.AnswerService(
-            self._client, self.pool, settings.limits.kept_answer_s
+            self._client,
+            self.pool,
+            settings.limits.kept_answer_s,
+            functools.partial(attempt_traces.record, self._tracer),
         )
         self._handovers = handover.Handover(
             self._id,
@@ -104,6 +109,7 @@
             self._table,
             self._find_worker,
             self._on_generation_end,
+            self._tracer,
         )
         self._make_orders()
         self.application = self._make_application()
@@ -336,7 +342,10 @@
     ) -> messages.Message | None:
         match envelope.message:
             case messages.Handover() as message:
-                return self._handovers.take(message)
+                ack = self._handovers.take(message)
+                if ack.accepted:
+                    self.metrics.handovers.inc({'direction': 'taken'})
+                return ack
             case messages.FetchAnswer() as message:
                 return self._handovers.answer_piece(message)
             case _:
@@ -352,6 +361,8 @@
             ended.recomputed_tokens,
         )
         self.metrics.dropped_pieces.add({}, ended.buffer.dropped_pieces)
+        if ended.buffer.state is buffer.AnswerState.MOVED:
+            self.metrics.handovers.inc({'direction': 'passed'})
         if ended.buffer.state is buffer.AnswerState.COMPLETE:
             self.metrics.observe_answer(
                 ended.request.service,
--- a/hornbeamrudder/entry/operator_backend.py
+++ b/hornbeamrudder/entry/operator_backend.py
@@ -2,20 +2,28 @@
 
 from typing import Any, Callable, Mapping, Sequence
 
+import orjson
 from returns import result
+import structlog
 
 from ..backends import watch
 from ..configuration import publish
 from ..configuration import service as configuration_service
+from ..configuration import state
 from . import configured
 from ..core import errors
 from ..core import hosts
 from ..core import ids
 from ..core import types
+from ..inventory import problems
 from ..inventory import schema
 from ..operators import messages
 
 APPLY_TIMEOUT_S = 15.0
+# Author of a change that is older than those named in the version row.
+UNKNOWN_AUTHOR = 'an operator not in the recent changes'
+
+log = structlog.get_logger()
 
 StatusFunction = Callable[[], Mapping[str, Any]]
 
@@ -43,11 +51,22 @@
         return self._first_operators + document.operators
 
     def current(self) -> result.Result[messages.Configuration, errors.Failure]:
-        """Return the configuration in force."""
-        return result.Success(
-            messages.Configuration(
-                self._configuration.version(), self._configuration.document()
+        """Return the configuration in force.
+
+        Version and document come from one content. A version beside the
+        document before it would let an operator's change revert the change
+        of that version.
+        """
+        current = self._service.current()
+        if current is None:
+            return result.Success(
+                messages.Configuration(ids.Version(0), configured.EMPTY)
             )
+        version = current.row.version
+        return (
+            schema.parse_document(orjson.loads(current.document))
+            .map(lambda document: messages.Configuration(version, document))
+            .alt(lambda found: _not_usable(version, found))
         )
 
     def apply(self, change: messages.Change) -> messages.ChangeResult:
@@ -81,10 +100,7 @@
                     messages.HistoryEntry(
                         version=change.version,
                         author=change.author,
-                        # The row keeps the time of its last change alone.
-                        at_wall_s=(
-                            row.wall if change.version == row.version else 0.0
-                        ),
+                        at_wall_s=_wall_of(change, row),
                         keys=change.keys,
                     )
                     for change in reversed(row.recent[-limit:])
@@ -106,6 +122,7 @@
                     f'no host is named {host!r}',
                 )
             )
+        log.info('host drain requested', host=host, operator=operator)
         self._watcher.report_from_peer(
             [hosts.LeavingHost(host, record.incarnation, None)]
         )
@@ -131,7 +148,7 @@
                     conflicts=tuple(
                         messages.KeyConflict(key=change.key, author=author)
                         for change in changes
-                        for author in change.authors
+                        for author in change.authors or (UNKNOWN_AUTHOR,)
                     ),
                 )
             )
@@ -145,6 +162,25 @@
     raise AssertionError(outcome)
 
 
+def _wall_of(change: state.Change, row: state.VersionRow) -> float:
+    """Time of a change; 0 where an earlier release did not store it."""
+    if change.version == row.version:
+        return row.wall
+    return min(max(change.wall, 0.0), messages.MAX_WALL_S)
+
+
+def _not_usable(
+    version: ids.Version, found: tuple[problems.Problem, ...]
+) -> errors.Failure:
+    return errors.Failure(
+        errors.FailureKind.UNAVAILABLE,
+        errors.Step.PUBLISH_CONFIGURATION,
+        '',
+        f'this release cannot use version {version}: '
+        + '; '.join(map(str, found)),
+    )
+
+
 def _unknown(detail: str) -> errors.Failure:
     return errors.Failure(
         errors.FailureKind.UNAVAILABLE,
--- a/hornbeamrudder/entry/service_calls.py
+++ b/hornbeamrudder/entry/service_calls.py
@@ -136,7 +136,7 @@
             document, incoming.service, incoming.method, incoming.path
         )
         with self._tracer.span(
-            'call service',
+            'receive',
             incoming.traceparent,
             request_id=incoming.request_id,
             service=incoming.service,
@@ -285,23 +285,31 @@
     def _send(
         self, worker: types.Worker, incoming: IncomingCall, attempt: int
     ) -> http.HttpResult:
-        answer = self._client.call(
-            backends_client.service_request(
-                worker,
-                backends_client.ServiceCall(
-                    request_id=incoming.request_id,
-                    attempt=attempt,
-                    method=incoming.method,
-                    path=incoming.path,
-                    body=incoming.body,
-                    headers=incoming.headers,
-                    idempotent=True,
-                    timeout_s=max(0.1, gates.remaining_s(incoming.deadline)),
-                    idempotency_key=incoming.idempotency_key,
-                    traceparent=incoming.traceparent,
-                ),
+        with self._tracer.span(
+            'dispatch',
+            incoming.traceparent,
+            request_id=incoming.request_id,
+            worker=worker.id,
+        ) as traceparent:
+            answer = self._client.call(
+                backends_client.service_request(
+                    worker,
+                    backends_client.ServiceCall(
+                        request_id=incoming.request_id,
+                        attempt=attempt,
+                        method=incoming.method,
+                        path=incoming.path,
+                        body=incoming.body,
+                        headers=incoming.headers,
+                        idempotent=True,
+                        timeout_s=max(
+                            0.1, gates.remaining_s(incoming.deadline)
+                        ),
+                        idempotency_key=incoming.idempotency_key,
+                        traceparent=traceparent,
+                    ),
+                )
             )
-        )
         self._workers.release(
             worker, incoming.request_id, isinstance(answer, result.Failure)
         )
--- a/hornbeamrudder/entry/status.py
+++ b/hornbeamrudder/entry/status.py
@@ -3,6 +3,7 @@
 import time
 from typing import Any, Iterable, Protocol
 
+from . import application
 from ..backends import load as backend_load
 from ..backends import watch
 from . import configured
@@ -12,14 +13,19 @@
 from ..peers import view as peer_view
 from ..telemetry import metrics as node_metrics
 
+# Prices are given with two or three decimals; more come from the addition.
+COST_DECIMALS = 4
+
 
 class Described(Protocol):
     """The parts of a node that are shown."""
 
+    node_id: ids.NodeId
     configuration: configured.NodeConfiguration
     watcher: watch.Watcher
     gate: gates.Gate
     metrics: node_metrics.NodeMetrics
+    application: application.Application
 
     def view(self) -> peer_view.View:
         """What the peers have reported."""
@@ -40,14 +46,11 @@
 def describe(node: Described) -> dict[str, Any]:
     """Return nodes, versions, back ends, queues, leases and cost."""
     return {
+        'answered_by': node.node_id,
         'version': node.configuration.version(),
         'settled_version': node.settled(),
-        'may_admit': node.configuration.may_admit(),
-        'nodes': sorted(node.live_nodes()),
-        'version_by_node': {
-            peer.node: peer.heartbeat.version
-            for peer in node.view().peers_by_node.values()
-        },
+        'cost_per_hour': _cost_per_hour(node),
+        'nodes': _nodes(node),
         'workers': _workers(node.watcher),
         'queues': {
             service: {
@@ -57,7 +60,6 @@
             for service, snapshot in node.gate.snapshots().items()
         },
         'leases': node.leases(),
-        'cost_per_hour': _cost_per_hour(node),
     }
 
 
@@ -81,6 +83,25 @@
         gauges.set({'name': f'peers_{name}'}, value)
 
 
+def _nodes(node: Described) -> dict[str, Any]:
+    """This node and the peers that are heard, as known here."""
+    peers_by_node = node.view().peers_by_node
+    told = {
+        name: {
+            'version': peers_by_node[name].heartbeat.version,
+            'ready': peers_by_node[name].heartbeat.may_admit
+            and not peers_by_node[name].heartbeat.released,
+        }
+        for name in node.live_nodes()
+        if name in peers_by_node
+    }
+    own = {
+        'version': node.configuration.version(),
+        'ready': node.application.ready,
+    }
+    return dict(sorted({**told, node.node_id: own}.items()))
+
+
 def _workers(watcher: watch.Watcher) -> dict[str, Any]:
     now = time.monotonic()
     seen = watcher.snapshot()
@@ -107,8 +128,9 @@
         for worker in seen.workers_by_id.values()
         if seen.state_of(worker.id, now) is not types.HostState.GONE
     }
-    return sum(
+    cost = sum(
         host.price_per_hour
         for host in node.configuration.document().hosts
         if host.id in running
     )
+    return round(cost, COST_DECIMALS)
--- a/hornbeamrudder/inventory/difference.py
+++ b/hornbeamrudder/inventory/difference.py
@@ -6,7 +6,7 @@
 """
 
 import dataclasses
-from typing import Any, Mapping, Union
+from typing import Any, Mapping, Sequence, Union
 
 from . import schema
 
@@ -61,18 +61,48 @@
 
 def values_by_key(document: schema.Document) -> dict[str, Any]:
     """Return the parts of a document by their difference key."""
-    value = schema.to_json(document)
-    values = {f'services/{item["name"]}': item for item in value['services']}
-    for section in ('accounts', 'operators'):
-        values |= {f'{section}/{item["id"]}': item for item in value[section]}
-    for host in value['hosts']:
-        workers = host.pop('workers')
+    return json_by_key(schema.to_json(document))
+
+
+def json_by_key(value: Mapping[str, Any]) -> dict[str, Any]:
+    """Return the parts of a JSON document by their difference key.
+
+    A part that this release does not know, or with another shape, stands
+    under its top-level key.
+    """
+    values: dict[str, Any] = {}
+    for section, content in value.items():
+        try:
+            values |= _section_by_key(section, content)
+        except (AttributeError, KeyError, TypeError):
+            values[section] = content
+    return values
+
+
+def _section_by_key(section: str, content: Any) -> dict[str, Any]:
+    match section:
+        case 'services':
+            return {f'services/{item["name"]}': item for item in content}
+        case 'accounts' | 'operators':
+            return {f'{section}/{item["id"]}': item for item in content}
+        case 'hosts':
+            return _hosts_by_key(content)
+        case 'rules':
+            return _rules_by_key(content)
+    return {section: content}
+
+
+def _hosts_by_key(hosts: Sequence[Mapping[str, Any]]) -> dict[str, Any]:
+    values: dict[str, Any] = {}
+    for item in hosts:
+        host = dict(item)
+        workers = host.pop('workers', ())
         values[f'hosts/{host["id"]}'] = host
         values |= {
             f'workers/{worker["id"]}': worker | {'host': host['id']}
             for worker in workers
         }
-    return values | _rules_by_key(value['rules'])
+    return values
 
 
 def _rules_by_key(rules: dict[str, Any]) -> dict[str, Any]:
--- a/hornbeamrudder/inventory/schema.py
+++ b/hornbeamrudder/inventory/schema.py
@@ -59,6 +59,7 @@
     types.Rank,
     pydantic.PlainValidator(_parse_rank),
     pydantic.PlainSerializer(lambda rank: rank.name.lower(), str),
+    pydantic.WithJsonSchema({'enum': ['urgent', 'standard', 'batch']}),
 ]
 IpNumber = Annotated[str, pydantic.AfterValidator(_check_ip)]
 Positive = Annotated[float, pydantic.Field(gt=0, le=1e12)]
--- a/hornbeamrudder/operators/commands.py
+++ b/hornbeamrudder/operators/commands.py
@@ -362,7 +362,13 @@
 
 def _status_lines(value: dict[str, Any]) -> Iterator[str]:
     for name, item in value.items():
-        if isinstance(item, list) and item:
+        if isinstance(item, dict) and any(
+            isinstance(part, dict) for part in item.values()
+        ):
+            yield f'{name}:'
+            for key, part in item.items():
+                yield f'  {key}: {difference.flat_text(part)}'
+        elif isinstance(item, list) and item:
             yield f'{name}:'
             yield from (f'  {difference.flat_text(part)}' for part in item)
         else:
--- a/hornbeamrudder/peers/messages.py
+++ b/hornbeamrudder/peers/messages.py
@@ -76,6 +76,9 @@
         The sender has stopped admitting; its version stays as it is.
     wants_answer : bool
         Asks the receiver to send its heartbeat at once.
+    may_admit : bool
+        The sender has the right to admit; shown to operators only. True
+        from a node of an earlier release, which does not tell.
     """
 
     sent_at: float
@@ -89,6 +92,7 @@
     members: tuple[ids.NodeId, ...] = ()
     demand: tuple[tuple[ids.ServiceName, float], ...] = ()
     leaving: tuple[Leaving, ...] = ()
+    may_admit: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamrudder/settings/features/settings.feature
+++ b/hornbeamrudder/settings/features/settings.feature
@@ -29,3 +29,9 @@
     Given a caller server with TLS and a certificate for "one.example"
     When the key alone is replaced
     Then a new connection is shown the certificate of "one.example"
+
+  Scenario: The committed reference of the settings is up to date
+    # Guards against a page that names keys, defaults or limits which the
+    # code has changed since.
+    Then docs/settings.md is what `hornbeamrudder reference` prints
+    And every key of the node settings has a meaning
--- a/hornbeamrudder/settings/schema.py
+++ b/hornbeamrudder/settings/schema.py
@@ -30,7 +30,15 @@
 
 
 class Endpoint(Section):
-    """IP number and port, written as two keys."""
+    """IP number and port, written as two keys.
+
+    Attributes
+    ----------
+    ip : str
+        IPv4 number; names are refused.
+    port : int
+        TCP port.
+    """
 
     ip: IpNumber
     port: Port
@@ -55,6 +63,8 @@
 
     Attributes
     ----------
+    exporter : TraceExporter
+        `none`, or `file` for JSON lines.
     file : str
         JSON lines are appended here; for the `file` exporter.
     sample_share : float
@@ -71,8 +81,11 @@
 
     Attributes
     ----------
+    certificate_file, key_file : str
+        Chain and private key of this node.
     peer_ca_file : str
-        Authority of the other nodes' certificates.
+        Authority of the other nodes' certificates; without it only the
+        connections of callers use TLS.
     """
 
     certificate_file: str
@@ -107,7 +120,13 @@
 
 
 class Operator(Section):
-    """An operator who may call before any configuration is in force."""
+    """An operator who may call before any configuration is in force.
+
+    Attributes
+    ----------
+    token_sha256 : str
+        SHA-256 of the bearer token, in hexadecimal.
+    """
 
     id: Name
     token_sha256: Annotated[str, pydantic.Field(pattern='^[0-9a-f]{64}$')]
@@ -118,14 +137,31 @@
 
     Attributes
     ----------
+    node_id : str
+        Name of the node, unique among all nodes that run.
+    region, data_centre : str
+        Where the entry host stands.
     listen, peer_listen : Endpoint
-        Where callers and other nodes connect.
+        Where callers and other nodes connect; port 0 lets the kernel
+        choose, which only tests can use.
     seeds : tuple of Endpoint
         Peer addresses of entry hosts that may be up.
     table, objects, cloud, host_list : Endpoint
         The platform's services.
+    host_id : str
+        Id of the entry host in the cloud API, for its reclaim notice.
     peer_key_file : str
         File with the key by which nodes authenticate each other.
+    operators : list of Operator
+        Operators who may call besides those of the configuration; needed
+        for the first configuration.
+    fleet_control : bool
+        Whether the node takes part in starting and stopping hosts.
+    log_level : str
+        Least level of the lines in the log.
+    limits, tracing, tls : sections
+        See the tables of these sections; without `tls` all connections are
+        in plain text.
     stop_timeout_s : float
         Longest wait for work in progress on a graceful stop.
     """
--- a/hornbeamrudder/standins/engine.py
+++ b/hornbeamrudder/standins/engine.py
@@ -17,6 +17,7 @@
 
 LOAD_SAMPLE_INTERVAL_S = 0.05
 DEFAULT_MAX_TOKENS = 64
+KEPT_TRACEPARENTS = 100
 KEPT_LOAD_SAMPLES = 400
 
 
@@ -59,6 +60,9 @@
         self._lock = threading.Lock()
         self.highest_fencing = 0
         self.target: dict[str, Any] = {'models': list(settings.models)}
+        self.traceparents: collections.deque[str] = collections.deque(
+            maxlen=KEPT_TRACEPARENTS
+        )
         threading.Thread(target=self._sample_load, daemon=True).start()
 
     def load(self) -> dict[str, Any]:
@@ -162,6 +166,8 @@
             return server.json_response(engine.load())
         case 'GET', '/totals':
             return server.json_response(engine.totals())
+        case 'GET', '/traceparents':
+            return server.json_response(list(engine.traceparents))
         case 'GET', '/v1/cache-events':
             return server.json_response(
                 {'events': engine.cache_events(int(request.args['after']))}
@@ -184,6 +190,7 @@
         priority=int(request.headers.get('X-Priority', 1)),
         output=queue.SimpleQueue(),
     )
+    engine.traceparents.append(request.headers.get('traceparent', ''))
     engine.batch.submit(sequence)
     return werkzeug.Response(
         _events(engine, sequence),
--- a/hornbeamrudder/telemetry/metrics.py
+++ b/hornbeamrudder/telemetry/metrics.py
@@ -33,10 +33,10 @@
             'refusals_total', 'Refused requests by step and kind'
         )
         self.attempts = self._counter(
-            'backend_attempts_total', 'Attempts at backend servers by result'
+            'backend_attempts_total', 'Attempts at model engines by service'
         )
         self.retries = self._counter(
-            'retries_total', 'Retries by service, granted or not'
+            'retries_total', 'Attempts after the first by service and rank'
         )
         self.recomputed_tokens = self._counter(
             'recomputed_tokens_total', 'Tokens computed again after a loss'
@@ -74,6 +74,7 @@
         self.requests.inc(labels | {'result': state})
         self.tokens.add(labels, tokens)
         self.attempts.add(labels, attempts)
+        self.retries.add(labels, max(0, attempts - 1))
         self.recomputed_tokens.add(labels, recomputed_tokens)
 
     def observe_answer(
--- a/hornbeamrudder/telemetry/traces.py
+++ b/hornbeamrudder/telemetry/traces.py
@@ -1,6 +1,7 @@
 """Trace spans, one for each hop, with W3C trace context."""
 
 import contextlib
+import time
 from typing import Iterator, Mapping
 
 from opentelemetry import context
@@ -14,6 +15,7 @@
 from ..settings import schema
 
 TRACEPARENT = 'traceparent'
+NANOSECONDS_PER_S = 1_000_000_000
 
 _propagator = tracecontext.TraceContextTextMapPropagator()
 
@@ -73,8 +75,8 @@
             name,
             context=_extract(traceparent),
             attributes=attributes,
+            start_time=time.time_ns() - int(seconds * NANOSECONDS_PER_S),
         )
-        span.set_attribute('duration_s', seconds)
         span.end()
 
     def close(self) -> None:
