--- a/hornbeamrudder/bench/local.py
+++ b/hornbeamrudder/bench/local.py
@@ -24,6 +24,8 @@
 STOP_TIMEOUT_S = 30.0
 LOOPBACK = '127.0.0.1'
 LISTENING = 'listening on '
+# Address of a process that does not listen yet.
+NO_ADDRESS = types.Address('', 0)
 
 
 @dataclasses.dataclass(slots=True)
@@ -68,22 +70,16 @@
             By name: command line words after the program's name, and the
             settings to write into the file that is passed by `--settings`.
         """
-        started: dict[str, subprocess.Popen[str]] = {}
-        try:
-            for name, (words, settings) in commands.items():
-                started[name] = self._spawn(name, words, settings)
-            for name, process in started.items():
-                self.by_name[name] = LocalProcess(
-                    name, process, self._wait_listening(name, process)
-                )
-        finally:
-            # After a failure, those that no one waits for any more would
-            # run on without an owner.
-            for name, process in started.items():
-                if name not in self.by_name:
-                    process.kill()
-                    process.wait()
-        return tuple(self.by_name[name] for name in started)
+        # Each is in `by_name` before the next step can fail, so that
+        # `stop_all` ends those that no one waits for any more.
+        for name, (words, settings) in commands.items():
+            self.by_name[name] = LocalProcess(
+                name, self._spawn(name, words, settings), NO_ADDRESS
+            )
+        started = [self.by_name[name] for name in commands]
+        for item in started:
+            item.address = self._wait_listening(item.name, item.process)
+        return tuple(started)
 
     def start(
         self, name: str, words: Sequence[str], settings: Mapping[str, Any]
--- a/hornbeamrudder/configuration/node.py
+++ b/hornbeamrudder/configuration/node.py
@@ -118,6 +118,7 @@
         leaving=node.leaving,
         small_demand=node.small_demand,
         rates=node.rates,
+        may_admit=currency.may_admit(knowledge, now),
     )
 
 
--- a/hornbeamrudder/entry/service_calls.py
+++ b/hornbeamrudder/entry/service_calls.py
@@ -142,7 +142,7 @@
     def call(self, incoming: IncomingCall) -> werkzeug.Response:
         """Answer one call."""
         with self._tracer.span(
-            'call service',
+            'receive',
             incoming.traceparent,
             request_id=incoming.request_id,
             service=incoming.service,
@@ -311,23 +311,31 @@
     def _send(
         self, worker: types.Worker, incoming: IncomingCall, attempt: int
     ) -> http.HttpResult:
-        answer = self._client.call(
-            backends_client.service_request(
-                worker,
-                backends_client.ServiceCall(
-                    request_id=incoming.request_id,
-                    attempt=attempt,
-                    method=incoming.method,
-                    path=incoming.path,
-                    body=incoming.body,
-                    headers=incoming.headers,
-                    idempotent=True,
-                    timeout_s=max(0.1, gates.remaining_s(incoming.deadline)),
-                    idempotency_key=incoming.idempotency_key,
-                    traceparent=incoming.traceparent,
-                ),
+        with self._tracer.span(
+            'dispatch',
+            incoming.traceparent,
+            request_id=incoming.request_id,
+            worker=worker.id,
+        ) as traceparent:
+            answer = self._client.call(
+                backends_client.service_request(
+                    worker,
+                    backends_client.ServiceCall(
+                        request_id=incoming.request_id,
+                        attempt=attempt,
+                        method=incoming.method,
+                        path=incoming.path,
+                        body=incoming.body,
+                        headers=incoming.headers,
+                        idempotent=True,
+                        timeout_s=max(
+                            0.1, gates.remaining_s(incoming.deadline)
+                        ),
+                        idempotency_key=incoming.idempotency_key,
+                        traceparent=traceparent,
+                    ),
+                )
             )
-        )
         self._workers.release(
             worker, incoming.request_id, isinstance(answer, result.Failure)
         )
--- a/hornbeamrudder/peers/messages.py
+++ b/hornbeamrudder/peers/messages.py
@@ -95,6 +95,9 @@
     small_demand : tuple of (ServiceName, float)
         Smoothed demand of small accounts in slots, for the number of quiet
         workers.
+    may_admit : bool
+        The sender has the right to admit; shown to operators only. True
+        from a node of an earlier release, which does not tell.
     """
 
     sent_at: float
@@ -109,6 +112,7 @@
     leaving: tuple[Leaving, ...] = ()
     small_demand: tuple[tuple[ids.ServiceName, float], ...] = ()
     rates: tuple[Rate, ...] = ()
+    may_admit: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamrudder/standins/engine.py
+++ b/hornbeamrudder/standins/engine.py
@@ -21,6 +21,7 @@
 
 LOAD_SAMPLE_INTERVAL_S = 0.05
 DEFAULT_MAX_TOKENS = 64
+KEPT_TRACEPARENTS = 100
 KEPT_LOAD_SAMPLES = 400
 
 
@@ -84,6 +85,9 @@
             settings.checks_fencing,
             engine_state.WeightClient(settings.weights),
         )
+        self.traceparents: collections.deque[str] = collections.deque(
+            maxlen=KEPT_TRACEPARENTS
+        )
         threading.Thread(target=self._sample_load, daemon=True).start()
 
     def load(self) -> dict[str, Any]:
@@ -184,6 +188,8 @@
             )
         case 'GET', '/totals':
             return server.json_response(engine.totals())
+        case 'GET', '/traceparents':
+            return server.json_response(list(engine.traceparents))
         case 'GET', '/v1/cache-events':
             return server.json_response(
                 {'events': engine.cache_events(int(request.args['after']))}
@@ -206,6 +212,7 @@
         priority=int(request.headers.get('X-Priority', 1)),
         output=queue.SimpleQueue(),
     )
+    engine.traceparents.append(request.headers.get('traceparent', ''))
     engine.submit(sequence)
     return werkzeug.Response(
         _events(engine, sequence),
