End calls of a closed HTTP client instead of leaving them open

Cause: a call started while the client was being closed wrote to a pipe that was closed, or to another file that had taken its number, and its future never ended; a thread that waited for it hung. Seen as a test run of the telemetry slice that hung for over 530 s after a node had been closed.

Change: start, cancel and close share a lock with the closing of the pipe; calls that come too late fail as not connected.

--- a/hornbeamrudder/platform/features/http.feature
+++ b/hornbeamrudder/platform/features/http.feature
@@ -26,3 +26,10 @@
     Given a peer that sends half of an answer and pauses
     When the call is cancelled and another is made
     Then the other call runs on a new connection and has its own answer
+
+  Scenario: A call of a closed client fails at once
+    # Guards against a thread that waits for ever for a call which it made
+    # while the client was being closed.
+    Given a peer that closes a connection at its second request
+    When calls are made from 4 threads while the client is closed
+    Then each of them has ended
--- a/hornbeamrudder/platform/features/steps/http_steps.py
+++ b/hornbeamrudder/platform/features/steps/http_steps.py
@@ -167,3 +167,32 @@
 def own_answer(context):
     assert context.answer.unwrap().body == b'ok'
     assert context.peer.connections == 2
+
+
+@behave.when(
+    'calls are made from {count:d} threads while the client is closed'
+)
+def close_under_calls(context, count):
+    context.stopped = threading.Event()
+    context.calls = []
+
+    def make_calls():
+        while not context.stopped.is_set():
+            context.calls.append(make_call(context))
+
+    threads = [threading.Thread(target=make_calls) for _ in range(count)]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.05)
+    context.client.close()
+    time.sleep(0.05)
+    context.stopped.set()
+    for thread in threads:
+        thread.join()
+
+
+@behave.then('each of them has ended')
+def check_ended(context):
+    assert context.calls
+    for call in context.calls:
+        call.future.result(5)
--- a/hornbeamrudder/platform/http.py
+++ b/hornbeamrudder/platform/http.py
@@ -166,7 +166,9 @@
         self._pool_dropped_at_by_peer: dict[str, float] = {}
         self._timer_at: float | None = None
         self._next_check_at = 0.0
+        self._lock = threading.Lock()
         self._closing = False
+        self._closed = False
         self._running = 0
         self._thread = threading.Thread(
             target=self._run, name=name, daemon=True
@@ -202,11 +204,20 @@
         self._thread.join()
 
     def _command(self, command: _Command) -> None:
-        self._commands.append(command)
-        try:
-            os.write(self._wake_write, b'x')
-        except BlockingIOError:
-            pass
+        # The lock keeps the pipe's number from being closed, and given to
+        # another file, before the write.
+        with self._lock:
+            if not self._closed:
+                self._commands.append(command)
+                try:
+                    os.write(self._wake_write, b'x')
+                except BlockingIOError:
+                    pass
+                return
+        if isinstance(command, _Start):
+            self._fail(
+                command.call, errors.FailureKind.NOT_CONNECTED, 'client closed'
+            )
 
     def _run(self) -> None:
         while not self._closing:
@@ -221,8 +232,16 @@
             self._fail(call, errors.FailureKind.INTERRUPTED, 'client closed')
         self._multi.close()
         self._selector.close()
-        os.close(self._wake_read)
-        os.close(self._wake_write)
+        with self._lock:
+            self._closed = True
+            os.close(self._wake_read)
+            os.close(self._wake_write)
+        while self._commands:
+            match self._commands.popleft():
+                case _Start(call):
+                    self._fail(
+                        call, errors.FailureKind.NOT_CONNECTED, 'client closed'
+                    )
 
     def _wait(self) -> None:
         now = time.monotonic()
--- a/hornbeamrudder/telemetry/features/steps/caller_steps.py
+++ b/hornbeamrudder/telemetry/features/steps/caller_steps.py
@@ -1,6 +1,7 @@
 """Steps that send arbitrary requests to the application of a node."""
 
 import contextlib
+import json
 import pathlib
 import socket
 import tempfile
@@ -126,7 +127,7 @@
         | strategies.text(max_size=20).map('/'.__add__),
         strategies.dictionaries(strategies.sampled_from(HEADERS), text),
         strategies.booleans(),
-        strategies.binary(max_size=40) | completion.map(orjson_bytes),
+        strategies.binary(max_size=40) | completion.map(json_bytes),
     )
     def check(method, path, headers, authorized, body):
         if authorized:
@@ -138,8 +139,9 @@
     check()
 
 
-def orjson_bytes(value):
-    return orjson.dumps(value, option=orjson.OPT_NON_STR_KEYS, default=str)
+def json_bytes(value):
+    # The standard library also writes integers over 64 bits and NaN.
+    return json.dumps(value).encode()
 
 
 @behave.when('a caller sends {what}')
