--- a/hornbeamrudder/bench/local.py
+++ b/hornbeamrudder/bench/local.py
@@ -77,8 +77,14 @@
                 name, self._spawn(name, words, settings), NO_ADDRESS
             )
         started = [self.by_name[name] for name in commands]
-        for item in started:
-            item.address = self._wait_listening(item.name, item.process)
+        try:
+            for item in started:
+                item.address = self._wait_listening(item.name, item.process)
+        except RuntimeError:
+            for item in started:
+                item.process.kill()
+                item.process.wait()
+            raise
         return tuple(started)
 
     def start(
