--- a/hornbeamrudder/entry/features/steps/operator_steps.py
+++ b/hornbeamrudder/entry/features/steps/operator_steps.py
@@ -157,7 +157,7 @@
         assert statuses == [200, 409], told
         message = next(message for status, message in told if status == 409)
         assert message['conflicts'] == [
-            {'key': 'accounts', 'author': 'demo'}
+            {'key': 'accounts/chain', 'author': 'demo'}
         ], message
 
 
