--- a/hornbeamrudder/answers/attempts.py
+++ b/hornbeamrudder/answers/attempts.py
@@ -6,7 +6,7 @@
 
 from ..core import errors
 from ..core import types
-from ..platform import http
+from ..infrastructure import http
 
 
 def failure_of(
--- a/hornbeamrudder/answers/features/steps/generation_steps.py
+++ b/hornbeamrudder/answers/features/steps/generation_steps.py
@@ -17,7 +17,7 @@
 from hornbeamrudder.core import ids
 from hornbeamrudder.core import types
 from hornbeamrudder.entry import chat
-from hornbeamrudder.platform import http
+from hornbeamrudder.infrastructure import http
 from hornbeamrudder.standins import engine
 from hornbeamrudder.standins import engine_batch
 from hornbeamrudder.standins import server
--- a/hornbeamrudder/answers/generation.py
+++ b/hornbeamrudder/answers/generation.py
@@ -16,7 +16,7 @@
 from ..core import errors
 from ..core import ids
 from ..core import types
-from ..platform import http
+from ..infrastructure import http
 from . import reader
 from ..retries import decide
 from . import scheduler
--- a/hornbeamrudder/answers/handover.py
+++ b/hornbeamrudder/answers/handover.py
@@ -22,7 +22,7 @@
 from ..core import types
 from . import generation
 from ..peers import messages
-from ..platform import table
+from ..infrastructure import table
 from . import service
 from ..telemetry import traces
 
--- a/hornbeamrudder/answers/reader.py
+++ b/hornbeamrudder/answers/reader.py
@@ -4,7 +4,7 @@
 
 from . import buffer
 from . import events
-from ..platform import http
+from ..infrastructure import http
 
 
 class AttemptReader:
--- a/hornbeamrudder/answers/service.py
+++ b/hornbeamrudder/answers/service.py
@@ -9,7 +9,7 @@
 from ..core import ids
 from ..core import types
 from . import generation
-from ..platform import http
+from ..infrastructure import http
 from . import scheduler
 
 EXECUTOR_THREADS = 16
--- a/hornbeamrudder/backends/client.py
+++ b/hornbeamrudder/backends/client.py
@@ -7,7 +7,7 @@
 from ..core import errors
 from ..core import ids
 from ..core import types
-from ..platform import http
+from ..infrastructure import http
 
 FIRST_TOKEN_TIMEOUT_S = 10.0
 BETWEEN_TOKENS_TIMEOUT_S = 2.0
--- a/hornbeamrudder/backends/features/steps/watch_steps.py
+++ b/hornbeamrudder/backends/features/steps/watch_steps.py
@@ -13,8 +13,8 @@
 from hornbeamrudder.backends import watch
 from hornbeamrudder.core import hosts
 from hornbeamrudder.core import types
-from hornbeamrudder.platform import cloud as cloud_client
-from hornbeamrudder.platform import http
+from hornbeamrudder.infrastructure import cloud as cloud_client
+from hornbeamrudder.infrastructure import http
 from hornbeamrudder.standins import cloud
 from hornbeamrudder.standins import server
 
--- a/hornbeamrudder/backends/load_report.py
+++ b/hornbeamrudder/backends/load_report.py
@@ -13,8 +13,8 @@
 from ..core import ids
 from ..core import types
 from . import load
-from ..platform import http
-from ..platform import json_call
+from ..infrastructure import http
+from ..infrastructure import json_call
 
 TIMEOUT_S = 1.0
 
--- a/hornbeamrudder/backends/watch.py
+++ b/hornbeamrudder/backends/watch.py
@@ -20,9 +20,9 @@
 from ..core import types
 from . import load
 from . import load_report
-from ..platform import cloud as cloud_client
-from ..platform import host_list as host_list_client
-from ..platform import http
+from ..infrastructure import cloud as cloud_client
+from ..infrastructure import host_list as host_list_client
+from ..infrastructure import http
 from . import snapshot as snapshots
 from . import state
 
--- a/hornbeamrudder/bench/balancer.py
+++ b/hornbeamrudder/bench/balancer.py
@@ -8,7 +8,7 @@
 
 from ..core import errors
 from ..core import types
-from ..platform import http
+from ..infrastructure import http
 
 INTERVAL_S = 0.2
 TIMEOUT_S = 1.0
--- a/hornbeamrudder/bench/callers.py
+++ b/hornbeamrudder/bench/callers.py
@@ -17,7 +17,7 @@
 from ..answers import events
 from ..core import errors
 from ..core import types
-from ..platform import http
+from ..infrastructure import http
 
 RETRY_PAUSE_S = 0.2
 CALL_TIMEOUT_S = 60.0
--- a/hornbeamrudder/bench/capacity_fleet.py
+++ b/hornbeamrudder/bench/capacity_fleet.py
@@ -16,7 +16,7 @@
 from ..core import types
 from . import deployment
 from . import local
-from ..platform import http
+from ..infrastructure import http
 from . import process_usage
 
 START_TIMEOUT_S = 20.0
--- a/hornbeamrudder/bench/capacity_load.py
+++ b/hornbeamrudder/bench/capacity_load.py
@@ -15,7 +15,7 @@
 from . import demo
 from . import deployment
 from . import local
-from ..platform import http
+from ..infrastructure import http
 from . import process_usage
 from . import token_sink
 
--- a/hornbeamrudder/bench/capacity_nodes.py
+++ b/hornbeamrudder/bench/capacity_nodes.py
@@ -8,7 +8,7 @@
 from . import capacity_fleet
 from . import demo
 from . import local
-from ..platform import http
+from ..infrastructure import http
 from . import process_usage
 
 ENGINES = 9
--- a/hornbeamrudder/bench/capacity_platform.py
+++ b/hornbeamrudder/bench/capacity_platform.py
@@ -17,8 +17,8 @@
 from . import load_source
 from . import local
 from ..orders import committer
-from ..platform import http
-from ..platform import table
+from ..infrastructure import http
+from ..infrastructure import table
 from . import process_usage
 
 READ_BYTES = 1 << 20
--- a/hornbeamrudder/bench/demo.py
+++ b/hornbeamrudder/bench/demo.py
@@ -18,7 +18,7 @@
 from ..core import types
 from . import deployment
 from . import local
-from ..platform import http
+from ..infrastructure import http
 from ..standins import engine_batch
 
 LOAD_S = 16.0
--- a/hornbeamrudder/bench/deployment.py
+++ b/hornbeamrudder/bench/deployment.py
@@ -15,7 +15,7 @@
 from ..core import errors
 from ..core import types
 from . import local
-from ..platform import http
+from ..infrastructure import http
 
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.1
--- a/hornbeamrudder/bench/flood.py
+++ b/hornbeamrudder/bench/flood.py
@@ -24,7 +24,7 @@
 from . import flood_load
 from . import flood_report
 from . import local
-from ..platform import http
+from ..infrastructure import http
 
 MODEL_SERVICE = 'modele-atelier'
 MODEL = 'assistant'
--- a/hornbeamrudder/bench/local.py
+++ b/hornbeamrudder/bench/local.py
@@ -17,7 +17,7 @@
 from ..core import errors
 from ..core import hashing
 from ..core import types
-from ..platform import http
+from ..infrastructure import http
 
 # Sixty processes that start at once take a minute on a busy machine.
 START_TIMEOUT_S = 90.0
--- a/hornbeamrudder/configuration/features/steps/service_steps.py
+++ b/hornbeamrudder/configuration/features/steps/service_steps.py
@@ -16,7 +16,7 @@
 from hornbeamrudder.core import hashing
 from hornbeamrudder.core import hosts
 from hornbeamrudder.core import types
-from hornbeamrudder.platform import table
+from hornbeamrudder.infrastructure import table
 
 FAILED = result.Failure(
     errors.Failure(
--- a/hornbeamrudder/configuration/store.py
+++ b/hornbeamrudder/configuration/store.py
@@ -7,7 +7,7 @@
 
 from ..core import errors
 from . import events
-from ..platform import table
+from ..infrastructure import table
 from . import publish
 from . import state
 
--- a/hornbeamrudder/entry/cache_watch.py
+++ b/hornbeamrudder/entry/cache_watch.py
@@ -10,7 +10,7 @@
 from ..core import errors
 from ..core import ids
 from ..core import types
-from ..platform import http
+from ..infrastructure import http
 from . import pool
 from ..routing import prefix
 
--- a/hornbeamrudder/entry/features/steps/operator_steps.py
+++ b/hornbeamrudder/entry/features/steps/operator_steps.py
@@ -11,7 +11,7 @@
 from hornbeamrudder.bench import deployment
 from hornbeamrudder.core import errors
 from hornbeamrudder.core import types
-from hornbeamrudder.platform import http
+from hornbeamrudder.infrastructure import http
 
 # Section 2 of the design page: in force everywhere within this time.
 IN_FORCE_S = 6.0
--- a/hornbeamrudder/entry/features/trial.py
+++ b/hornbeamrudder/entry/features/trial.py
@@ -17,8 +17,8 @@
 from hornbeamrudder.core import types
 from hornbeamrudder.entry.features import history
 from hornbeamrudder.orders import record
-from hornbeamrudder.platform import http
-from hornbeamrudder.platform import table
+from hornbeamrudder.infrastructure import http
+from hornbeamrudder.infrastructure import table
 
 # Generous, so that a loaded machine gives the same verdict.
 PATIENCE_S = 60.0
--- a/hornbeamrudder/entry/fleet_duty.py
+++ b/hornbeamrudder/entry/fleet_duty.py
@@ -19,9 +19,9 @@
 from ..fleet import wishes
 from ..leases import holder as lease_holder
 from ..peers import messages
-from ..platform import cloud
-from ..platform import http
-from ..platform import table
+from ..infrastructure import cloud
+from ..infrastructure import http
+from ..infrastructure import table
 from ..settings import schema
 
 DUTY = 'fleet'
--- a/hornbeamrudder/entry/node.py
+++ b/hornbeamrudder/entry/node.py
@@ -33,11 +33,11 @@
 from ..orders import recovery
 from ..peers import messages
 from ..peers import view as peer_view
-from ..platform import cloud
-from ..platform import host_list
-from ..platform import http
-from ..platform import objects
-from ..platform import table
+from ..infrastructure import cloud
+from ..infrastructure import host_list
+from ..infrastructure import http
+from ..infrastructure import objects
+from ..infrastructure import table
 from . import pool
 from . import reports
 from . import server
--- a/hornbeamrudder/entry/service_calls.py
+++ b/hornbeamrudder/entry/service_calls.py
@@ -19,7 +19,7 @@
 from ..orders import execute
 from ..orders import messages as order_messages
 from ..orders import record
-from ..platform import http
+from ..infrastructure import http
 from . import pool
 from . import problems
 from ..retries import decide
--- a/hornbeamrudder/fleet/features/steps/controller_steps.py
+++ b/hornbeamrudder/fleet/features/steps/controller_steps.py
@@ -14,8 +14,8 @@
 from hornbeamrudder.core import types
 from hornbeamrudder.fleet import controller
 from hornbeamrudder.fleet import demand
-from hornbeamrudder.platform import cloud as cloud_client
-from hornbeamrudder.platform import http
+from hornbeamrudder.infrastructure import cloud as cloud_client
+from hornbeamrudder.infrastructure import http
 from hornbeamrudder.standins import cloud as cloud_standin
 from hornbeamrudder.standins import server
 
--- a/hornbeamrudder/fleet/features/steps/wiring_steps.py
+++ b/hornbeamrudder/fleet/features/steps/wiring_steps.py
@@ -23,7 +23,7 @@
 from hornbeamrudder.fleet import traffic
 from hornbeamrudder.fleet import wishes
 from hornbeamrudder.inventory import schema
-from hornbeamrudder.platform import http
+from hornbeamrudder.infrastructure import http
 
 SERVICE = 'quill-llm'
 MODEL = 'quill'
--- a/hornbeamrudder/fleet/orders.py
+++ b/hornbeamrudder/fleet/orders.py
@@ -15,8 +15,8 @@
 from ..core import errors
 from ..core import ids
 from ..core import types
-from ..platform import http
-from ..platform import json_call
+from ..infrastructure import http
+from ..infrastructure import json_call
 
 ORDER_EXPIRY_S = 5.0
 CLOCK_MARGIN_S = 0.5
--- /dev/null
+++ b/hornbeamrudder/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Request path of a node: HTTP forwarding, admission, placing, duties."""
--- /dev/null
+++ b/hornbeamrudder/gateway/forward.py
@@ -0,0 +1,475 @@
+"""Serves the requests of clients: admit, place, send, relay, send again."""
+
+import asyncio
+from typing import Any
+
+from . import admit
+from . import calls
+from . import clock
+from ..core import ids
+from . import events
+from . import health
+from . import http_client
+from . import http_server
+from . import messages
+from . import node_state
+from . import placing
+from . import records
+from . import relay
+from . import server_book
+from . import waiting
+
+# Part of the target time that opening a connection may take, and its bounds.
+CONNECT_SHARE = 0.35
+MIN_CONNECT_S = 0.06
+MAX_CONNECT_S = 0.3
+# Backend servers to which no connection could be opened for one request.
+MAX_UNREACHABLE = 4
+# Part of a backend server's slots that only the most urgent rank may take.
+RESERVED_SLOT_SHARE = 0.15
+# Part of the shortest target time of a service for which prompts of less
+# urgent ranks may queue at one engine, so that urgent ones are read in time.
+PROMPT_QUEUE_SHARE = 0.3
+URGENT_PROMPT_QUEUE_SHARE = 0.8
+# Longest part of the remaining time for which clients honour Retry-After.
+RETRY_AFTER_SHARE = 1 / 3
+# Waiting requests are looked at together, not at each change.
+PUMP_DELAY_S = 0.004
+
+
+class Forwarder:
+    """The request path of one node."""
+
+    def __init__(self, state: node_state.NodeState, translation: Any) -> None:
+        self.state = state
+        self.translation = translation
+        self.calls: set[calls.Call] = set()
+        self._pumps: set[ids.ServiceName] = set()
+        self.relay = relay.Relay(state, translation, self.may_send_again)
+
+    async def handle(
+        self, request: http_server.CallerRequest, reply: http_server.Reply
+    ) -> None:
+        """Serve one request; cancelled when its client leaves."""
+        state = self.state
+        facts = self.translation.read_request(request.headers)
+        decision = admit.check(
+            state.configuration,
+            state.confirmed_age(),
+            state.settings.bounds,
+            _host(request),
+            request.target.partition(b'?')[0].decode('latin-1'),
+            facts,
+            request.arrived_at,
+            clock.now(),
+        )
+        if isinstance(decision, admit.Admitted):
+            decision = self._within_limit(decision)
+        if isinstance(decision, admit.Refusal):
+            self._refuse(reply, facts, decision)
+            return
+        assert state.configuration is not None
+        service = state.configuration.services_by_name.get(
+            self._pick_service(decision)
+        )
+        if service is None:
+            self._refuse(
+                reply, facts, admit.Refusal(503, 'service is not configured')
+            )
+            return
+        call = calls.Call(
+            request,
+            reply,
+            decision,
+            service,
+            calls.Stream(events.EventSplitter(facts.last_event_id)),
+        )
+        self.calls.add(call)
+        outcome = 'client left'
+        try:
+            await self._serve(call)
+            outcome = call.detail or 'served'
+        finally:
+            self.calls.discard(call)
+            self._let_go(call)
+            if decision.account is not None and not call.sends:
+                state.give_back_units(decision.account, decision.units)
+            self._log_end(call, outcome)
+
+    def _within_limit(
+        self, decision: admit.Admitted
+    ) -> admit.Admitted | admit.Refusal:
+        account = decision.account
+        if account is None or not account.rate_per_s:
+            return decision
+        wait_s = self.state.take_units(account, decision.units)
+        if wait_s is None:
+            return decision
+        return admit.Refusal(
+            429, f'limit of account {account.id}', max(0.05, wait_s)
+        )
+
+    def _pick_service(self, decision: admit.Admitted) -> ids.ServiceName:
+        weights = decision.route.weight_by_service
+        if len(weights) == 1:
+            return next(iter(weights))
+        return self.state.rng.choices(
+            list(weights), weights=list(weights.values())
+        )[0]
+
+    async def _serve(self, call: calls.Call) -> None:
+        """Send the request until it is answered or can't be sent again."""
+        while True:
+            placement = call.stream.take_moved() or await self._place(call)
+            if placement is None:
+                self._give_up(call, call.detail or 'no place in time')
+                return
+            call.placement = placement
+            result = await self._send(call, placement)
+            self._let_go(call)
+            match result:
+                case calls.Result.DONE:
+                    return
+                case calls.Result.OUT_OF_TIME:
+                    self._give_up(call, 'out of time')
+                    return
+                case calls.Result.MOVED:
+                    continue
+                case calls.Result.NOT_SENT:
+                    call.unreachable += 1
+                    again = call.unreachable < MAX_UNREACHABLE
+                case calls.Result.NOT_EXECUTED:
+                    again = self.may_send_again(call)
+                case calls.Result.FAILED:
+                    again = (
+                        call.admitted.route.repeatable
+                        and self.may_send_again(call)
+                    )
+            if not again:
+                self._give_up(call, call.detail)
+                return
+            call.excluded.add(placement.record.entry.id)
+            self.state.log.info(
+                'request is sent again',
+                request=call.request_id,
+                after=result.value,
+                detail=call.detail,
+                server=placement.record.entry.id,
+                sends=call.sends,
+            )
+
+    def may_send_again(self, call: calls.Call) -> bool:
+        """Whether limits and time allow one more backend server."""
+        if call.sends >= call.admitted.route.max_servers:
+            return False
+        if clock.now() >= call.admitted.deadline:
+            return False
+        return self.state.repeats.may_repeat(
+            call.service.name, self.state.peers.known, clock.now()
+        )
+
+    # Placing
+
+    def reserve(
+        self, call: calls.Call, excluded: set[ids.WorkerId]
+    ) -> server_book.Placement | None:
+        """Reserve a place for a request where there is room now."""
+        return self.state.book.reserve(
+            call.service,
+            call.admitted.facts,
+            self._need(call),
+            excluded,
+            lambda candidates, need: placing.choose(
+                candidates, need, self.state.rng
+            ),
+            clock.now(),
+        )
+
+    def _need(self, call: calls.Call) -> placing.Need:
+        if call.service.engine is None:
+            return placing.Need(slot_share=2.0)
+        route = call.admitted.route
+        urgent_rank, shortest_s = self._most_urgent(call.service.name)
+        urgent = route.rank <= urgent_rank
+        return placing.Need(
+            prompt_tokens=max(1, call.admitted.facts.prompt_tokens),
+            tokens_per_ms=self.state.speed_by_service[call.service.name],
+            allowed_wait_ms=1e3
+            * (
+                URGENT_PROMPT_QUEUE_SHARE * route.target_s
+                if urgent
+                else PROMPT_QUEUE_SHARE * shortest_s
+            ),
+            slot_share=1.0 if urgent else 1.0 - RESERVED_SLOT_SHARE,
+        )
+
+    def _most_urgent(self, service: ids.ServiceName) -> tuple[int, float]:
+        """Most urgent rank of a service's routes, and shortest target."""
+        configuration = self.state.configuration
+        assert configuration is not None
+        return configuration.urgency_by_service.get(service, (0, 1.0))
+
+    async def _place(self, call: calls.Call) -> server_book.Placement | None:
+        line = self.state.line_by_service[call.service.name]
+        rank = call.admitted.rank
+        if not any(ticket.rank <= rank for ticket in line.waiting()):
+            placement = self.reserve(call, call.excluded)
+            if placement is not None:
+                return placement
+        if not any(
+            record.usable
+            for record in self.state.book.of_service(call.service.name)
+        ):
+            call.detail = 'no backend server of the service is ready'
+            return None
+        since = clock.now()
+        placed = asyncio.get_running_loop().create_future()
+        line.add(
+            waiting.make_ticket(
+                call.admitted.route,
+                rank,
+                call.request.arrived_at,
+                call.admitted.deadline,
+                lambda: self.reserve(call, call.excluded),
+                placed,
+            )
+        )
+        self.pump(call.service.name)
+        try:
+            placement = await placed
+        except asyncio.CancelledError:
+            if placed.done() and not placed.cancelled():
+                self._release(placed.result())
+            placed.cancel()
+            raise
+        call.waited_s += clock.now() - since
+        self.state.measures.waited_s.observe(
+            {'service': call.service.name}, clock.now() - since
+        )
+        if placement is None:
+            call.detail = 'waited too long for a place'
+        return placement
+
+    def pump(self, service: ids.ServiceName) -> None:
+        """Look at the waiting requests of a service soon."""
+        if service in self._pumps or not self.state.line_by_service[service]:
+            return
+        self._pumps.add(service)
+        asyncio.get_running_loop().call_later(
+            PUMP_DELAY_S, self._serve_line, service
+        )
+
+    def pump_all(self) -> None:
+        """Look at all waiting requests soon."""
+        for service in list(self.state.line_by_service):
+            self.pump(service)
+
+    def _serve_line(self, service: ids.ServiceName) -> None:
+        self._pumps.discard(service)
+        self.state.line_by_service[service].serve(clock.now())
+
+    def _release(self, placement: server_book.Placement | None) -> None:
+        if placement is not None:
+            self.state.book.release(placement)
+            self.pump(placement.record.entry.service)
+
+    def _let_go(self, call: calls.Call) -> None:
+        self._release(call.placement)
+        call.placement = None
+
+    # Sending
+
+    async def _send(
+        self, call: calls.Call, placement: server_book.Placement
+    ) -> calls.Result:
+        record = placement.record
+        route = call.admitted.route
+        now = clock.now()
+        connection = (
+            record.take_idle(now)
+            if route.repetition is records.Repetition.SAFE
+            else None
+        )
+        kept = connection is not None
+        if connection is None:
+            opened = await http_client.connect(
+                record.entry.address,
+                min(
+                    max(CONNECT_SHARE * route.target_s, MIN_CONNECT_S),
+                    MAX_CONNECT_S,
+                ),
+            )
+            if isinstance(opened, http_client.Broken):
+                call.detail = opened.detail
+                self.judge(record, health.Outcome.UNREACHABLE, opened.detail)
+                return calls.Result.NOT_SENT
+            connection = opened
+        if clock.now() >= call.admitted.deadline:
+            connection.abort()
+            return calls.Result.OUT_OF_TIME
+        self._count_send(call)
+        before = call.may_have_run
+        call.may_have_run = True
+        try:
+            answer = await self.relay.exchange(call, placement, connection)
+        except BaseException:
+            connection.abort()
+            raise
+        if answer.result is calls.Result.NOT_EXECUTED:
+            call.may_have_run = before
+        if (
+            kept
+            and answer.result is calls.Result.FAILED
+            and not answer.answered
+            and answer.ended_early
+        ):
+            # The other side had dropped the kept connection; this says
+            # nothing of the backend server.
+            call.detail = 'kept connection was closed'
+            return answer.result
+        call.detail = answer.detail
+        if answer.judged is not None:
+            self.judge(record, answer.judged, answer.detail)
+        return answer.result
+
+    def _count_send(self, call: calls.Call) -> None:
+        now = clock.now()
+        if call.sends:
+            self.state.repeats.count_repeat(call.service.name, now)
+        else:
+            self.state.repeats.count_first(call.service.name, now)
+        call.sends += 1
+
+    def judge(
+        self,
+        record: server_book.ServerRecord,
+        outcome: health.Outcome,
+        detail: str,
+    ) -> None:
+        """Take in how a request ended, and log a change."""
+        self.state.measures.sends.inc(
+            {'service': record.entry.service, 'result': outcome.value}
+        )
+        if self.state.book.judge(record, outcome, clock.now()):
+            self.state.log.info(
+                'backend server is avoided',
+                server=record.entry.id,
+                outcome=outcome.value,
+                detail=detail,
+                unreachable=record.condition.unreachable,
+                failure_share=round(record.condition.failure_share, 2),
+                for_s=round(record.condition.avoided_until - clock.now(), 2),
+            )
+
+    # Ends
+
+    def _give_up(self, call: calls.Call, reason: str) -> None:
+        """Tell the client that there will be no answer."""
+        call.detail = reason
+        if call.reply.started:
+            call.reply.abort()
+            return
+        now = clock.now()
+        if call.may_have_run:
+            late = now >= call.admitted.deadline
+            self._answer(call.reply, call, 504 if late else 502, None)
+            return
+        left_s = max(0.0, call.admitted.deadline - now)
+        self._answer(
+            call.reply,
+            call,
+            503,
+            min(admit.OTHER_NODE_RETRY_S, left_s * RETRY_AFTER_SHARE),
+        )
+
+    def _answer(
+        self,
+        reply: http_server.Reply,
+        call: calls.Call,
+        status: int,
+        retry_after_s: float | None,
+    ) -> None:
+        call.status = status
+        reply.send(
+            status,
+            self._own_headers(call.request_id, retry_after_s),
+            call.detail.encode(),
+        )
+
+    def _own_headers(
+        self, request_id: str | None, retry_after_s: float | None
+    ) -> list[http_server.Header]:
+        headers = [(b'Content-Type', b'text/plain')]
+        headers += self.translation.request_id_header(request_id)
+        if retry_after_s is not None:
+            headers.append((b'Retry-After', b'%.3f' % retry_after_s))
+        return headers
+
+    def _refuse(
+        self,
+        reply: http_server.Reply,
+        facts: messages.CallerFacts,
+        refusal: admit.Refusal,
+    ) -> None:
+        self.state.measures.requests.inc(
+            {'route': '', 'outcome': str(refusal.status)}
+        )
+        configuration = self.state.configuration
+        self.state.log.info(
+            'request is refused',
+            request=facts.request_id,
+            status=refusal.status,
+            reason=refusal.reason,
+            retry_after_s=refusal.retry_after_s,
+            configuration=configuration.version if configuration else None,
+            configuration_age_s=round(self.state.confirmed_age(), 2),
+        )
+        reply.send(
+            refusal.status,
+            self._own_headers(facts.request_id, refusal.retry_after_s),
+            refusal.reason.encode(),
+        )
+
+    def _log_end(self, call: calls.Call, outcome: str) -> None:
+        now = clock.now()
+        arrived_at = call.request.arrived_at
+        self.state.measures.requests.inc(
+            {
+                'route': call.admitted.route.name,
+                'outcome': str(call.status or 'none'),
+            }
+        )
+        if call.first_at is not None:
+            self.state.measures.first_byte_s.observe(
+                {'route': call.admitted.route.name},
+                call.first_at - arrived_at,
+            )
+        record = call.stream.last_record
+        self.state.log.info(
+            'request ended',
+            request=call.request_id,
+            route=call.admitted.route.name,
+            account=call.admitted.account and call.admitted.account.id,
+            rank=call.admitted.rank,
+            configuration=call.admitted.version,
+            status=call.status,
+            outcome=outcome,
+            server=record.entry.id if record else None,
+            sends=call.sends,
+            unreachable=call.unreachable,
+            waited_ms=int(call.waited_s * 1e3),
+            first_ms=int((call.first_at - arrived_at) * 1e3)
+            if call.first_at
+            else None,
+            total_ms=int((now - arrived_at) * 1e3),
+            left_ms=int((call.admitted.deadline - now) * 1e3),
+        )
+
+
+def _host(request: http_server.CallerRequest) -> str:
+    hosts = [
+        value for name, value in request.headers if name.lower() == b'host'
+    ]
+    if len(hosts) != 1:
+        return ''
+    return hosts[0].decode('latin-1').partition(':')[0].strip().lower()
--- /dev/null
+++ b/hornbeamrudder/gateway/http_client.py
@@ -0,0 +1,365 @@
+"""HTTP/1.1 connections to backend servers and to the platform.
+
+The forwarding path must know whether a byte of a request was sent, whether
+an answer belongs to it and how it ended, so connections are handled here;
+parsing is done by httptools.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import socket
+from typing import Callable, Union
+
+import httptools
+
+from . import clock
+from ..core import types
+
+Header = tuple[bytes, bytes]
+Matcher = Callable[[int, tuple[Header, ...]], bool]
+
+# A peer that acknowledges nothing for this long is taken as unreachable.
+UNACKNOWLEDGED_LIMIT_MS = 3000
+# Bytes of an answer that may wait for a slow client before reading stops.
+READ_AHEAD_BYTES = 256 * 1024
+_NO_BODY = frozenset({204, 304})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """Status line and headers of an answer."""
+
+    status: int
+    headers: tuple[Header, ...]
+    content_length: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Body:
+    """A part of the body."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """The answer is complete."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken:
+    """The connection ended, or spoke nonsense, before the answer was whole.
+
+    Attributes
+    ----------
+    answered : bool
+        Whether a byte of the answer had arrived.
+    """
+
+    detail: str
+    answered: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Late:
+    """Nothing arrived in time."""
+
+
+Event = Union[Head, Body, End, Broken, Late]
+
+
+class Exchange:
+    """One request on a connection, and the events of its answer."""
+
+    __slots__ = (
+        'matches',
+        'head_only',
+        'events',
+        'buffered',
+        'answered',
+        'ended',
+        '_waiter',
+        '_connection',
+    )
+
+    def __init__(
+        self,
+        connection: 'ServerConnection',
+        matches: Matcher | None,
+        head_only: bool,
+    ) -> None:
+        self.matches = matches
+        self.head_only = head_only
+        self.events: collections.deque[Event] = collections.deque()
+        self.buffered = 0
+        self.answered = False
+        self.ended = False
+        self._waiter: asyncio.Future[None] | None = None
+        self._connection = connection
+
+    def put(self, event: Event) -> None:
+        """Add an event and wake the reader."""
+        if self.ended:
+            return
+        self.events.append(event)
+        match event:
+            case Body(data):
+                self.buffered += len(data)
+                if self.buffered > READ_AHEAD_BYTES:
+                    self._connection.pause()
+            case End() | Broken():
+                self.ended = True
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def next(self, until: float) -> Event:
+        """Wait for the next event, at most until `until`.
+
+        Parameters
+        ----------
+        until : float
+            Time on `clock.now`, in seconds.
+        """
+        if not self.events:
+            wait_s = until - clock.now()
+            if wait_s <= 0:
+                return Late()
+            loop = asyncio.get_running_loop()
+            waiter = loop.create_future()
+            self._waiter = waiter
+            timer = loop.call_later(wait_s, _wake, waiter)
+            try:
+                await waiter
+            finally:
+                timer.cancel()
+                self._waiter = None
+            if not self.events:
+                return Late()
+        event = self.events.popleft()
+        if isinstance(event, Body):
+            self.buffered -= len(event.data)
+            if self.buffered <= READ_AHEAD_BYTES:
+                self._connection.resume()
+        return event
+
+
+def _wake(waiter: asyncio.Future[None]) -> None:
+    if not waiter.done():
+        waiter.set_result(None)
+
+
+class ServerConnection(asyncio.Protocol):
+    """A connection to one address; at most one request at a time."""
+
+    def __init__(self) -> None:
+        self.opened_at = clock.now()
+        self.idle_since = self.opened_at
+        self.requests = 0
+        self.keep_alive_s: float | None = None
+        self.closed = False
+        self._dirty = False
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._exchange: Exchange | None = None
+        self._headers: list[Header] = []
+        self._in_head = True
+        self._skipping = False
+        self._until_close = False
+        self._paused = False
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may be sent on this connection."""
+        return (
+            not self.closed
+            and not self._dirty
+            and self._exchange is None
+            and self._transport is not None
+            and not self._transport.is_closing()
+            and self._transport.get_write_buffer_size() == 0
+        )
+
+    def send(
+        self,
+        data: bytes,
+        matches: Matcher | None = None,
+        head_only: bool = False,
+    ) -> Exchange:
+        """Send one request; the caller reads the events of the exchange.
+
+        Parameters
+        ----------
+        matches : callable, optional
+            Tells by status and headers whether an answer belongs to this
+            request; other answers are skipped.
+        head_only : bool
+            Whether the answer has no body whatever its headers say.
+        """
+        exchange = Exchange(self, matches, head_only)
+        self._exchange = exchange
+        self.requests += 1
+        if self.closed or self._transport is None:
+            exchange.put(Broken('connection was closed'))
+            return exchange
+        self._transport.write(data)
+        return exchange
+
+    def release(self) -> None:
+        """End the exchange after its answer; idle from now on."""
+        self._exchange = None
+        self.idle_since = clock.now()
+
+    def abort(self) -> None:
+        """Close at once, so that the other side stops its work."""
+        self.closed = True
+        self._exchange = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def pause(self) -> None:
+        """Stop reading until the client has taken what was read."""
+        if self._transport is not None and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read again after `pause`."""
+        if self._transport is not None and self._paused:
+            self._paused = False
+            if not self.closed:
+                self._transport.resume_reading()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set socket options; called by the event loop."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        peer = transport.get_extra_info('socket')
+        peer.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            UNACKNOWLEDGED_LIMIT_MS,
+        )
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived; called by the event loop."""
+        if self._exchange is None:
+            # Nothing was asked: such bytes belong to no request.
+            self._dirty = True
+            self.abort()
+            return
+        self._exchange.answered = True
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._dirty = True
+            self._break(f'malformed answer: {error}')
+        if self._dirty and self._exchange is not None:
+            if self._exchange.ended and self._transport is not None:
+                self._transport.close()
+
+    def eof_received(self) -> bool:
+        """End an answer that lasts until the close."""
+        self._dirty = True
+        if self._until_close and self._exchange is not None:
+            self._exchange.put(End())
+        else:
+            self._break('closed by the other side')
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Tell the exchange; called by the event loop."""
+        self.closed = True
+        self._break(f'connection lost: {error}' if error else 'closed')
+
+    def _break(self, detail: str) -> None:
+        if self._exchange is not None:
+            self._exchange.put(Broken(detail, self._exchange.answered))
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Start an answer."""
+        self._headers = []
+        self._in_head = True
+        self._skipping = False
+        self._until_close = False
+        if self._exchange is None or self._exchange.ended:
+            self._dirty = True
+            self._skipping = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header; trailers are dropped."""
+        if self._in_head:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Pass on the head, unless it belongs to another request."""
+        self._in_head = False
+        if self._skipping:
+            return
+        status = self._parser.get_status_code()
+        exchange = self._exchange
+        assert exchange is not None
+        headers = tuple(self._headers)
+        if status < 200:
+            self._skipping = True
+            return
+        if exchange.matches is not None and not exchange.matches(
+            status, headers
+        ):
+            self._dirty = True
+            self._skipping = True
+            return
+        framing = {name.lower(): value for name, value in headers}
+        length = framing.get(b'content-length')
+        self._until_close = (
+            length is None
+            and b'transfer-encoding' not in framing
+            and status not in _NO_BODY
+            and not exchange.head_only
+        )
+        if self._until_close:
+            self._dirty = True
+        exchange.put(Head(status, headers, int(length) if length else None))
+        if exchange.head_only:
+            self._dirty = True
+            exchange.put(End())
+
+    def on_body(self, data: bytes) -> None:
+        """Pass on a part of the body."""
+        if not self._skipping and self._exchange is not None:
+            self._exchange.put(Body(data))
+
+    def on_message_complete(self) -> None:
+        """End the answer."""
+        if self._skipping or self._exchange is None:
+            return
+        if not self._parser.should_keep_alive():
+            self._dirty = True
+        self._exchange.put(End())
+
+
+async def connect(
+    address: types.Address, timeout_s: float
+) -> ServerConnection | Broken:
+    """Open a connection.
+
+    Returns
+    -------
+    ServerConnection or Broken
+        No byte of a request was sent in the second case.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(
+                ServerConnection, address.ip, address.port
+            )
+    except TimeoutError:
+        return Broken(f'no connection within {timeout_s:.3f} s')
+    except OSError as error:
+        return Broken(f'cannot connect: {error}')
+    return connection
--- /dev/null
+++ b/hornbeamrudder/gateway/http_server.py
@@ -0,0 +1,396 @@
+"""HTTP/1.1 connections of clients.
+
+A request is handled once it was read whole. The task that handles it is
+cancelled when its client leaves, wherever it waits.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import http
+from typing import Awaitable, Callable, Iterable
+
+import httptools
+
+from . import clock
+from . import records
+
+Header = tuple[bytes, bytes]
+
+# Requests that a client may send ahead of their answers.
+MAX_PIPELINED = 16
+# Time for a client to read a refusal before its connection is reset.
+LINGER_S = 1.0
+TIMER_S = 0.5
+_REASON_BY_STATUS = {
+    status.value: status.phrase.encode() for status in http.HTTPStatus
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A request that was read whole.
+
+    Attributes
+    ----------
+    target : bytes
+        Path and query as sent.
+    arrived_at : float
+        Time of its first byte, on `clock.now`.
+    """
+
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+    body: bytes
+    arrived_at: float
+    keep_alive: bool
+    chunked_allowed: bool
+
+
+class Reply:
+    """The answer to one request."""
+
+    __slots__ = ('_connection', 'started', 'ended', '_chunked', '_keep_alive')
+
+    def __init__(
+        self, connection: 'CallerConnection', request: CallerRequest
+    ) -> None:
+        self._connection = connection
+        self.started = False
+        self.ended = False
+        self._chunked = False
+        self._keep_alive = request.keep_alive
+
+    def send(
+        self, status: int, headers: Iterable[Header], body: bytes = b''
+    ) -> None:
+        """Send a whole answer."""
+        self.start(status, headers, len(body))
+        self.write(body)
+        self.end()
+
+    def start(
+        self, status: int, headers: Iterable[Header], length: int | None
+    ) -> None:
+        """Send the head.
+
+        Parameters
+        ----------
+        length : int or None
+            Bytes of the body; None to send it in chunks.
+        """
+        self.started = True
+        closing = not self._keep_alive or self._connection.server.stopping
+        lines = [
+            b'HTTP/1.1 %d %s'
+            % (status, _REASON_BY_STATUS.get(status, b'Unknown'))
+        ]
+        lines.extend(name + b': ' + value for name, value in headers)
+        if status not in (204, 304):
+            if length is not None:
+                lines.append(b'Content-Length: %d' % length)
+            elif self._connection.chunked_allowed:
+                self._chunked = True
+                lines.append(b'Transfer-Encoding: chunked')
+            else:
+                closing = True
+        if closing:
+            self._keep_alive = False
+            lines.append(b'Connection: close')
+        self._connection.write(b'\r\n'.join(lines) + b'\r\n\r\n')
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if not data:
+            return
+        if self._chunked:
+            data = b'%x\r\n%s\r\n' % (len(data), data)
+        self._connection.write(data)
+
+    def end(self) -> None:
+        """Complete the answer."""
+        if self._chunked:
+            self._connection.write(b'0\r\n\r\n')
+        self.ended = True
+        if not self._keep_alive:
+            self._connection.close()
+
+    def abort(self) -> None:
+        """Reset the connection, so that the answer can't look complete."""
+        self.ended = True
+        self._connection.abort()
+
+    async def drain(self) -> None:
+        """Wait until a slow client has taken most of what was written."""
+        await self._connection.drain()
+
+
+Handler = Callable[[CallerRequest, Reply], Awaitable[None]]
+
+
+class CallerServer:
+    """State that all connections of clients share."""
+
+    def __init__(self, handler: Handler) -> None:
+        self.handler = handler
+        self.limits = records.CallerLimits()
+        self.stopping = False
+        self.connections: set[CallerConnection] = set()
+        self.accepted = 0
+        self.malformed = 0
+
+    @property
+    def busy(self) -> int:
+        """Connections with a request in progress."""
+        return sum(1 for connection in self.connections if connection.is_busy)
+
+    def make_connection(self) -> 'CallerConnection':
+        """Protocol factory for `create_server`."""
+        self.accepted += 1
+        return CallerConnection(self)
+
+
+class CallerConnection(asyncio.Protocol):
+    """A connection of one client."""
+
+    def __init__(self, server: CallerServer) -> None:
+        self.server = server
+        self.chunked_allowed = True
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._task: asyncio.Task[None] | None = None
+        self._pending: collections.deque[CallerRequest] = collections.deque()
+        self._timer: asyncio.TimerHandle | None = None
+        self._quiet_since = clock.now()
+        self._writable: asyncio.Future[None] | None = None
+        self._closing = False
+        self._refused_status: int | None = None
+        self._reset_request()
+
+    def _reset_request(self) -> None:
+        self._reading = False
+        self._in_head = True
+        self._started_at = 0.0
+        self._target = b''
+        self._headers: list[Header] = []
+        self._head_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is in progress."""
+        return self._task is not None
+
+    # Used by Reply
+
+    def write(self, data: bytes) -> None:
+        """Write to the client; dropped after the connection ended."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    def close(self) -> None:
+        """Close after what was written; unread bytes must not reset it."""
+        if self._closing or self._transport is None:
+            return
+        self._closing = True
+        self._pending.clear()
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._closing = True
+        self._pending.clear()
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def drain(self) -> None:
+        """Wait while the transport's buffer is full."""
+        if self._writable is not None:
+            await self._writable
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection; called by the event loop."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self.server.connections.add(self)
+        self._arm_timer()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Cancel the work for a client that has left."""
+        self._closing = True
+        self.server.connections.discard(self)
+        self._pending.clear()
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """A client that has closed its side has left."""
+        if self._task is not None and not self._closing:
+            self._task.cancel()
+        return False
+
+    def pause_writing(self) -> None:
+        """Note a full write buffer; called by the event loop."""
+        self._writable = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Note an empty write buffer; called by the event loop."""
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived; called by the event loop."""
+        if self._closing or self._refused_status is not None:
+            return
+        self._quiet_since = clock.now()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError:
+            if not self._closing:
+                self._refuse(400)
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._reset_request()
+        self._reading = True
+        self._started_at = clock.now()
+
+    def on_url(self, data: bytes) -> None:
+        """Collect the target, which may come in parts."""
+        self._target += data
+        self._count_head(len(data))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header; trailers are dropped."""
+        if self._in_head:
+            self._headers.append((name, value))
+            self._count_head(len(name) + len(value) + 4)
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if (
+            self._head_bytes > self.server.limits.max_header_bytes
+            and not self._closing
+        ):
+            self._refuse(431)
+
+    def on_headers_complete(self) -> None:
+        """Check the announced length and answer an expectation."""
+        self._in_head = False
+        if self._closing:
+            return
+        value_by_name = {name.lower(): value for name, value in self._headers}
+        length = value_by_name.get(b'content-length', b'0')
+        if int(length) > self.server.limits.max_body_bytes:
+            self._refuse(413)
+        elif value_by_name.get(b'expect', b'').lower() == b'100-continue':
+            if self._task is None:
+                self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a part of the body."""
+        self._body_bytes += len(data)
+        if self._body_bytes > self.server.limits.max_body_bytes:
+            if not self._closing:
+                self._refuse(413)
+            return
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Hand the request to the handler, in turn."""
+        if self._closing:
+            return
+        request = CallerRequest(
+            method=self._parser.get_method(),
+            target=self._target,
+            headers=tuple(self._headers),
+            body=b''.join(self._body),
+            arrived_at=self._started_at,
+            keep_alive=self._parser.should_keep_alive(),
+            chunked_allowed=self._parser.get_http_version() == '1.1',
+        )
+        self._reset_request()
+        self._pending.append(request)
+        if len(self._pending) > MAX_PIPELINED:
+            self.abort()
+        elif self._task is None:
+            self._start_next()
+
+    def _start_next(self) -> None:
+        if self._closing:
+            return
+        if not self._pending and self._refused_status is not None:
+            self._refuse(self._refused_status)
+        elif self._pending:
+            self._task = asyncio.get_running_loop().create_task(
+                self._handle(self._pending.popleft())
+            )
+
+    async def _handle(self, request: CallerRequest) -> None:
+        self.chunked_allowed = request.chunked_allowed
+        reply = Reply(self, request)
+        try:
+            await self.server.handler(request, reply)
+        finally:
+            self._task = None
+            self._quiet_since = clock.now()
+            if not reply.ended:
+                # The handler was cancelled or failed: the client must not
+                # take what it has for a whole answer.
+                self.abort()
+        self._start_next()
+
+    def _refuse(self, status: int) -> None:
+        """Answer a request that cannot be read, and close."""
+        self.server.malformed += 1
+        if self._task is not None or self._pending:
+            # An earlier request is being answered on this connection; the
+            # refusal follows its answer.
+            self._refused_status = status
+            return
+        self.write(
+            b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
+            % (status, _REASON_BY_STATUS[status])
+        )
+        self.close()
+
+    def _arm_timer(self) -> None:
+        self._timer = asyncio.get_running_loop().call_later(
+            TIMER_S, self._check_time
+        )
+
+    def _check_time(self) -> None:
+        if self._closing:
+            return
+        now = clock.now()
+        limits = self.server.limits
+        if self._reading and self._started_at:
+            waited = now - self._started_at
+            if self._in_head and waited > limits.header_timeout_s:
+                self._refuse(408)
+                return
+            if now - self._quiet_since > limits.idle_timeout_s:
+                self._refuse(408)
+                return
+        elif (
+            self._task is None
+            and now - self._quiet_since > limits.idle_timeout_s
+        ):
+            self.close()
+            return
+        self._arm_timer()
--- /dev/null
+++ b/hornbeamrudder/gateway/json_calls.py
@@ -0,0 +1,163 @@
+"""JSON calls to one address, such as the platform's store."""
+
+import asyncio
+import dataclasses
+from typing import Any
+
+import orjson
+
+from . import clock
+from ..core import errors
+from ..core import types
+from . import http_client
+
+CONNECT_TIMEOUT_S = 0.5
+# Idle connections that are kept for the next call.
+MAX_IDLE = 4
+# Older idle connections may have lost their state in the network.
+MAX_IDLE_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """Status and decoded body of an answer.
+
+    Attributes
+    ----------
+    sent_at : float
+        When the call was sent, on `clock.now`.
+    received_at : float
+        When the answer was whole.
+    """
+
+    status: int
+    body: Any
+    sent_at: float
+    received_at: float
+
+
+class JsonCaller:
+    """Makes calls to one address over kept connections."""
+
+    def __init__(self, address: types.Address, step: errors.Step) -> None:
+        self.address = address
+        self.calls = 0
+        self._step = step
+        self._idle: list[http_client.ServerConnection] = []
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        timeout_s: float = 2.0,
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> Answer | errors.Failure:
+        """Make one call.
+
+        Returns
+        -------
+        Answer or Failure
+            A failure with outcome UNKNOWN may have been carried out.
+        """
+        self.calls += 1
+        until = clock.now() + timeout_s
+        connection = await self._connection(min(timeout_s, CONNECT_TIMEOUT_S))
+        if isinstance(connection, http_client.Broken):
+            return self._failure(
+                errors.FailureKind.NOT_CONNECTED, connection.detail
+            )
+        payload = b'' if body is None else orjson.dumps(body)
+        lines = [
+            f'{method} {path} HTTP/1.1',
+            f'Host: {self.address}',
+            f'Content-Length: {len(payload)}',
+            'Content-Type: application/json',
+            *(f'{name}: {value}' for name, value in headers),
+        ]
+        sent_at = clock.now()
+        try:
+            exchange = connection.send(
+                '\r\n'.join(lines).encode() + b'\r\n\r\n' + payload
+            )
+            read = await _read_whole(exchange, until)
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+        match read:
+            case (int() as status, bytes() as data):
+                connection.release()
+                if connection.reusable and len(self._idle) < MAX_IDLE:
+                    self._idle.append(connection)
+                else:
+                    connection.abort()
+                return self._decoded(status, data, sent_at)
+            case http_client.Broken(detail, _):
+                kind = errors.FailureKind.INTERRUPTED
+            case _:
+                kind, detail = errors.FailureKind.TIMEOUT, 'no answer in time'
+        connection.abort()
+        # The other kept connections go the same way through the network.
+        self.drop_idle()
+        return self._failure(kind, detail, types.Outcome.UNKNOWN)
+
+    def drop_idle(self) -> None:
+        """Close the kept connections."""
+        for connection in self._idle:
+            connection.abort()
+        self._idle.clear()
+
+    async def _connection(
+        self, timeout_s: float
+    ) -> http_client.ServerConnection | http_client.Broken:
+        while self._idle:
+            connection = self._idle.pop()
+            if (
+                connection.reusable
+                and clock.now() - connection.idle_since < MAX_IDLE_S
+            ):
+                return connection
+            connection.abort()
+        return await http_client.connect(self.address, timeout_s)
+
+    def _decoded(
+        self, status: int, data: bytes, sent_at: float
+    ) -> Answer | errors.Failure:
+        try:
+            body = orjson.loads(data) if data else None
+        except orjson.JSONDecodeError as error:
+            if status < 300:
+                return self._failure(
+                    errors.FailureKind.INVALID,
+                    f'malformed body: {error}',
+                    types.Outcome.UNKNOWN,
+                )
+            body = None
+        return Answer(status, body, sent_at, clock.now())
+
+    def _failure(
+        self,
+        kind: errors.FailureKind,
+        detail: str,
+        outcome: types.Outcome = types.Outcome.NOT_RUN,
+    ) -> errors.Failure:
+        return errors.Failure(
+            kind, self._step, str(self.address), detail, outcome
+        )
+
+
+async def _read_whole(
+    exchange: http_client.Exchange, until: float
+) -> tuple[int, bytes] | http_client.Broken | http_client.Late:
+    status = 0
+    parts: list[bytes] = []
+    while True:
+        match await exchange.next(until):
+            case http_client.Head() as head:
+                status = head.status
+            case http_client.Body(data):
+                parts.append(data)
+            case http_client.End():
+                return status, b''.join(parts)
+            case (http_client.Broken() | http_client.Late()) as ended:
+                return ended
--- /dev/null
+++ b/hornbeamrudder/gateway/measures.py
@@ -0,0 +1,60 @@
+"""Counters and latency histograms of a node."""
+
+import aioprometheus
+from aioprometheus import renderer
+
+# Upper bounds in seconds; from the target times of plain calls to the
+# longest time-outs.
+LATENCY_BUCKETS_S = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.8,
+    1.6,
+    3.2,
+    6.4,
+    12.8,
+)
+
+
+class Measures:
+    """The registry of one node and its collectors."""
+
+    def __init__(self) -> None:
+        self.registry = aioprometheus.Registry()
+        self.requests = self._counter(
+            'hornbeamrudder_requests_total',
+            'Requests of clients by route and outcome.',
+        )
+        self.sends = self._counter(
+            'hornbeamrudder_sends_total',
+            'Requests sent to backend servers by service and result.',
+        )
+        self.calls = self._counter(
+            'hornbeamrudder_platform_calls_total',
+            'Calls to the platform by kind and result.',
+        )
+        self.first_byte_s = self._histogram(
+            'hornbeamrudder_first_byte_seconds',
+            'Time from the first byte of a request to that of its answer.',
+        )
+        self.waited_s = self._histogram(
+            'hornbeamrudder_waited_seconds',
+            'Time that requests waited for a place at a backend server.',
+        )
+
+    def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(name, doc, registry=self.registry)
+
+    def _histogram(self, name: str, doc: str) -> aioprometheus.Histogram:
+        return aioprometheus.Histogram(
+            name, doc, buckets=LATENCY_BUCKETS_S, registry=self.registry
+        )
+
+    def render(self) -> bytes:
+        """Return all measures in the text format of Prometheus."""
+        text, _ = renderer.render(self.registry, ['text/plain'])
+        return bytes(text)
--- /dev/null
+++ b/hornbeamrudder/gateway/node.py
@@ -0,0 +1,416 @@
+"""A node: starts its parts, keeps them going, and stops in good order."""
+
+import asyncio
+import random
+import signal
+from typing import Any
+
+from . import clock
+from ..core import errors
+from ..core import ids
+from ..core import types
+from . import duties
+from . import forward
+from . import http_server
+from . import measures
+from . import moves
+from . import node_state
+from . import peers
+from . import records
+from . import repeats
+from . import server_book
+from . import usage
+from . import watch
+
+NODE_TABLE = 'nodes'
+# Time for which the store keeps a feed call open while nothing changes.
+# The configuration must be confirmed often enough for revoked keys.
+FEED_WAIT_S = 1.4
+NODE_FEED_WAIT_S = 8.0
+HOUSEKEEPING_S = 0.1
+# Part of a usage window after which its counts are also written early.
+EARLY_WRITE_SHARE = 0.5
+# A node is not ready while its configuration is older than this share of
+# the bound on revoked keys.
+READY_SHARE = 0.5
+# Time after the stop signal for which requests are still taken: the balancer
+# needs two missed readiness checks.
+STOP_ACCEPT_S = 2.6
+# Time kept at the end of the grace time for closing down.
+STOP_RESERVE_S = 0.7
+LISTEN_BACKLOG = 512
+# Entry of a node that was not heard for this long is removed.
+NODE_GONE_S = 12.0
+
+
+class Node:
+    """One process of the system on an entry host."""
+
+    def __init__(
+        self, settings: records.NodeSettings, platform: Any, log: Any
+    ) -> None:
+        self.settings = settings
+        self._platform = platform
+        self._log = log
+        self._store = platform.Store(settings.store)
+        cloud = platform.CloudApi(settings.cloud) if settings.cloud else None
+        bounds = settings.bounds
+        started = int(clock.wall() * 1e3)
+        self.state = node_state.NodeState(
+            settings=settings,
+            started=started,
+            log=log,
+            measures=measures.Measures(),
+            book=server_book.ServerBook(
+                settings.data_centre, self._server_leaving
+            ),
+            peers=peers.Peers(settings.node, self._take_report),
+            usage=usage.Counter(bounds.usage_window_s),
+            repeats=repeats.RepeatBudget(
+                bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
+            ),
+            rng=random.Random(),
+        )
+        self.forwarder = forward.Forwarder(self.state, platform.headers)
+        self.mover = moves.Mover(self.forwarder, platform.move_run)
+        self.server = http_server.CallerServer(self.forwarder.handle)
+        self.duties = duties.Duties(self.state, self._store, cloud, platform)
+        self._server_table = watch.TableWatch(
+            self._store,
+            platform.SERVER_TABLE,
+            FEED_WAIT_S,
+            log,
+            self._take_servers,
+        )
+        self._servers = watch.ServerWatch(
+            self.state.book,
+            platform.decode_server,
+            self._server_table.unstable,
+            log,
+        )
+        self._configuration_table = watch.TableWatch(
+            self._store,
+            platform.CONFIGURATION_TABLE,
+            FEED_WAIT_S,
+            log,
+            self._take_configuration,
+            self._confirm,
+        )
+        self._node_table = watch.TableWatch(
+            self._store, NODE_TABLE, NODE_FEED_WAIT_S, log, self._take_nodes
+        )
+        self._registered = False
+        self._written_at = 0.0
+        self._usage_write: asyncio.Task[None] | None = None
+        self._stopped: asyncio.Event | None = None
+        self._reported_at = 0.0
+        self._was_ready: bool | None = None
+
+    async def run(self) -> None:
+        """Serve until the stop signal and the end of all work."""
+        loop = asyncio.get_running_loop()
+        self._stopped = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, self._stopped.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopped.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        settings = self.settings
+        listeners = [
+            await loop.create_server(
+                self.server.make_connection,
+                settings.front.ip,
+                settings.front.port,
+                backlog=LISTEN_BACKLOG,
+            ),
+            await loop.create_server(
+                http_server.CallerServer(self._readiness).make_connection,
+                settings.readiness.ip,
+                settings.readiness.port,
+            ),
+            await loop.create_server(
+                http_server.CallerServer(self._metrics).make_connection,
+                settings.ip,
+                settings.metrics_port,
+            ),
+        ]
+        await loop.create_datagram_endpoint(
+            lambda: self.state.peers,
+            local_addr=(settings.ip, settings.peer_port),
+        )
+        background = [
+            loop.create_task(job)
+            for job in (
+                self._configuration_table.run(),
+                self._server_table.run(),
+                self._node_table.run(),
+                self.duties.run(),
+                self._keep_house(),
+            )
+        ]
+        for task in background:
+            task.add_done_callback(self._check_task)
+        self._log.info(
+            'node is started',
+            settings=settings.boot_path,
+            front=str(settings.front),
+            store=str(settings.store),
+        )
+        await self._stopped.wait()
+        await self._drain()
+        for listener in listeners:
+            listener.close()
+        self._log.info('node is stopped', open=self.server.busy)
+
+    def _check_task(self, task: 'asyncio.Task[None]') -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error(
+                'background task failed', exc_info=task.exception()
+            )
+            # A node that lacks one of its parts must not go on serving.
+            if self._stopped is not None:
+                self._stopped.set()
+
+    async def _drain(self) -> None:
+        """Let the balancer notice, and finish what was accepted."""
+        state = self.state
+        begun = clock.now()
+        state.stopping = True
+        self.server.stopping = True
+        self._log.info('node is stopping', requests=len(self.forwarder.calls))
+        last = begun + self.settings.bounds.grace_s - STOP_RESERVE_S
+        while clock.now() < last and (
+            clock.now() < begun + STOP_ACCEPT_S or self.forwarder.calls
+        ):
+            await asyncio.sleep(0.05)
+        await self._write_usage()
+        await self._store.write(
+            (self._platform.Remove(NODE_TABLE, self.settings.node),),
+            timeout_s=0.3,
+        )
+
+    # Configuration
+
+    def _take_configuration(
+        self, rows: tuple[Any, ...], snapshot: bool
+    ) -> None:
+        for row in rows:
+            if row.key != self._platform.CONFIGURATION_KEY or row.removed:
+                continue
+            decoded = self._platform.decode_configuration(row.value)
+            if isinstance(decoded, errors.Failure):
+                self._log.error(
+                    'configuration is malformed', failure=str(decoded)
+                )
+                continue
+            self._apply(decoded)
+
+    def _apply(self, configuration: records.Configuration) -> None:
+        current = self.state.configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self.state.configuration = configuration
+        self.server.limits = configuration.limits
+        self._log.info(
+            'configuration is applied',
+            version=configuration.version,
+            before=current.version if current else None,
+            routes=sum(map(len, configuration.routes_by_host.values())),
+            accounts=len(configuration.accounts_by_id),
+        )
+
+    def _confirm(self, sent_at: float) -> None:
+        if self.state.configuration is not None:
+            self.state.confirmed_at = max(self.state.confirmed_at, sent_at)
+
+    def _reload(self) -> None:
+        loaded = self._platform.load_settings(self.settings.boot_path)
+        if isinstance(loaded, errors.Failure):
+            self._log.error('settings are malformed', failure=str(loaded))
+            return
+        self._log.info(
+            'settings are read again', changed=loaded != self.settings
+        )
+
+    # Servers and nodes
+
+    def _take_servers(self, rows: tuple[Any, ...], snapshot: bool) -> None:
+        self._servers.take_rows(rows, snapshot)
+        self.forwarder.pump_all()
+
+    def _server_leaving(self, record: server_book.ServerRecord) -> None:
+        self._log.info(
+            'backend server is leaving',
+            server=record.entry.id,
+            leaves_in_s=record.entry.leaves_in_s,
+            running=record.running,
+        )
+        self.mover.leaving(record)
+
+    def _take_nodes(self, rows: tuple[Any, ...], snapshot: bool) -> None:
+        known = self.state.peers.address_by_node
+        if snapshot:
+            known.clear()
+        for row in rows:
+            node = ids.NodeId(row.key)
+            if row.removed:
+                known.pop(node, None)
+                if node == self.settings.node:
+                    self._registered = False
+            elif isinstance(row.value, dict):
+                known[node] = types.Address(
+                    str(row.value.get('ip')), int(row.value.get('port') or 0)
+                )
+        if self.settings.node not in known:
+            self._registered = False
+
+    def _take_report(self, report: peers.Report) -> None:
+        state = self.state
+        now = clock.now()
+        state.book.take_report(report.node, report.load_by_server, now)
+        if report.duty_number:
+            self.duties.heard_holder()
+        configuration = state.configuration
+        if configuration is None:
+            return
+        for name, (spent, level) in report.units_by_account.items():
+            account = configuration.accounts_by_id.get(ids.AccountId(name))
+            if account is not None:
+                state.take_reported_units(
+                    account, report.node, report.started, spent, level
+                )
+
+    # Housekeeping
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            now = clock.now()
+            state = self.state
+            self._servers.drop_missing(
+                self._server_table.recovered_at,
+                self._server_table.failing_since is not None,
+            )
+            if now - self._reported_at >= peers.interval_s(state.peers.known):
+                self._reported_at = now
+                state.peers.send(self._report())
+                state.book.refresh_reports(now)
+                self.forwarder.pump_all()
+            if not self._registered and not state.stopping:
+                await self._register()
+            self._flush_usage()
+
+    def _report(self) -> peers.Report:
+        state = self.state
+        return peers.Report(
+            node=self.settings.node,
+            started=state.started,
+            wall=clock.wall(),
+            units_by_account={
+                account: (bucket.spent, bucket.level)
+                for account, bucket in state.bucket_by_account.items()
+            },
+            load_by_server=state.book.own_report(),
+            waiting_by_service={
+                service: (len(line), 0.0)
+                for service, line in state.line_by_service.items()
+                if len(line)
+            },
+            duty_number=self.duties.number,
+        )
+
+    async def _register(self) -> None:
+        written = await self._store.write(
+            (
+                self._platform.Put(
+                    NODE_TABLE,
+                    self.settings.node,
+                    {
+                        'ip': self.settings.ip,
+                        'port': self.settings.peer_port,
+                        'started': self.state.started,
+                    },
+                ),
+            ),
+            timeout_s=0.5,
+        )
+        if isinstance(written, errors.Failure):
+            return
+        self._registered = True
+        self.state.peers.address_by_node[self.settings.node] = types.Address(
+            self.settings.ip, self.settings.peer_port
+        )
+
+    def _flush_usage(self) -> None:
+        if self._usage_write is not None and not self._usage_write.done():
+            return
+        state = self.state
+        window_s = self.settings.bounds.usage_window_s
+        present = state.usage.window_at(state.peers.true_time())
+        changed = state.usage.changed()
+        if not changed:
+            return
+        ended = any(window < present for window in changed)
+        early = clock.now() - self._written_at > window_s * EARLY_WRITE_SHARE
+        if ended or early:
+            self._usage_write = asyncio.get_running_loop().create_task(
+                self._write_usage()
+            )
+
+    async def _write_usage(self) -> None:
+        state = self.state
+        counts = state.usage.changed()
+        if not counts:
+            return
+        self._written_at = clock.now()
+        written = await self._store.write(
+            tuple(
+                self._platform.Put(
+                    usage.TABLE,
+                    usage.row_key(window, self.settings.node, state.started),
+                    by_account,
+                )
+                for window, by_account in counts.items()
+            ),
+            timeout_s=0.8,
+        )
+        if isinstance(written, errors.Failure):
+            self._log.info('usage is not written', failure=str(written))
+            await asyncio.sleep(0.5)
+            return
+        state.usage.written(counts)
+        state.usage.forget_before(min(counts) - usage.LOOK_BACK)
+
+    # Readiness and metrics
+
+    def is_ready(self) -> bool:
+        """Whether clients should be sent here."""
+        state = self.state
+        return (
+            not state.stopping
+            and state.configuration is not None
+            and bool(state.book.by_id)
+            and state.confirmed_age()
+            < READY_SHARE * self.settings.bounds.revoke_s
+        )
+
+    async def _readiness(
+        self, request: http_server.CallerRequest, reply: http_server.Reply
+    ) -> None:
+        ready = self.is_ready()
+        if ready != self._was_ready:
+            self._was_ready = ready
+            self._log.info(
+                'readiness has changed',
+                ready=ready,
+                stopping=self.state.stopping,
+                configuration_age_s=round(self.state.confirmed_age(), 2),
+            )
+        reply.send(200 if ready else 503, (), b'')
+
+    async def _metrics(
+        self, request: http_server.CallerRequest, reply: http_server.Reply
+    ) -> None:
+        reply.send(
+            200,
+            ((b'Content-Type', b'text/plain; version=0.0.4'),),
+            self.state.measures.render(),
+        )
--- /dev/null
+++ b/hornbeamrudder/gateway/node_state.py
@@ -0,0 +1,134 @@
+"""State of a node that its parts share; nothing of it outlives the process."""
+
+import collections
+import dataclasses
+import random
+from typing import Any
+
+from . import clock
+from ..core import ids
+from . import measures
+from . import peers
+from . import quota
+from . import records
+from . import repeats
+from . import server_book
+from . import usage
+from . import waiting
+
+# Prompt tokens that an engine reads in a millisecond, until it is known.
+FIRST_TOKENS_PER_MS = 50.0
+# Weight of the newest sample in the moving average.
+SPEED_WEIGHT = 0.05
+# Samples outside are due to other work of the engine.
+MIN_TOKENS_PER_MS = 5.0
+MAX_TOKENS_PER_MS = 400.0
+
+
+@dataclasses.dataclass(slots=True)
+class NodeState:
+    """Everything that a node believes.
+
+    Attributes
+    ----------
+    confirmed_at : float
+        Time on `clock.now` at which a call to the store was sent whose
+        answer said that `configuration` is the newest.
+    speed_by_service : dict
+        Prompt tokens read in a millisecond by one engine.
+    """
+
+    settings: records.NodeSettings
+    started: int
+    log: Any
+    measures: measures.Measures
+    book: server_book.ServerBook
+    peers: peers.Peers
+    usage: usage.Counter
+    repeats: repeats.RepeatBudget
+    rng: random.Random
+    configuration: records.Configuration | None = None
+    confirmed_at: float = float('-inf')
+    stopping: bool = False
+    bucket_by_account: dict[ids.AccountId, quota.Bucket] = dataclasses.field(
+        default_factory=dict
+    )
+    line_by_service: dict[ids.ServiceName, waiting.Line] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(waiting.Line)
+    )
+    speed_by_service: dict[ids.ServiceName, float] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(
+            lambda: FIRST_TOKENS_PER_MS
+        )
+    )
+
+    def confirmed_age(self) -> float:
+        """Seconds since the configuration was known to be current."""
+        return clock.now() - self.confirmed_at
+
+    def limit(self, account: records.ClientAccount) -> quota.Limit:
+        """Limit of an account, as this node may use it now."""
+        return quota.Limit(
+            account.rate_per_s,
+            account.burst,
+            self.peers.heard_share(),
+            quota.tolerance(
+                self.settings.bounds.quota_slack_tokens, self.peers.known
+            ),
+        )
+
+    def bucket(self, account: records.ClientAccount) -> quota.Bucket:
+        """Bucket of an account; a new one has only this node's part."""
+        found = self.bucket_by_account.get(account.id)
+        if found is None:
+            found = quota.first(
+                self.limit(account), self.peers.known, clock.now()
+            )
+        return found
+
+    def take_units(
+        self, account: records.ClientAccount, units: float
+    ) -> float | None:
+        """Count a request; returns the seconds to wait if it is refused."""
+        bucket, wait_s = quota.take(
+            self.bucket(account), self.limit(account), units, clock.now()
+        )
+        self.bucket_by_account[account.id] = bucket
+        return wait_s
+
+    def give_back_units(
+        self, account: records.ClientAccount, units: float
+    ) -> None:
+        """Undo `take_units` for a request that did not run."""
+        found = self.bucket_by_account.get(account.id)
+        if found is not None:
+            self.bucket_by_account[account.id] = quota.give_back(found, units)
+
+    def take_reported_units(
+        self,
+        account: records.ClientAccount,
+        node: ids.NodeId,
+        started: int,
+        spent: float,
+        level: float,
+    ) -> None:
+        """Take in what another node has admitted of an account."""
+        self.bucket_by_account[account.id] = quota.reported(
+            quota.filled(
+                self.bucket(account), self.limit(account), clock.now()
+            ),
+            node,
+            started,
+            spent,
+            level,
+        )
+
+    def learn_speed(
+        self, service: ids.ServiceName, tokens_per_ms: float
+    ) -> None:
+        """Take in one measured speed."""
+        known = self.speed_by_service[service]
+        self.speed_by_service[service] = known + SPEED_WEIGHT * (
+            min(max(tokens_per_ms, MIN_TOKENS_PER_MS), MAX_TOKENS_PER_MS)
+            - known
+        )
--- /dev/null
+++ b/hornbeamrudder/infrastructure/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services."""
--- a/hornbeamrudder/platform/features/steps/http_steps.py
+++ b/hornbeamrudder/infrastructure/features/steps/http_steps.py
@@ -8,7 +8,7 @@
 from returns import result
 
 from hornbeamrudder.core import errors
-from hornbeamrudder.platform import http
+from hornbeamrudder.infrastructure import http
 
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 HALF_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n' + b'a' * 50
--- a/hornbeamrudder/leases/features/simulation.py
+++ b/hornbeamrudder/leases/features/simulation.py
@@ -9,7 +9,7 @@
 
 from hornbeamrudder.core import errors
 from hornbeamrudder.leases import state
-from hornbeamrudder.platform import table
+from hornbeamrudder.infrastructure import table
 
 END_S = 150.0
 QUIET_S = 60.0
--- a/hornbeamrudder/leases/features/steps/lease_steps.py
+++ b/hornbeamrudder/leases/features/steps/lease_steps.py
@@ -13,7 +13,7 @@
 from hornbeamrudder.leases.features import simulation
 from hornbeamrudder.leases import holder
 from hornbeamrudder.leases import state
-from hornbeamrudder.platform import table
+from hornbeamrudder.infrastructure import table
 
 LONG_FACTOR = 12
 SEED_FACTOR = (
--- a/hornbeamrudder/leases/holder.py
+++ b/hornbeamrudder/leases/holder.py
@@ -8,7 +8,7 @@
 import structlog
 
 from ..core import ids
-from ..platform import table
+from ..infrastructure import table
 from . import state
 
 TICK_INTERVAL_S = 0.2
--- a/hornbeamrudder/leases/state.py
+++ b/hornbeamrudder/leases/state.py
@@ -7,7 +7,7 @@
 
 from ..core import errors
 from ..core import ids
-from ..platform import table
+from ..infrastructure import table
 
 KEY_PREFIX = 'lease/'
 TERM_S = 10.0
--- a/hornbeamrudder/operators/client.py
+++ b/hornbeamrudder/operators/client.py
@@ -13,7 +13,7 @@
 from ..core import ids
 from ..core import types
 from ..inventory import schema
-from ..platform import http
+from ..infrastructure import http
 
 from . import messages
 
--- a/hornbeamrudder/operators/commands.py
+++ b/hornbeamrudder/operators/commands.py
@@ -15,7 +15,7 @@
 from ..inventory import difference
 from ..inventory import files
 from ..inventory import schema
-from ..platform import http
+from ..infrastructure import http
 
 from . import changes
 from . import client
--- a/hornbeamrudder/operators/features/environment.py
+++ b/hornbeamrudder/operators/features/environment.py
@@ -5,7 +5,7 @@
 
 from hornbeamrudder.bench import deployment
 from hornbeamrudder.bench import local
-from hornbeamrudder.platform import http
+from hornbeamrudder.infrastructure import http
 
 PLAN = deployment.Plan(
     region='jm-south',
--- a/hornbeamrudder/operators/features/steps/deployment_steps.py
+++ b/hornbeamrudder/operators/features/steps/deployment_steps.py
@@ -18,7 +18,7 @@
 from hornbeamrudder.bench import local
 from hornbeamrudder import cli
 from hornbeamrudder.core import errors
-from hornbeamrudder.platform import http
+from hornbeamrudder.infrastructure import http
 
 EXAMPLE = pathlib.Path(__file__).resolve().parents[4] / 'examples/blue-mahoe'
 CLOSED_NODE = '127.0.0.1:1'
--- a/hornbeamrudder/operators/features/steps/operator_steps.py
+++ b/hornbeamrudder/operators/features/steps/operator_steps.py
@@ -30,7 +30,7 @@
 from hornbeamrudder.operators import commands
 from hornbeamrudder.operators import messages
 from hornbeamrudder.operators import output
-from hornbeamrudder.platform import http
+from hornbeamrudder.infrastructure import http
 
 EXAMPLE = pathlib.Path(__file__).resolve().parents[4] / 'examples/blue-mahoe'
 TOKENS = {'r-campbell': 'token-r', 'd-grant': 'token-d'}
--- a/hornbeamrudder/orders/committer.py
+++ b/hornbeamrudder/orders/committer.py
@@ -12,7 +12,7 @@
 from ..core import errors
 from ..core import ids
 from ..core import types
-from ..platform import table
+from ..infrastructure import table
 
 COMMIT_INTERVAL_S = 0.025
 MAX_BATCH_ITEMS = 100
--- a/hornbeamrudder/orders/execute.py
+++ b/hornbeamrudder/orders/execute.py
@@ -15,7 +15,7 @@
 from ..core import ids
 from ..core import types
 from . import messages
-from ..platform import table
+from ..infrastructure import table
 from . import record
 from . import state
 
--- a/hornbeamrudder/orders/features/simulation.py
+++ b/hornbeamrudder/orders/features/simulation.py
@@ -15,7 +15,7 @@
 from hornbeamrudder.orders import record
 from hornbeamrudder.orders import recovery
 from hornbeamrudder.orders import state
-from hornbeamrudder.platform import table
+from hornbeamrudder.infrastructure import table
 
 END_S = 75.0
 TIMEOUT_S = 2.0
--- a/hornbeamrudder/orders/features/steps/record_steps.py
+++ b/hornbeamrudder/orders/features/steps/record_steps.py
@@ -20,7 +20,7 @@
 from hornbeamrudder.orders import record
 from hornbeamrudder.orders import recovery
 from hornbeamrudder.orders import state
-from hornbeamrudder.platform import table
+from hornbeamrudder.infrastructure import table
 
 TEXT = strategies.text(max_size=12)
 HEADERS = strategies.lists(strategies.tuples(TEXT, TEXT), max_size=3).map(
--- a/hornbeamrudder/orders/messages.py
+++ b/hornbeamrudder/orders/messages.py
@@ -8,7 +8,7 @@
 
 from . import committer
 from ..core import errors
-from ..platform import table
+from ..infrastructure import table
 from . import record
 
 # Delay of the first poll of a record that another node holds.
--- a/hornbeamrudder/orders/recovery.py
+++ b/hornbeamrudder/orders/recovery.py
@@ -12,7 +12,7 @@
 from . import committer
 from ..core import ids
 from . import execute
-from ..platform import table
+from ..infrastructure import table
 from . import record
 
 PAGE_ROWS = 200
--- a/hornbeamrudder/orders/state.py
+++ b/hornbeamrudder/orders/state.py
@@ -8,7 +8,7 @@
 from ..core import errors
 from ..core import types
 from . import messages
-from ..platform import table
+from ..infrastructure import table
 from . import record
 
 SEND_WINDOW_S = 2.0
--- a/hornbeamrudder/platform/__init__.py
+++ b/hornbeamrudder/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform's services."""
+"""Adapter to the users' platform: translates its names, decides nothing."""
--- /dev/null
+++ b/hornbeamrudder/platform/settings.py
@@ -0,0 +1,108 @@
+"""Decodes the settings file that the platform hands to each process."""
+
+import os
+from typing import Any, Mapping
+
+import yaml
+
+from ..core import errors
+from ..core import ids
+from ..core import types
+from ..gateway import records
+
+PATH_VARIABLE = 'HORNBEAMRUDDER_CONFIG'
+USAGE_DUTY = 'usage_report'
+SCALING_DUTY = 'autoscale'
+_Loader = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
+
+
+def load(
+    path: str | None = None,
+) -> records.NodeSettings | errors.Failure:
+    """Read and check the settings; unknown fields are ignored.
+
+    Parameters
+    ----------
+    path : str, optional
+        Defaults to the file that the environment names.
+
+    Returns
+    -------
+    NodeSettings or Failure
+        The failure names the first field that is missing or malformed.
+    """
+    path = path or os.environ.get(PATH_VARIABLE, '')
+    try:
+        with open(path, encoding='utf-8') as file:
+            fields = yaml.load(file, Loader=_Loader)
+    except (OSError, yaml.YAMLError) as error:
+        return _failure(path, f'cannot be read: {error}')
+    try:
+        return decode(fields, path)
+    except KeyError as error:
+        return _failure(path, f'field {error} is missing')
+    except (TypeError, ValueError, AttributeError) as error:
+        return _failure(path, f'malformed field: {error}')
+
+
+def decode(fields: Mapping[str, Any], path: str = '') -> records.NodeSettings:
+    """Translate the fields of the file; raises on missing ones."""
+    listen = fields['listen']
+    cloud = fields.get('cloudApi') or {}
+    zones = fields.get('zones') or {fields['zone']: ''}
+    ports = fields['internalPorts']
+    return records.NodeSettings(
+        node=ids.NodeId(str(fields['node'])),
+        ip=str(fields['ip']),
+        data_centre=ids.DataCentreName(str(fields['zone'])),
+        front=decode_address(listen['front']),
+        readiness=decode_address(listen['readiness']),
+        peer_port=int(ports[0]),
+        metrics_port=int(ports[1]),
+        store=decode_address(fields['platform']['address']),
+        cloud=decode_address(cloud['address']) if cloud else None,
+        duties=frozenset(map(str, cloud.get('duties') or ())),
+        data_centres=tuple(map(ids.DataCentreName, zones)),
+        row_bytes=int(fields['platform'].get('rowBytes') or 65536),
+        bounds=_decode_bounds(fields.get('bounds') or {}),
+        boot_path=path,
+    )
+
+
+def _decode_bounds(fields: Mapping[str, Any]) -> records.Bounds:
+    default = records.Bounds()
+
+    def number(name: str, fallback: float, scale: float = 1.0) -> float:
+        value = fields.get(name)
+        return fallback if value is None else float(value) * scale
+
+    return records.Bounds(
+        revoke_s=number('revokeMs', default.revoke_s, 1e-3),
+        drain_s=number('drainMs', default.drain_s, 1e-3),
+        grace_s=number('graceS', default.grace_s),
+        contact_s=number('contactMs', default.contact_s, 1e-3),
+        lease_s=number('leaseMs', default.lease_s, 1e-3),
+        retry_ratio=number('retryBudgetRatio', default.retry_ratio),
+        retry_window_s=number('budgetWindowS', default.retry_window_s),
+        retry_slack=number('budgetSlack', default.retry_slack),
+        quota_window_s=number('quotaWindowS', default.quota_window_s),
+        quota_slack_tokens=number('quotaSlack', default.quota_slack_tokens),
+        usage_window_s=number('usageWindowS', default.usage_window_s),
+        usage_late_s=number('usageLateS', default.usage_late_s),
+        reuse_window_s=number('reuseWindowS', default.reuse_window_s),
+        strict_revoke=bool(fields.get('strictRevoke', True)),
+    )
+
+
+def decode_address(text: str) -> types.Address:
+    """Split `IP:PORT`."""
+    ip, _, port = str(text).rpartition(':')
+    if not ip:
+        raise ValueError(f'{text!r} is not IP:PORT')
+    return types.Address(ip, int(port))
+
+
+def _failure(path: str, detail: str) -> errors.Failure:
+    return errors.Failure(
+        errors.FailureKind.INVALID, errors.Step.READ_REQUEST, path, detail
+    )
--- a/hornbeamrudder/standins/engine_state.py
+++ b/hornbeamrudder/standins/engine_state.py
@@ -16,8 +16,8 @@
 from returns import result
 
 from ..core import errors
-from ..platform import http
-from ..platform import json_call
+from ..infrastructure import http
+from ..infrastructure import json_call
 
 TIMEOUT_S = 5.0
 
--- a/hornbeamrudder/standins/features/steps/standin_steps.py
+++ b/hornbeamrudder/standins/features/steps/standin_steps.py
@@ -9,10 +9,10 @@
 
 from hornbeamrudder.core import errors
 from hornbeamrudder.core import hosts
-from hornbeamrudder.platform import cloud as cloud_client
-from hornbeamrudder.platform import host_list
-from hornbeamrudder.platform import http
-from hornbeamrudder.platform import objects as object_client
+from hornbeamrudder.infrastructure import cloud as cloud_client
+from hornbeamrudder.infrastructure import host_list
+from hornbeamrudder.infrastructure import http
+from hornbeamrudder.infrastructure import objects as object_client
 from hornbeamrudder.standins import cloud
 from hornbeamrudder.standins import hosts as hosts_standin
 from hornbeamrudder.standins import objects
--- a/hornbeamrudder/standins/hosts.py
+++ b/hornbeamrudder/standins/hosts.py
@@ -10,8 +10,8 @@
 import werkzeug
 
 from ..core import hosts
-from ..platform import cloud
-from ..platform import http
+from ..infrastructure import cloud
+from ..infrastructure import http
 from . import server
 
 
--- a/hornbeamrudder/standins/server.py
+++ b/hornbeamrudder/standins/server.py
@@ -18,7 +18,7 @@
 
 from ..core import errors
 from ..core import types
-from ..platform import http
+from ..infrastructure import http
 
 CONNECTION_KEY = 'hornbeamrudder.connection'
 LISTEN_BACKLOG = 1024
--- a/hornbeamrudder/telemetry/features/steps/trace_steps.py
+++ b/hornbeamrudder/telemetry/features/steps/trace_steps.py
@@ -13,7 +13,7 @@
 from hornbeamrudder.bench import deployment
 from hornbeamrudder.bench import local
 from hornbeamrudder.core import errors
-from hornbeamrudder.platform import http
+from hornbeamrudder.infrastructure import http
 
 TRACE_ID = '4bf92f3577b34da6a3ce929d0e0e4736'
 TRACEPARENT = f'00-{TRACE_ID}-00f067aa0ba902b7-01'
