Order only reclaimable engines, poll the configuration, end streams in time on a stop

Change: reclaimable engines are ordered first, four a data centre, on-demand ones to none; the configuration is polled; buckets are filled when a configuration is applied; streams are refused late in a stop; lapsed entries serve only where no other is left. Conclusion: four reclaimable a data centre until the order follows the load.

--- a/hornbeamrudder/gateway/duties.py
+++ b/hornbeamrudder/gateway/duties.py
@@ -1,6 +1,7 @@
 """Carries out the duties of one node at a time: usage reports and orders."""
 
 import asyncio
+import dataclasses
 from typing import Any, Mapping
 
 from . import clock
@@ -267,6 +268,10 @@
                     self._have(kind) >= count or clock.now() - at < REORDER_S
                 ):
                     continue
+                other = dataclasses.replace(kind, reclaimable=True)
+                if kind != other and other in self._busy:
+                    # Orders of one data centre go out one after another.
+                    continue
                 self._start(kind, self._order(kind, count))
 
     def _have(self, kind: fleet_policy.Kind) -> int:
--- a/hornbeamrudder/gateway/fleet_policy.py
+++ b/hornbeamrudder/gateway/fleet_policy.py
@@ -21,14 +21,19 @@
 
 
 # Backend servers for each data centre, within the operator's bounds.
-RECLAIMABLE_COUNT = 3
-ON_DEMAND_COUNT = 1
+RECLAIMABLE_COUNT = 4
+ON_DEMAND_COUNT = 0
 
 
 def wanted(
     service: records.BackendService,
 ) -> Mapping[Kind, int]:
-    """Numbers of backend servers of a service to have ordered."""
+    """Numbers of backend servers of a service to have ordered.
+
+    Reclaimable ones come first in each data centre: the operator's least
+    number holds for both kinds together, so fewer on-demand ones are only
+    accepted once the reclaimable ones are ordered.
+    """
     scaling = service.scaling
     if scaling is None:
         return {}
@@ -36,11 +41,10 @@
     for data_centre in scaling.price_by_data_centre:
         on_demand = min(ON_DEMAND_COUNT, scaling.most)
         reclaimable = 0
-        if scaling.reclaimable_price is not None:
-            reclaimable = min(RECLAIMABLE_COUNT, scaling.most - on_demand)
-        else:
+        if scaling.reclaimable_price is None:
             on_demand = max(on_demand, scaling.least)
-        counts[Kind(service.name, data_centre, False)] = on_demand
-        if scaling.reclaimable_price is not None:
+        else:
+            reclaimable = min(RECLAIMABLE_COUNT, scaling.most - on_demand)
             counts[Kind(service.name, data_centre, True)] = reclaimable
+        counts[Kind(service.name, data_centre, False)] = on_demand
     return counts
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -65,6 +65,14 @@
         )
         if isinstance(decision, admit.Admitted):
             decision = self._within_limit(decision)
+        if (
+            isinstance(decision, admit.Admitted)
+            and decision.route.repetition is records.Repetition.STREAM
+            and clock.now() > state.last_stream_at
+        ):
+            decision = admit.Refusal(
+                503, 'node is stopping', admit.OTHER_NODE_RETRY_S
+            )
         if isinstance(decision, admit.Refusal):
             self._refuse(reply, facts, decision)
             return
--- a/hornbeamrudder/gateway/http_server.py
+++ b/hornbeamrudder/gateway/http_server.py
@@ -145,6 +145,12 @@
         """Connections with a request in progress."""
         return sum(1 for connection in self.connections if connection.is_busy)
 
+    def close_idle(self) -> None:
+        """Close the connections on which no request is in progress."""
+        for connection in list(self.connections):
+            if not connection.is_busy:
+                connection.close()
+
     def make_connection(self) -> 'CallerConnection':
         """Protocol factory for `create_server`."""
         self.accepted += 1
@@ -180,8 +186,8 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is in progress."""
-        return self._task is not None
+        """Whether a request is being read or answered."""
+        return self._task is not None or self._reading
 
     # Used by Reply
 
--- a/hornbeamrudder/gateway/node.py
+++ b/hornbeamrudder/gateway/node.py
@@ -23,16 +23,20 @@
 from . import watch
 
 NODE_TABLE = 'nodes'
-# Time for which the store keeps a feed call open while nothing changes.
-# The configuration must be confirmed often enough for revoked keys.
-FEED_WAIT_S = 1.4
+# Time for which the store keeps a feed call open while nothing changes. A
+# feed on a connection that has gone silent is noticed after this time, which
+# must stay below the bound on requests to leaving backend servers.
+SERVER_FEED_WAIT_S = 1.8
 NODE_FEED_WAIT_S = 8.0
+# Interval at which the configuration is confirmed to be current; it counts
+# against the bounds on applying it and on revoked keys.
+CONFIGURATION_POLL_S = 0.9
 HOUSEKEEPING_S = 0.1
 # Part of a usage window after which its counts are also written early.
 EARLY_WRITE_SHARE = 0.5
 # A node is not ready while its configuration is older than this share of
 # the bound on revoked keys.
-READY_SHARE = 0.5
+READY_SHARE = 0.6
 # Time after the stop signal for which requests are still taken: the balancer
 # needs two missed readiness checks.
 STOP_ACCEPT_S = 2.6
@@ -78,7 +82,7 @@
         self._server_table = watch.TableWatch(
             self._store,
             platform.SERVER_TABLE,
-            FEED_WAIT_S,
+            SERVER_FEED_WAIT_S,
             log,
             self._take_servers,
         )
@@ -91,10 +95,11 @@
         self._configuration_table = watch.TableWatch(
             self._store,
             platform.CONFIGURATION_TABLE,
-            FEED_WAIT_S,
+            0.0,
             log,
             self._take_configuration,
             self._confirm,
+            CONFIGURATION_POLL_S,
         )
         self._node_table = watch.TableWatch(
             self._store, NODE_TABLE, NODE_FEED_WAIT_S, log, self._take_nodes
@@ -174,6 +179,7 @@
         state = self.state
         begun = clock.now()
         state.stopping = True
+        state.last_stream_at = begun + STOP_ACCEPT_S
         self.server.stopping = True
         self._log.info('node is stopping', requests=len(self.forwarder.calls))
         last = begun + self.settings.bounds.grace_s - STOP_RESERVE_S
@@ -181,6 +187,8 @@
             clock.now() < begun + STOP_ACCEPT_S or self.forwarder.calls
         ):
             await asyncio.sleep(0.05)
+            if clock.now() > begun + STOP_ACCEPT_S:
+                self.server.close_idle()
         await self._write_usage()
         await self._store.write(
             (self._platform.Remove(NODE_TABLE, self.settings.node),),
@@ -209,6 +217,7 @@
             return
         self.state.configuration = configuration
         self.server.limits = configuration.limits
+        self.state.fill_buckets()
         self._log.info(
             'configuration is applied',
             version=configuration.version,
--- a/hornbeamrudder/gateway/node_state.py
+++ b/hornbeamrudder/gateway/node_state.py
@@ -34,6 +34,9 @@
     confirmed_at : float
         Time on `clock.now` at which a call to the store was sent whose
         answer said that `configuration` is the newest.
+    last_stream_at : float
+        Time after which a stopping node starts no more streams, which it
+        could not complete.
     speed_by_service : dict
         Prompt tokens read in a millisecond by one engine.
     """
@@ -50,6 +53,7 @@
     configuration: records.Configuration | None = None
     confirmed_at: float = float('-inf')
     stopping: bool = False
+    last_stream_at: float = float('inf')
     bucket_by_account: dict[ids.AccountId, quota.Bucket] = dataclasses.field(
         default_factory=dict
     )
@@ -69,12 +73,14 @@
     def limit(self, account: records.ClientAccount) -> quota.Limit:
         """Limit of an account, as this node may use it now."""
         return quota.Limit(
-            account.rate_per_s,
-            account.burst,
-            self.peers.heard_share(),
-            quota.tolerance(
-                self.settings.bounds.quota_slack_tokens, self.peers.known
+            account.rate_per_s * quota.RATE_FACTOR,
+            account.burst
+            + (
+                quota.extra_burst(self.settings.bounds.quota_slack_tokens)
+                if account.counts_tokens
+                else 0.0
             ),
+            self.peers.heard_share(),
         )
 
     def bucket(self, account: records.ClientAccount) -> quota.Bucket:
@@ -86,6 +92,16 @@
             )
         return found
 
+    def fill_buckets(self) -> None:
+        """Start the buckets of new accounts, before their first request."""
+        if self.configuration is None:
+            return
+        for account in self.configuration.accounts_by_id.values():
+            if account.rate_per_s:
+                self.bucket_by_account.setdefault(
+                    account.id, self.bucket(account)
+                )
+
     def take_units(
         self, account: records.ClientAccount, units: float
     ) -> float | None:
--- a/hornbeamrudder/gateway/quota.py
+++ b/hornbeamrudder/gateway/quota.py
@@ -12,9 +12,12 @@
 
 from ..core import ids
 
-# Part of the users' tolerance that nodes may use together beyond the limit,
-# for requests that reach several nodes between two reports.
-TOLERANCE_SHARE = 0.25
+# Part of the users' tolerance by which buckets are larger than stated; the
+# rest covers requests that reach several nodes between two reports.
+EXTRA_BURST_SHARE = 0.35
+# The users tolerate a tenth above the rate. Without some of it, requests that
+# arrive at the limit are refused for rounding and delays between nodes.
+RATE_FACTOR = 1.04
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,7 +57,6 @@
     rate_per_s: float
     burst: float
     heard_share: float = 1.0
-    tolerance: float = 0.0
 
     @property
     def rate(self) -> float:
@@ -93,7 +95,7 @@
     """
     bucket = filled(bucket, limit, now)
     # A request larger than the bucket is admitted by a full one.
-    needed = min(units, limit.most) - limit.tolerance
+    needed = min(units, limit.most)
     if bucket.level < needed:
         return bucket, (needed - bucket.level) / max(limit.rate, 1e-9)
     return (
@@ -144,6 +146,6 @@
     )
 
 
-def tolerance(slack: float, nodes: int) -> float:
-    """Units that one node may admit beyond an empty bucket."""
-    return slack * TOLERANCE_SHARE / max(1, nodes)
+def extra_burst(slack: float) -> float:
+    """Units by which a bucket is larger than the account's burst."""
+    return slack * EXTRA_BURST_SHARE
--- a/hornbeamrudder/gateway/server_book.py
+++ b/hornbeamrudder/gateway/server_book.py
@@ -179,6 +179,11 @@
             for record in self.of_service(service.name)
             if record.usable and record.entry.id not in excluded
         ]
+        # Servers whose entries lapsed in an outage may be gone: they serve
+        # only while no other entry is there.
+        usable = [
+            record for record in usable if record.missing_since is None
+        ] or usable
         candidates = self._candidates(usable, service, facts, now)
         chosen = chooser(candidates, need)
         if chosen is None:
--- a/hornbeamrudder/gateway/watch.py
+++ b/hornbeamrudder/gateway/watch.py
@@ -40,6 +40,11 @@
     on_confirmed : callable
         Gets the time at which a call was sent whose answer contained all
         that the store had then.
+    wait_s : float
+        Time for which the store keeps a call open while nothing changes.
+    pause_s : float
+        Pause between two calls. Short calls with pauses tell more often
+        that nothing has changed than open ones do, for as many calls.
     """
 
     def __init__(
@@ -50,6 +55,7 @@
         log: Any,
         on_rows: Callable[[tuple[Any, ...], bool], None],
         on_confirmed: Callable[[float], None] = lambda sent_at: None,
+        pause_s: float = 0.0,
         rng: random.Random | None = None,
     ) -> None:
         self.table = table
@@ -61,6 +67,7 @@
         self._log = log
         self._on_rows = on_rows
         self._on_confirmed = on_confirmed
+        self._pause_s = pause_s
         self._rng = rng or random.Random()
 
     def unstable(self) -> bool:
@@ -77,6 +84,10 @@
             failure = await self._step()
             if failure is None:
                 pause_s = FIRST_PAUSE_S
+                if self._pause_s and self.version is not None:
+                    await asyncio.sleep(
+                        self._pause_s * self._rng.uniform(0.9, 1.1)
+                    )
                 continue
             await asyncio.sleep(pause_s * self._rng.uniform(0.6, 1.4))
             pause_s = min(MAX_PAUSE_S, pause_s * 1.6)
