--- a/hornbeamrudder/answers/handover.py
+++ b/hornbeamrudder/answers/handover.py
@@ -21,8 +21,8 @@
 from ..core import ids
 from ..core import types
 from . import generation
-from ..peers import messages
 from ..infrastructure import table
+from ..peers import messages
 from . import service
 from ..telemetry import traces
 
--- a/hornbeamrudder/backends/load_report.py
+++ b/hornbeamrudder/backends/load_report.py
@@ -12,9 +12,9 @@
 from ..core import errors
 from ..core import ids
 from ..core import types
-from . import load
 from ..infrastructure import http
 from ..infrastructure import json_call
+from . import load
 
 TIMEOUT_S = 1.0
 
--- a/hornbeamrudder/backends/watch.py
+++ b/hornbeamrudder/backends/watch.py
@@ -18,11 +18,11 @@
 from ..core import hosts
 from ..core import ids
 from ..core import types
-from . import load
-from . import load_report
 from ..infrastructure import cloud as cloud_client
 from ..infrastructure import host_list as host_list_client
 from ..infrastructure import http
+from . import load
+from . import load_report
 from . import snapshot as snapshots
 from . import state
 
--- a/hornbeamrudder/bench/capacity_fleet.py
+++ b/hornbeamrudder/bench/capacity_fleet.py
@@ -15,8 +15,8 @@
 from ..core import errors
 from ..core import types
 from . import deployment
-from . import local
 from ..infrastructure import http
+from . import local
 from . import process_usage
 
 START_TIMEOUT_S = 20.0
--- a/hornbeamrudder/bench/capacity_load.py
+++ b/hornbeamrudder/bench/capacity_load.py
@@ -14,8 +14,8 @@
 from ..core import types
 from . import demo
 from . import deployment
-from . import local
 from ..infrastructure import http
+from . import local
 from . import process_usage
 from . import token_sink
 
--- a/hornbeamrudder/bench/capacity_nodes.py
+++ b/hornbeamrudder/bench/capacity_nodes.py
@@ -7,8 +7,8 @@
 
 from . import capacity_fleet
 from . import demo
-from . import local
 from ..infrastructure import http
+from . import local
 from . import process_usage
 
 ENGINES = 9
--- a/hornbeamrudder/bench/capacity_platform.py
+++ b/hornbeamrudder/bench/capacity_platform.py
@@ -14,11 +14,11 @@
 from ..core import errors
 from ..core import ids
 from ..core import types
+from ..infrastructure import http
+from ..infrastructure import table
 from . import load_source
 from . import local
 from ..orders import committer
-from ..infrastructure import http
-from ..infrastructure import table
 from . import process_usage
 
 READ_BYTES = 1 << 20
--- a/hornbeamrudder/bench/demo.py
+++ b/hornbeamrudder/bench/demo.py
@@ -17,8 +17,8 @@
 from . import callers
 from ..core import types
 from . import deployment
-from . import local
 from ..infrastructure import http
+from . import local
 from ..standins import engine_batch
 
 LOAD_S = 16.0
--- a/hornbeamrudder/bench/deployment.py
+++ b/hornbeamrudder/bench/deployment.py
@@ -14,8 +14,8 @@
 from . import balancer
 from ..core import errors
 from ..core import types
-from . import local
 from ..infrastructure import http
+from . import local
 
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.1
--- a/hornbeamrudder/bench/flood.py
+++ b/hornbeamrudder/bench/flood.py
@@ -23,8 +23,8 @@
 from . import deployment
 from . import flood_load
 from . import flood_report
-from . import local
 from ..infrastructure import http
+from . import local
 
 MODEL_SERVICE = 'modele-atelier'
 MODEL = 'assistant'
--- a/hornbeamrudder/entry/features/steps/check_steps.py
+++ b/hornbeamrudder/entry/features/steps/check_steps.py
@@ -12,8 +12,8 @@
 from hornbeamrudder.core import errors
 from hornbeamrudder.core import types
 from hornbeamrudder.entry.features import history
-from hornbeamrudder.orders import record
 from hornbeamrudder.infrastructure import http
+from hornbeamrudder.orders import record
 
 # Section 2 of the design page: no new work "after a few seconds", 3 s.
 NO_NEW_WORK_S = 3.0
--- a/hornbeamrudder/entry/features/trial.py
+++ b/hornbeamrudder/entry/features/trial.py
@@ -16,9 +16,9 @@
 from hornbeamrudder.bench import local
 from hornbeamrudder.core import types
 from hornbeamrudder.entry.features import history
-from hornbeamrudder.orders import record
 from hornbeamrudder.infrastructure import http
 from hornbeamrudder.infrastructure import table
+from hornbeamrudder.orders import record
 
 # Generous, so that a loaded machine gives the same verdict.
 PATIENCE_S = 60.0
--- a/hornbeamrudder/entry/fleet_duty.py
+++ b/hornbeamrudder/entry/fleet_duty.py
@@ -17,11 +17,11 @@
 from ..fleet import orders
 from ..fleet import registrar
 from ..fleet import wishes
-from ..leases import holder as lease_holder
-from ..peers import messages
 from ..infrastructure import cloud
 from ..infrastructure import http
 from ..infrastructure import table
+from ..leases import holder as lease_holder
+from ..peers import messages
 from ..settings import schema
 
 DUTY = 'fleet'
--- a/hornbeamrudder/entry/node.py
+++ b/hornbeamrudder/entry/node.py
@@ -25,6 +25,11 @@
 from ..core import types
 from . import fleet_duty
 from . import gate as gates
+from ..infrastructure import cloud
+from ..infrastructure import host_list
+from ..infrastructure import http
+from ..infrastructure import objects
+from ..infrastructure import table
 from ..inventory import schema as inventory_schema
 from ..leases import holder as lease_holder
 from . import operator_backend
@@ -33,11 +38,6 @@
 from ..orders import recovery
 from ..peers import messages
 from ..peers import view as peer_view
-from ..infrastructure import cloud
-from ..infrastructure import host_list
-from ..infrastructure import http
-from ..infrastructure import objects
-from ..infrastructure import table
 from . import pool
 from . import reports
 from . import server
--- a/hornbeamrudder/entry/service_calls.py
+++ b/hornbeamrudder/entry/service_calls.py
@@ -16,10 +16,10 @@
 from ..core import ids
 from ..core import types
 from . import gate as gates
+from ..infrastructure import http
 from ..orders import execute
 from ..orders import messages as order_messages
 from ..orders import record
-from ..infrastructure import http
 from . import pool
 from . import problems
 from ..retries import decide
--- a/hornbeamrudder/fleet/features/steps/wiring_steps.py
+++ b/hornbeamrudder/fleet/features/steps/wiring_steps.py
@@ -22,8 +22,8 @@
 from hornbeamrudder.fleet import registrar
 from hornbeamrudder.fleet import traffic
 from hornbeamrudder.fleet import wishes
-from hornbeamrudder.inventory import schema
 from hornbeamrudder.infrastructure import http
+from hornbeamrudder.inventory import schema
 
 SERVICE = 'quill-llm'
 MODEL = 'quill'
--- /dev/null
+++ b/hornbeamrudder/gateway/features/steps/path_steps.py
@@ -0,0 +1,515 @@
+"""Steps for the request path, with a node between stand-ins."""
+
+import asyncio
+import os
+import signal
+import time
+
+import behave
+
+from hornbeamrudder.core import errors
+from hornbeamrudder.gateway.features import trial
+from hornbeamrudder.platform import names
+from hornbeamrudder.standins import platform_server
+
+Behaviour = platform_server.Behaviour
+EVENTS = 6
+
+
+def _whole_stream():
+    return b''.join(
+        b'id: %d\ndata: piece %d\n\n' % (number, number)
+        for number in range(1, EVENTS + 1)
+    )
+
+
+@behave.when(
+    'a request on "{route}" meets servers that do "{first}" and then "{then}"'
+)
+def meet(context, route, first, then):
+    async def scenario(running):
+        order = []
+        for server in (*running.plain, *running.engines):
+            server.behaviours = _InTurn(order, [first, then])
+        answer = await running.ask(f'/{route}/x', remaining_ms=1500)
+        return answer, running.runs()
+
+    context.answer, context.runs = trial.play(scenario)
+
+
+class _InTurn(list):
+    """Behaviours shared by all servers, in the order of the arrivals."""
+
+    def __init__(self, order, words):
+        super().__init__()
+        self._order = order
+        self._words = words
+
+    def __bool__(self):
+        return True
+
+    def __getitem__(self, index):
+        return Behaviour(self._words[min(len(self._order), 1)])
+
+    def pop(self, index=0):
+        word = self._words[min(len(self._order), 1)]
+        self._order.append(word)
+        return Behaviour(word)
+
+
+@behave.then(
+    'the client gets {status:d} and {count:d} servers got the request'
+)
+def check_met(context, status, count):
+    assert context.answer.status == status, context.answer
+    assert context.answer.whole or not status
+    assert len(context.runs) == count, context.runs
+    assert len({run.request_id for run in context.runs}) == 1
+
+
+@behave.when('a stream that {may} be resumed is cut within an event')
+def cut_stream(context, may):
+    route = 'plan' if may == 'may' else 'chat'
+
+    async def scenario(running):
+        order = []
+        for server in running.engines:
+            server.behaviours = _InTurn(order, ['cut', 'normal'])
+        return await running.ask(f'/{route}/x'), running.runs()
+
+    context.answer, context.runs = trial.play(scenario, events=EVENTS)
+
+
+@behave.then(
+    'the client gets all events once and the second server was told the last'
+    ' whole one'
+)
+def check_resumed(context):
+    assert context.answer.whole
+    assert context.answer.body == _whole_stream(), context.answer.body
+    told = {run.headers.get('last-event-id') for run in context.runs}
+    assert told == {None, '3'}, told
+
+
+@behave.then('the answer of the client is not whole')
+def check_cut(context):
+    assert context.answer.status == 200
+    assert not context.answer.whole
+    assert _whole_stream().startswith(context.answer.body)
+
+
+@behave.when(
+    '{count:d} requests in a row meet servers that send "{kind}" answers'
+)
+def extra_answers(context, count, kind):
+    async def scenario(running):
+        for server in running.plain:
+            server.behaviours = [Behaviour(kind)] * count
+        got = []
+        for _ in range(count):
+            request_id = trial.new_id()
+            got.append(
+                (
+                    request_id,
+                    await running.ask('/look/x', request_id=request_id),
+                )
+            )
+            await asyncio.sleep(0.02)
+        return got
+
+    context.got = trial.play(scenario)
+
+
+@behave.then('each client gets the answer to its own request')
+def check_own_answers(context):
+    for request_id, answer in context.got:
+        assert answer.status == 200, answer
+        assert answer.headers['x-hornbeamrudder-request-id'] == request_id
+        assert answer.body.startswith(b'answer of')
+
+
+@behave.when('the address of a server belongs to another one')
+def reused_address(context):
+    async def scenario(running):
+        impostor = running.plain[0]
+        impostor.id = 'somebody-else'
+        return [await running.ask('/look/x') for _ in range(6)], impostor.runs
+
+    context.answers, context.impostor_runs = trial.play(scenario)
+
+
+@behave.then('the request is not run there and another server answers')
+def check_impostor(context):
+    assert context.impostor_runs
+    assert not any(run.ran for run in context.impostor_runs)
+    assert all(answer.status == 200 for answer in context.answers)
+
+
+@behave.when('a client sends headers that only the system may set')
+def forged(context):
+    forged_headers = (
+        'X-Hornbeamrudder-Tenant: south',
+        'X-Hornbeamrudder-Request-Priority: 0',
+        'X-Hornbeamrudder-Hold: h',
+        'X-Hornbeamrudder-Pin-Ms: 4000',
+        'X-Hornbeamrudder-Kv-Backup: 10.0.0.1:1',
+        'Kv-From: 10.0.0.1:1/x',
+        'Kv-Fetch: 10.0.0.1:1',
+        'X-Hornbeamrudder-Expect-Instance: nobody',
+        'Connection: x-private',
+        'X-Private: 1',
+        'X-Kept: 2',
+    )
+
+    async def scenario(running):
+        await running.ask('/book/x', headers=forged_headers)
+        return running.runs()
+
+    (context.run,) = trial.play(scenario)
+
+
+@behave.then(
+    'the backend server gets the account of the key and none of the forged'
+    ' headers'
+)
+def check_forged(context):
+    headers = context.run.headers
+    assert headers['x-hornbeamrudder-tenant'] == 'north'
+    assert headers['x-hornbeamrudder-expect-instance'].startswith('p-')
+    assert headers['x-kept'] == '2'
+    for name in (
+        'x-hornbeamrudder-hold',
+        'x-hornbeamrudder-pin-ms',
+        'x-hornbeamrudder-kv-backup',
+        'kv-from',
+        'kv-fetch',
+        'x-private',
+        'authorization',
+    ):
+        assert name not in headers, name
+
+
+_HEAD = (
+    b'POST /book/x HTTP/1.1\r\nHost: shop.example\r\n'
+    b'X-Hornbeamrudder-Request-Id: a1\r\nAuthorization: Bearer key-north\r\n'
+)
+_INPUT_BY_NAME = {
+    'length and chunks': _HEAD
+    + b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+    'two lengths': _HEAD + b'Content-Length: 1\r\nContent-Length: 2\r\n\r\nab',
+    'folded header': _HEAD + b'X: 1\r\n folded: 2\r\n\r\n',
+    'head over the limit': _HEAD + b'X: ' + b'a' * 5000 + b'\r\n\r\n',
+    'body over the limit': _HEAD + b'Content-Length: 70000\r\n\r\n',
+    'unknown route': trial.request_bytes('/nowhere/x'),
+    'unknown key': trial.request_bytes('/book/x', key='stolen'),
+    'half a head': _HEAD,
+}
+
+
+@behave.when('a client sends "{name}"')
+def send_input(context, name):
+    async def scenario(running):
+        reader, writer = await running.open()
+        writer.write(_INPUT_BY_NAME[name])
+        return await trial.read_answer(reader), running.runs()
+
+    context.answer, context.runs = trial.play(scenario)
+
+
+@behave.then('the client gets {status:d} and no server got a request')
+def check_refused(context, status):
+    assert context.answer.status == status, context.answer
+    assert not context.runs
+
+
+@behave.when('a client sends three requests at once with bodies in chunks')
+def pipelined(context):
+    async def scenario(running):
+        reader, writer = await running.open()
+        for number in range(3):
+            writer.write(
+                b'POST /book/%d HTTP/1.1\r\nHost: shop.example\r\n'
+                b'X-Hornbeamrudder-Request-Id: a%d\r\n'
+                b'Authorization: Bearer key-north\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n'
+                b'3\r\nab%d\r\n2\r\ncd\r\n0\r\nX-Trailer: 1\r\n\r\n'
+                % (number, number, number)
+            )
+        answers = [await trial.read_answer(reader) for _ in range(3)]
+        return answers, running.runs()
+
+    context.answers, context.runs = trial.play(scenario, plain=1)
+
+
+@behave.then('three answers come in order and the bodies are unchanged')
+def check_pipelined(context):
+    assert [
+        answer.headers['x-hornbeamrudder-request-id']
+        for answer in context.answers
+    ] == ['a0', 'a1', 'a2']
+    assert [run.body for run in context.runs] == [
+        b'ab0cd',
+        b'ab1cd',
+        b'ab2cd',
+    ]
+    assert [run.target for run in context.runs] == [
+        '/book/0',
+        '/book/1',
+        '/book/2',
+    ]
+
+
+@behave.when('a client leaves while its request "{waits}"')
+def client_leaves(context, waits):
+    async def scenario(running):
+        streamed = waits == 'is being streamed'
+        for server in running.engines:
+            server.event_s = 0.05
+            if not streamed:
+                server.behaviours = [Behaviour.HANG]
+        reader, writer = await running.open()
+        writer.write(trial.request_bytes('/chat/x'))
+        if streamed:
+            await reader.readuntil(b'data')
+        else:
+            await asyncio.sleep(0.2)
+        writer.close()
+        await asyncio.sleep(0.45)
+        return running.runs()
+
+    context.runs = trial.play(scenario, events=100)
+
+
+@behave.then('the backend server has stopped within half a second')
+def check_stopped(context):
+    (run,) = context.runs
+    assert run.stopped_early
+
+
+@behave.when('a request with {left:d} ms left is forwarded')
+def forward_deadline(context, left):
+    async def scenario(running):
+        await running.ask('/book/x', remaining_ms=left)
+        return running.runs()
+
+    (context.run,) = trial.play(scenario)
+
+
+@behave.then('the backend server is told between {least:d} and {most:d} ms')
+def check_deadline(context, least, most):
+    told = int(context.run.headers['x-hornbeamrudder-deadline-remaining'])
+    assert least <= told <= most, told
+
+
+@behave.when('a server answers before it has read a long body')
+def early_answer(context):
+    body = b'0123456789' * 5000
+
+    async def scenario(running):
+        running.plain[0].behaviours = [Behaviour.EARLY]
+        answer = await running.ask('/book/x', body=body)
+        await asyncio.sleep(0.3)
+        return answer, running.runs()
+
+    context.body = body
+    context.answer, context.runs = trial.play(scenario, plain=1)
+
+
+@behave.then('the client gets that answer and the server reads the whole body')
+def check_early(context):
+    assert context.answer.status == 400
+    (run,) = context.runs
+    # Either the whole body, or nothing where the connection was closed.
+    assert run.body in (context.body, b'')
+
+
+@behave.when('a server says that it is leaving')
+def leaving(context):
+    async def scenario(running):
+        gone = running.plain[0]
+        running.register(gone, state='draining')
+        await asyncio.sleep(0.3)
+        before = len(gone.runs)
+        for _ in range(8):
+            answer = await running.ask('/look/x')
+            assert answer.status == 200
+        return len(gone.runs) - before
+
+    context.arrivals = trial.play(scenario)
+
+
+@behave.then('no request reaches it afterwards')
+def check_leaving(context):
+    assert context.arrivals == 0
+
+
+@behave.when('a key is removed from the configuration')
+def remove_key(context):
+    async def scenario(running):
+        assert (await running.ask('/book/x')).status == 200
+        running.configure(
+            tenants=[{'name': 'south', 'apiKeys': ['key-south']}]
+        )
+        since = time.monotonic()
+        while (await running.ask('/book/x')).status == 200:
+            assert time.monotonic() - since < 4
+            await asyncio.sleep(0.05)
+        took_s = time.monotonic() - since
+        return took_s, (await running.ask('/book/x')).status
+
+    context.took_s, context.status = trial.play(scenario)
+
+
+@behave.then('requests with it get 401 within {most:d} seconds')
+def check_removed(context, most):
+    assert context.took_s < most
+    assert context.status == 401
+
+
+@behave.when('the store is silent for longer than a revoked key may be served')
+def store_silent(context):
+    async def scenario(running):
+        running.store.faults.silent = True
+        statuses = []
+        since = time.monotonic()
+        while time.monotonic() - since < 4.5:
+            statuses.append(
+                (
+                    time.monotonic() - since,
+                    (await running.ask('/book/x')).status,
+                )
+            )
+            await asyncio.sleep(0.1)
+        ready = running.node.is_ready()
+        running.store.faults.silent = False
+        await asyncio.sleep(2.5)
+        return statuses, ready, (await running.ask('/book/x')).status
+
+    context.statuses, context.ready, context.after = trial.play(scenario)
+
+
+@behave.then('requests are refused with 503 and served again after its return')
+def check_silent(context):
+    revoke_s = 5.0
+    late = [status for at, status in context.statuses if at > 0.75 * revoke_s]
+    assert late and set(late) == {503}, context.statuses
+    assert {status for _, status in context.statuses} == {200, 503}
+    assert not context.ready
+    assert context.after == 200
+
+
+@behave.when('the node is told to stop while streams run')
+def stop_node(context):
+    async def scenario(running):
+        asked = [
+            asyncio.create_task(running.ask('/chat/x', remaining_ms=6000))
+            for _ in range(4)
+        ]
+        await asyncio.sleep(0.3)
+        os.kill(os.getpid(), signal.SIGTERM)
+        since = time.monotonic()
+        await asyncio.sleep(0.05)
+        ready = running.node.is_ready()
+        answers = await asyncio.gather(*asked)
+        await asyncio.wait([running.task])
+        return ready, answers, time.monotonic() - since
+
+    context.ready, context.answers, context.took_s = trial.play(
+        scenario, events=150
+    )
+
+
+@behave.then(
+    'it is not ready at once, the streams are whole and the node ends in time'
+)
+def check_stop(context):
+    assert not context.ready
+    assert all(answer.whole for answer in context.answers)
+    assert all(answer.status == 200 for answer in context.answers)
+    assert context.took_s < 7.5
+
+
+@behave.when('a stream is asked for 3 seconds after the node was told to stop')
+def late_stream(context):
+    async def scenario(running):
+        busy = asyncio.create_task(running.ask('/chat/x', remaining_ms=6000))
+        await asyncio.sleep(0.1)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await asyncio.sleep(3.0)
+        answer = await running.ask('/chat/x')
+        await busy
+        return answer
+
+    context.answer = trial.play(scenario, events=400)
+
+
+@behave.then('it is refused with 503')
+def check_late_stream(context):
+    assert context.answer.status == 503, context.answer
+
+
+@behave.when('an engine with a stream that may not be repeated is reclaimed')
+def reclaim(context):
+    async def scenario(running):
+        moved = []
+
+        async def move_run(engine, request_id, destination, timeout_s):
+            source = next(
+                item for item in running.engines if item.address == str(engine)
+            )
+            moved.append((request_id, str(destination)))
+            for connection in tuple(source.writers):
+                connection.transport.abort()
+            return f'{engine}/handle-1'
+
+        running.node.mover.set_move_run(move_run)
+        for engine in running.engines:
+            engine.event_s = 0.04
+        asked = asyncio.create_task(running.ask('/chat/x', remaining_ms=6000))
+        await asyncio.sleep(0.4)
+        source = next(item for item in running.engines if item.runs)
+        running.register(source, state='draining', leaves_ms=1300)
+        return await asked, moved, running.runs()
+
+    context.answer, context.moved, context.runs = trial.play(
+        scenario, events=60
+    )
+
+
+@behave.then('its run is moved and the client gets all events once')
+def check_moved(context):
+    assert len(context.moved) == 1
+    expected = b''.join(
+        b'id: %d\ndata: piece %d\n\n' % (number, number)
+        for number in range(1, 61)
+    )
+    assert context.answer.whole
+    assert context.answer.body == expected
+    sources = [run.headers.get('kv-from') for run in context.runs]
+    assert any(source and source.endswith('/handle-1') for source in sources)
+
+
+@behave.when('the metrics and the readiness of the node are read')
+def read_metrics(context):
+    async def scenario(running):
+        await running.ask('/look/x')
+        texts = []
+        for port in (
+            running.settings.metrics_port,
+            running.settings.readiness.port,
+        ):
+            reader, writer = await asyncio.open_connection(trial.IP, port)
+            writer.write(b'GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n')
+            texts.append(await trial.read_answer(reader))
+        return texts
+
+    context.metrics, context.readiness = trial.play(scenario)
+
+
+@behave.then('the metrics count the requests and the node is ready')
+def check_metrics(context):
+    assert context.readiness.status == 200
+    assert b'hornbeamrudder_requests_total' in context.metrics.body
+    assert b'hornbeamrudder_first_byte_seconds_bucket' in context.metrics.body
+    assert not isinstance(names.load_settings('/nowhere'), type(None))
+    assert isinstance(names.load_settings('/nowhere'), errors.Failure)
--- /dev/null
+++ b/hornbeamrudder/gateway/features/trial.py
@@ -0,0 +1,239 @@
+"""A node in this process, between stand-ins of the platform."""
+
+import asyncio
+import dataclasses
+import itertools
+import socket
+import time
+from typing import Any
+
+from hornbeamrudder.core import ids
+from hornbeamrudder.core import types
+from hornbeamrudder.gateway import node
+from hornbeamrudder.gateway import records
+from hornbeamrudder.platform import names
+from hornbeamrudder.standins import platform_cloud
+from hornbeamrudder.standins import platform_server
+from hornbeamrudder.standins import row_store
+
+IP = '127.0.0.1'
+ENGINE = 'engines'
+PLAIN = 'plain'
+READY_TIMEOUT_S = 8.0
+_numbers = itertools.count(1)
+
+
+def free_port(kind=socket.SOCK_STREAM):
+    """A port that nobody uses now."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((IP, 0))
+        return probe.getsockname()[1]
+
+
+class MemoryLog:
+    """Keeps log lines for checks."""
+
+    def __init__(self):
+        self.lines = []
+
+    def info(self, event, **fields):
+        """Keep one line."""
+        self.lines.append((event, fields))
+
+    warning = error = info
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a client got.
+
+    Attributes
+    ----------
+    status : int
+        0 where the connection ended without an answer.
+    whole : bool
+        Whether the answer was complete by its framing.
+    """
+
+    status: int
+    headers: dict
+    body: bytes
+    whole: bool
+    took_s: float
+
+
+class Trial:
+    """Stand-ins and one node; use as an asynchronous context."""
+
+    def __init__(self, plain=2, engines=2, events=6, bounds=None, **changes):
+        self.store = row_store.RowStore()
+        self.cloud = platform_cloud.PlatformCloud()
+        self.plain = [
+            platform_server.PlatformServer(f'p-{number}', PLAIN)
+            for number in range(plain)
+        ]
+        self.engines = [
+            platform_server.PlatformServer(f'e-{number}', ENGINE, events)
+            for number in range(engines)
+        ]
+        self.log = MemoryLog()
+        self.bounds = bounds or records.Bounds(
+            retry_slack=50.0, quota_slack_tokens=0.0
+        )
+        self.changes = changes
+        self.duties = frozenset()
+        self.node = None
+        self.version = 1
+
+    async def __aenter__(self):
+        store_port = await self.store.start(IP)
+        cloud_port = await self.cloud.start(IP)
+        for server in (*self.plain, *self.engines):
+            await server.start(IP)
+            self.register(server)
+        self.configure()
+        self.settings = records.NodeSettings(
+            node=ids.NodeId('node-1'),
+            ip=IP,
+            data_centre=ids.DataCentreName('levis-est'),
+            front=types.Address(IP, free_port()),
+            readiness=types.Address(IP, free_port()),
+            peer_port=free_port(socket.SOCK_DGRAM),
+            metrics_port=free_port(),
+            store=types.Address(IP, store_port),
+            cloud=types.Address(IP, cloud_port),
+            duties=self.duties,
+            data_centres=(ids.DataCentreName('levis-est'),),
+            row_bytes=65536,
+            bounds=self.bounds,
+        )
+        self.node = node.Node(self.settings, names, self.log)
+        self.task = asyncio.create_task(self.node.run())
+        until = time.monotonic() + READY_TIMEOUT_S
+        expected = len(self.plain) + len(self.engines)
+        while not (
+            self.node.is_ready()
+            and len(self.node.state.book.by_id) == expected
+        ):
+            assert time.monotonic() < until, self.log.lines[-5:]
+            assert not self.task.done(), self.task.exception()
+            await asyncio.sleep(0.01)
+        return self
+
+    async def __aexit__(self, *_):
+        self.task.cancel()
+        await asyncio.wait([self.task])
+        for task in asyncio.all_tasks() - {asyncio.current_task()}:
+            task.cancel()
+
+    def configure(self, **changes):
+        """Write the next version of the configuration."""
+        self.version += 1
+        self.store.put(
+            'op',
+            'config',
+            platform_server.configuration(
+                self.version, (ENGINE, PLAIN), **{**self.changes, **changes}
+            ),
+        )
+
+    def register(self, server, **fields):
+        """Write the entry of a backend server."""
+        self.store.put('servers', server.id, server.entry(**fields))
+
+    def runs(self, request_id=None):
+        """Requests that backend servers got, in the order of the servers."""
+        return [
+            run
+            for server in (*self.plain, *self.engines)
+            for run in server.runs
+            if request_id in (None, run.request_id)
+        ]
+
+    async def open(self):
+        """Open a connection to the node."""
+        return await asyncio.open_connection(IP, self.settings.front.port)
+
+    async def ask(self, path, connection=None, **options):
+        """Send one request and read its answer."""
+        own = connection is None
+        reader, writer = connection or await self.open()
+        started = time.monotonic()
+        writer.write(request_bytes(path, **options))
+        answer = await read_answer(reader, started)
+        if own:
+            writer.close()
+        return answer
+
+
+def request_bytes(
+    path,
+    method='POST',
+    request_id=None,
+    key='key-north',
+    remaining_ms=3000,
+    body=b'',
+    headers=(),
+):
+    """Bytes of one request, as a client of the platform sends it."""
+    lines = [
+        f'{method} {path} HTTP/1.1',
+        'Host: shop.example',
+        f'X-Hornbeamrudder-Request-Id: {request_id or new_id()}',
+        f'X-Hornbeamrudder-Deadline-Remaining: {remaining_ms}',
+        f'Content-Length: {len(body)}',
+        *headers,
+    ]
+    if key:
+        lines.append(f'Authorization: Bearer {key}')
+    return '\r\n'.join([*lines, '', '']).encode() + body
+
+
+def new_id():
+    """A request id that was not used yet."""
+    return f'{next(_numbers):016x}'
+
+
+async def read_answer(reader, started=0.0):
+    """Read one answer by its framing."""
+
+    def ended(status, headers, body, whole):
+        return Answer(status, headers, body, whole, time.monotonic() - started)
+
+    try:
+        head = await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 8)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return ended(0, {}, b'', False)
+    lines = head.decode('latin-1').split('\r\n')
+    status = int(lines[0].split()[1])
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (line.partition(':') for line in lines[1:])
+        if name
+    }
+    body = b''
+    try:
+        if headers.get('transfer-encoding') == 'chunked':
+            while True:
+                size = int(await reader.readuntil(b'\r\n'), 16)
+                part = await reader.readexactly(size + 2)
+                if not size:
+                    return ended(status, headers, body, True)
+                body += part[:-2]
+        body = await reader.readexactly(
+            int(headers.get('content-length') or 0)
+        )
+    except (asyncio.IncompleteReadError, ConnectionError) as error:
+        body += getattr(error, 'partial', b'')
+        return ended(status, headers, body, False)
+    return ended(status, headers, body, True)
+
+
+def play(scenario, **options) -> Any:
+    """Run one scenario in a fresh trial."""
+
+    async def run():
+        async with Trial(**options) as trial:
+            return await asyncio.wait_for(scenario(trial), 25)
+
+    return asyncio.run(run())
--- a/hornbeamrudder/gateway/moves.py
+++ b/hornbeamrudder/gateway/moves.py
@@ -41,6 +41,10 @@
         self._move_run = move_run
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def set_move_run(self, move_run: MoveRun) -> None:
+        """Replace the call that copies a run, in tests."""
+        self._move_run = move_run
+
     def leaving(self, record: server_book.ServerRecord) -> None:
         """Plan the move of all streams of a backend server."""
         now = clock.now()
--- a/hornbeamrudder/gateway/node_state.py
+++ b/hornbeamrudder/gateway/node_state.py
@@ -72,24 +72,23 @@
 
     def limit(self, account: records.ClientAccount) -> quota.Limit:
         """Limit of an account, as this node may use it now."""
+        extra = (
+            quota.extra_burst(self.settings.bounds.quota_slack_tokens)
+            if account.counts_tokens
+            else 0.0
+        )
         return quota.Limit(
             account.rate_per_s * quota.RATE_FACTOR,
-            account.burst
-            + (
-                quota.extra_burst(self.settings.bounds.quota_slack_tokens)
-                if account.counts_tokens
-                else 0.0
-            ),
+            account.burst + extra,
             self.peers.heard_share(),
+            extra,
         )
 
     def bucket(self, account: records.ClientAccount) -> quota.Bucket:
-        """Bucket of an account; a new one has only this node's part."""
+        """Bucket of an account."""
         found = self.bucket_by_account.get(account.id)
         if found is None:
-            found = quota.first(
-                self.limit(account), self.peers.known, clock.now()
-            )
+            found = quota.first(self.limit(account), clock.now())
         return found
 
     def fill_buckets(self) -> None:
@@ -118,7 +117,9 @@
         """Undo `take_units` for a request that did not run."""
         found = self.bucket_by_account.get(account.id)
         if found is not None:
-            self.bucket_by_account[account.id] = quota.give_back(found, units)
+            self.bucket_by_account[account.id] = quota.give_back(
+                found, self.limit(account), units
+            )
 
     def take_reported_units(
         self,
@@ -129,10 +130,10 @@
         level: float,
     ) -> None:
         """Take in what another node has admitted of an account."""
+        limit = self.limit(account)
         self.bucket_by_account[account.id] = quota.reported(
-            quota.filled(
-                self.bucket(account), self.limit(account), clock.now()
-            ),
+            quota.filled(self.bucket(account), limit, clock.now()),
+            limit,
             node,
             started,
             spent,
--- a/hornbeamrudder/gateway/quota.py
+++ b/hornbeamrudder/gateway/quota.py
@@ -3,8 +3,10 @@
 Each node keeps the whole bucket of an account and subtracts what the other
 nodes report, so an account may send all its requests through one node. A
 node that does not hear others leaves them their part of the limit: they may
-be serving, cut off from this node alone. Answers the load of accounts that
-send many times their limit, with uneven shares of connections.
+be serving, cut off from this node alone. To it, each request costs as many
+times more as it hears fewer nodes, so the level stays comparable. Answers the
+load of accounts that send many times their limit, with uneven shares of
+connections, and nodes that start again while others go on.
 """
 
 import dataclasses
@@ -14,7 +16,7 @@
 
 # Part of the users' tolerance by which buckets are larger than stated; the
 # rest covers requests that reach several nodes between two reports.
-EXTRA_BURST_SHARE = 0.35
+EXTRA_BURST_SHARE = 0.5
 # The users tolerate a tenth above the rate. Without some of it, requests that
 # arrive at the limit are refused for rounding and delays between nodes.
 RATE_FACTOR = 1.04
@@ -27,7 +29,8 @@
     Attributes
     ----------
     level : float
-        Units that all nodes together may still admit; may be negative.
+        Units that all nodes together could admit if all were heard; may be
+        negative.
     filled_at : float
         Time of the last change, in seconds.
     spent : float
@@ -52,33 +55,31 @@
     ----------
     heard_share : float
         Part of the known nodes that this node hears, itself included.
+    extra : float
+        Part of the burst that the account was not promised. A new bucket
+        starts without it, as all nodes may start again at once.
     """
 
     rate_per_s: float
     burst: float
     heard_share: float = 1.0
+    extra: float = 0.0
 
-    @property
-    def rate(self) -> float:
-        """Units a second that are left to the nodes that are heard."""
-        return self.rate_per_s * self.heard_share
+    def cost(self, units: float) -> float:
+        """What a request of this node takes from the level."""
+        return units / max(self.heard_share, 1e-3)
 
-    @property
-    def most(self) -> float:
-        """Units that can be saved."""
-        return self.burst * self.heard_share
 
-
-def first(limit: Limit, nodes: int, now: float) -> Bucket:
-    """Bucket of a node that has heard no other yet: only its own part."""
-    return Bucket(limit.burst / max(1, nodes), now)
+def first(limit: Limit, now: float) -> Bucket:
+    """Bucket of a node that has heard no other yet."""
+    return Bucket(limit.burst - limit.extra, now)
 
 
 def filled(bucket: Bucket, limit: Limit, now: float) -> Bucket:
     """Add what was earned since the last change."""
-    level = bucket.level + limit.rate * max(0.0, now - bucket.filled_at)
+    level = bucket.level + limit.rate_per_s * max(0.0, now - bucket.filled_at)
     return dataclasses.replace(
-        bucket, level=min(limit.most, level), filled_at=now
+        bucket, level=min(limit.burst, level), filled_at=now
     )
 
 
@@ -95,26 +96,30 @@
     """
     bucket = filled(bucket, limit, now)
     # A request larger than the bucket is admitted by a full one.
-    needed = min(units, limit.most)
+    cost = limit.cost(units)
+    needed = min(cost, limit.burst)
     if bucket.level < needed:
-        return bucket, (needed - bucket.level) / max(limit.rate, 1e-9)
+        return bucket, (needed - bucket.level) / max(limit.rate_per_s, 1e-9)
     return (
         dataclasses.replace(
-            bucket, level=bucket.level - units, spent=bucket.spent + units
+            bucket, level=bucket.level - cost, spent=bucket.spent + units
         ),
         None,
     )
 
 
-def give_back(bucket: Bucket, units: float) -> Bucket:
+def give_back(bucket: Bucket, limit: Limit, units: float) -> Bucket:
     """Undo `take` for a request that did not run."""
     return dataclasses.replace(
-        bucket, level=bucket.level + units, spent=bucket.spent - units
+        bucket,
+        level=bucket.level + limit.cost(units),
+        spent=bucket.spent - units,
     )
 
 
 def reported(
     bucket: Bucket,
+    limit: Limit,
     node: ids.NodeId,
     started: int,
     spent: float,
@@ -133,10 +138,10 @@
         if other[0] != node
     }
     if before is not None:
-        new_level = bucket.level - (spent - before)
+        new_level = bucket.level - limit.cost(spent - before)
     elif len(others) < len(bucket.seen_by_node):
         # The node has started again: all of its total is new.
-        new_level = bucket.level - spent
+        new_level = bucket.level - limit.cost(spent)
     elif not bucket.seen_by_node and not bucket.spent:
         new_level = level
     else:
--- a/hornbeamrudder/leases/features/simulation.py
+++ b/hornbeamrudder/leases/features/simulation.py
@@ -8,8 +8,8 @@
 from returns import result
 
 from hornbeamrudder.core import errors
-from hornbeamrudder.leases import state
 from hornbeamrudder.infrastructure import table
+from hornbeamrudder.leases import state
 
 END_S = 150.0
 QUIET_S = 60.0
--- a/hornbeamrudder/leases/features/steps/lease_steps.py
+++ b/hornbeamrudder/leases/features/steps/lease_steps.py
@@ -10,10 +10,10 @@
 import behave
 from returns import result
 
+from hornbeamrudder.infrastructure import table
 from hornbeamrudder.leases.features import simulation
 from hornbeamrudder.leases import holder
 from hornbeamrudder.leases import state
-from hornbeamrudder.infrastructure import table
 
 LONG_FACTOR = 12
 SEED_FACTOR = (
--- a/hornbeamrudder/operators/client.py
+++ b/hornbeamrudder/operators/client.py
@@ -12,8 +12,8 @@
 from ..core import errors
 from ..core import ids
 from ..core import types
-from ..inventory import schema
 from ..infrastructure import http
+from ..inventory import schema
 
 from . import messages
 
--- a/hornbeamrudder/operators/commands.py
+++ b/hornbeamrudder/operators/commands.py
@@ -11,11 +11,11 @@
 
 from ..core import errors
 from ..core import ids
+from ..infrastructure import http
 from ..inventory import check
 from ..inventory import difference
 from ..inventory import files
 from ..inventory import schema
-from ..infrastructure import http
 
 from . import changes
 from . import client
--- a/hornbeamrudder/operators/features/steps/operator_steps.py
+++ b/hornbeamrudder/operators/features/steps/operator_steps.py
@@ -21,6 +21,7 @@
 from hornbeamrudder.core import hashing
 from hornbeamrudder.core import ids
 from hornbeamrudder.core import types
+from hornbeamrudder.infrastructure import http
 from hornbeamrudder.inventory import check
 from hornbeamrudder.inventory import difference
 from hornbeamrudder.inventory import problems
@@ -30,7 +31,6 @@
 from hornbeamrudder.operators import commands
 from hornbeamrudder.operators import messages
 from hornbeamrudder.operators import output
-from hornbeamrudder.infrastructure import http
 
 EXAMPLE = pathlib.Path(__file__).resolve().parents[4] / 'examples/blue-mahoe'
 TOKENS = {'r-campbell': 'token-r', 'd-grant': 'token-d'}
--- a/hornbeamrudder/orders/execute.py
+++ b/hornbeamrudder/orders/execute.py
@@ -14,8 +14,8 @@
 from ..core import errors
 from ..core import ids
 from ..core import types
-from . import messages
 from ..infrastructure import table
+from . import messages
 from . import record
 from . import state
 
--- a/hornbeamrudder/orders/features/simulation.py
+++ b/hornbeamrudder/orders/features/simulation.py
@@ -9,13 +9,13 @@
 
 from hornbeamrudder.core import errors
 from hornbeamrudder.core import types
+from hornbeamrudder.infrastructure import table
 from hornbeamrudder.orders import committer
 from hornbeamrudder.orders.features import checker
 from hornbeamrudder.orders import messages
 from hornbeamrudder.orders import record
 from hornbeamrudder.orders import recovery
 from hornbeamrudder.orders import state
-from hornbeamrudder.infrastructure import table
 
 END_S = 75.0
 TIMEOUT_S = 2.0
--- a/hornbeamrudder/orders/features/steps/record_steps.py
+++ b/hornbeamrudder/orders/features/steps/record_steps.py
@@ -13,6 +13,7 @@
 
 from hornbeamrudder.core import errors
 from hornbeamrudder.core import types
+from hornbeamrudder.infrastructure import table
 from hornbeamrudder.orders import committer
 from hornbeamrudder.orders import execute
 from hornbeamrudder.orders.features import checker
@@ -20,7 +21,6 @@
 from hornbeamrudder.orders import record
 from hornbeamrudder.orders import recovery
 from hornbeamrudder.orders import state
-from hornbeamrudder.infrastructure import table
 
 TEXT = strategies.text(max_size=12)
 HEADERS = strategies.lists(strategies.tuples(TEXT, TEXT), max_size=3).map(
--- a/hornbeamrudder/orders/state.py
+++ b/hornbeamrudder/orders/state.py
@@ -7,8 +7,8 @@
 from . import committer
 from ..core import errors
 from ..core import types
-from . import messages
 from ..infrastructure import table
+from . import messages
 from . import record
 
 SEND_WINDOW_S = 2.0
--- /dev/null
+++ b/hornbeamrudder/standins/platform_cloud.py
@@ -0,0 +1,56 @@
+"""Stand-in of the users' cloud API: usage reports and orders of servers."""
+
+import asyncio
+import dataclasses
+from typing import Any
+
+import orjson
+
+from ..gateway import http_server
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutyCall:
+    """One call that arrived."""
+
+    path: str
+    holder: str
+    number: int
+    body: Any
+
+
+class PlatformCloud:
+    """Records the calls and answers them."""
+
+    def __init__(self) -> None:
+        self.calls: list[DutyCall] = []
+        self.refuses_with: int | None = None
+        self._server = http_server.CallerServer(self._handle)
+
+    async def start(self, ip: str, port: int = 0) -> int:
+        """Listen; returns the port."""
+        listener = await asyncio.get_running_loop().create_server(
+            self._server.make_connection, ip, port
+        )
+        bound: int = listener.sockets[0].getsockname()[1]
+        return bound
+
+    async def _handle(
+        self, request: http_server.CallerRequest, reply: http_server.Reply
+    ) -> None:
+        headers = {
+            name.lower().decode(): value.decode()
+            for name, value in request.headers
+        }
+        if self.refuses_with is not None:
+            reply.send(self.refuses_with, (), b'')
+            return
+        self.calls.append(
+            DutyCall(
+                request.target.decode(),
+                headers.get('x-hornbeamrudder-duty-holder', ''),
+                int(headers.get('x-hornbeamrudder-fencing-token') or 0),
+                orjson.loads(request.body),
+            )
+        )
+        reply.send(200, (), b'')
