Keep four reclaimable engines a data centre, and cover only when few are left

Change: at least four reclaimable engines a data centre, more under load; on-demand ones only while one more reclaim would leave fewer than the urgent requests need, and kept until reclaimable ones are to be had.

--- a/hornbeamrudder/gateway/features/steps/decision_steps.py
+++ b/hornbeamrudder/gateway/features/steps/decision_steps.py
@@ -404,7 +404,8 @@
     """
     service = _scaled_service()
     demand = fleet_policy.observed(fleet_policy.Demand(), running, 0.0)
-    planned = fleet_policy.wanted(service, demand, fleet_policy.Fleet({}, {}))
+    present = fleet_policy.Fleet(dict.fromkeys(_DATA_CENTRES, 5), {})
+    planned = fleet_policy.wanted(service, demand, present)
     reclaimable = {
         kind.data_centre: count
         for kind, count in planned.items()
@@ -427,7 +428,7 @@
             for kind, count in planned.items()
             if not kind.reclaimable
         }
-    context.needed = fleet_policy.needed_servers(demand)
+    context.needed = fleet_policy.needed_when_short(demand)
     context.on_demand = on_demand
 
 
@@ -444,7 +445,7 @@
     planned = fleet_policy.wanted(
         _scaled_service(),
         fleet_policy.Demand(45.0, 0.0),
-        fleet_policy.Fleet(dict.fromkeys(_DATA_CENTRES, 3), context.on_demand),
+        fleet_policy.Fleet(dict.fromkeys(_DATA_CENTRES, 4), context.on_demand),
     )
     assert not any(
         count for kind, count in planned.items() if not kind.reclaimable
--- a/hornbeamrudder/gateway/fleet_policy.py
+++ b/hornbeamrudder/gateway/fleet_policy.py
@@ -15,14 +15,16 @@
 from ..core import ids
 from . import records
 
-# Requests in progress at one engine up to which the first event of an urgent
-# request comes in time, by the policy measurements in docs/policy.md.
+# Requests in progress at one engine up to which all kinds of requests are
+# served in time, by the measurements in docs/policy.md.
 RUNNING_PER_ENGINE = 10.0
+# The same for the urgent ones alone, while servers are short.
+RUNNING_PER_ENGINE_SHORT = 25.0
 # Data centres that may be lost before new reclaimable servers are to be had.
 LOST_DATA_CENTRES = 2
-# Reclaimable servers a data centre before any load was seen.
-START_COUNT = 4
-LEAST_COUNT = 2
+# Reclaimable servers a data centre, however low the load: load grows faster
+# than servers boot, and five cost less than one on-demand server.
+LEAST_COUNT = 4
 # Time in which the remembered peak of the load falls to a third.
 PEAK_MEMORY_S = 20.0
 
@@ -80,6 +82,11 @@
     return math.ceil(demand.running / RUNNING_PER_ENGINE)
 
 
+def needed_when_short(demand: Demand) -> int:
+    """Servers that must be left whatever is reclaimed."""
+    return math.ceil(demand.running / RUNNING_PER_ENGINE_SHORT)
+
+
 def wanted(
     service: records.BackendService, demand: Demand, fleet: Fleet
 ) -> Mapping[Kind, int]:
@@ -100,12 +107,10 @@
             Kind(service.name, data_centre, False): min(each, scaling.most)
             for data_centre in data_centres
         }
-    reclaimable = START_COUNT
-    if needed:
-        survivors = max(1, len(data_centres) - LOST_DATA_CENTRES)
-        reclaimable = max(LEAST_COUNT, math.ceil(needed / survivors))
+    survivors = max(1, len(data_centres) - LOST_DATA_CENTRES)
+    reclaimable = max(LEAST_COUNT, math.ceil(needed / survivors))
     reclaimable = max(scaling.least, min(reclaimable, scaling.most))
-    cover = _cover(scaling, needed, fleet, reclaimable)
+    cover = _cover(scaling, needed_when_short(demand), fleet)
     counts: dict[Kind, int] = {}
     for data_centre in data_centres:
         on_demand = cover.get(data_centre, 0)
@@ -117,18 +122,20 @@
 
 
 def _cover(
-    scaling: records.Scaling,
-    needed: int,
-    fleet: Fleet,
-    reclaimable: int,
+    scaling: records.Scaling, needed: int, fleet: Fleet
 ) -> Mapping[ids.DataCentreName, int]:
     """On-demand servers for those that may be missing, cheapest first."""
     left = sum(fleet.reclaimable.values())
+    counts: dict[ids.DataCentreName, int] = {}
     if fleet.none_to_be_had:
         left -= max(fleet.reclaimable.values(), default=0)
+        # Those that are there stay until reclaimable ones are to be had.
+        counts = {
+            data_centre: count
+            for data_centre, count in fleet.on_demand.items()
+            if count
+        }
     missing = needed - left
-    if missing <= 0:
-        return {}
     rooms = sorted(
         (price, data_centre)
         for data_centre, price in scaling.price_by_data_centre.items()
@@ -139,7 +146,6 @@
             [data_centre for _, data_centre in rooms], scaling.most
         )
     )
-    counts: dict[ids.DataCentreName, int] = {}
     for data_centre in order:
         if sum(counts.values()) >= missing:
             break
