--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: help setup format lint types features test proofs bench capacity demo
+.PHONY: help setup format lint types features deploy test proofs bench capacity demo
 
 help:
 	@echo 'make test      formatter, linter, types and behaviour tests'
@@ -31,7 +31,10 @@
 features: setup
 	$(BIN)/python -m tools.run_features
 
-test: lint types features
+deploy: setup
+	$(BIN)/python -m tools.check_deploy
+
+test: lint types deploy features
 
 proofs: setup
 	HORNBEAMRUDDER_PROOFS=long $(BIN)/python -m tools.run_features
--- a/hornbeamrudder/cli.py
+++ b/hornbeamrudder/cli.py
@@ -12,11 +12,13 @@
 from .bench import demo
 from .bench import experiment
 from .bench import flood
+from .core import errors
 from .entry import daemon
 from .inventory import mapping
 from .inventory import problems
 from .inventory import schema as inventory_schema
 from .operators import commands as commands_of_operators
+from .platform import settings as platform_settings
 from .settings import load
 from .settings import reference
 from .settings import schema
@@ -91,6 +93,12 @@
 
 
 def _settings_problems(path: pathlib.Path) -> tuple[problems.Problem, ...]:
+    """Check a settings file of the product's own or of the platform."""
+    if platform_settings.is_platform_file(str(path)):
+        loaded = platform_settings.load(str(path))
+        if isinstance(loaded, errors.Failure):
+            return (problems.Problem(str(path), 1, 'file', loaded.detail),)
+        return ()
     match load.load(str(path), schema.NodeSettings):
         case result.Failure(found):
             return found
--- a/hornbeamrudder/platform/settings.py
+++ b/hornbeamrudder/platform/settings.py
@@ -45,6 +45,17 @@
         return _failure(path, f'malformed field: {error}')
 
 
+def is_platform_file(path: str) -> bool:
+    """Whether a settings file is the platform's, not the product's own."""
+    try:
+        with open(path, encoding='utf-8') as file:
+            fields = yaml.load(file, Loader=_Loader)
+    except (OSError, yaml.YAMLError):
+        # Told by whoever reads the file next.
+        return False
+    return isinstance(fields, dict) and 'machineClass' in fields
+
+
 def decode(fields: Mapping[str, Any], path: str = '') -> records.NodeSettings:
     """Translate the fields of the file; raises on missing ones."""
     listen = fields['listen']
