--- a/hornbeamrudder/gateway/features/decisions.feature
+++ b/hornbeamrudder/gateway/features/decisions.feature
@@ -133,3 +133,20 @@
     # outage of the store.
     When entries lapse while the store fails this node
     Then servers with an entry are used first and the others until their time is over
+
+  Scenario Outline: A table that other nodes follow is current only if they say so
+    # Guards against revoked keys and leaving servers that a node does not know
+    # of because it does not read the store itself.
+    Given a node that does not follow the store and has a table up to version 10
+    When <event>
+    Then the node <reads> the store and its table is confirmed for <time>
+
+    Examples:
+      | event                                               | reads         | time  |
+      | a follower answers a question of 5.0 with version 9 | does not read | 4.8   |
+      | a follower answers a question of 5.0 with version 12 | reads        | never |
+      | changes from 10 to 14 come                          | does not read | never |
+      | changes from 12 to 14 come                          | reads         | never |
+      | nobody answers                                      | reads         | never |
+      | an answer to a question of 2.0 is read at 9.0       | reads         | 1.8   |
+      | a follower has read the whole table at version 15   | reads         | never |
--- a/hornbeamrudder/gateway/features/steps/decision_steps.py
+++ b/hornbeamrudder/gateway/features/steps/decision_steps.py
@@ -3,11 +3,13 @@
 import asyncio
 import collections
 import random
+from unittest import mock
 
 import behave
 
 from hornbeamrudder.core import ids
 from hornbeamrudder.core import types
+from hornbeamrudder.gateway import clock
 from hornbeamrudder.gateway import events
 from hornbeamrudder.gateway.features import term_simulation
 from hornbeamrudder.gateway import fleet_policy
@@ -19,9 +21,11 @@
 from hornbeamrudder.gateway import records
 from hornbeamrudder.gateway import repeats
 from hornbeamrudder.gateway import server_book
+from hornbeamrudder.gateway import table_relay
 from hornbeamrudder.gateway import usage
 from hornbeamrudder.gateway import waiting
 from hornbeamrudder.gateway import watch
+from hornbeamrudder.platform import store
 
 RATE = 40000.0
 SLACK = 140000.0
@@ -580,3 +584,136 @@
     assert context.one_left == {'stays'}, ('one left', context.one_left)
     assert context.none_left == {'left', 'stays'}, context.none_left
     assert context.after == set(), ('after', context.after)
+
+
+class _NoSource:
+    """A store that notes whether it is read."""
+
+    def __init__(self, rows=()):
+        self.reads = 0
+        self._rows = rows
+
+    async def read_all(self, table):
+        """Read a table."""
+        self.reads += 1
+        return store.Rows(self._rows, 15, 0.0, 5.0, 5.0)
+
+    async def changes(self, table, after, wait_s):
+        """Wait for changes."""
+        self.reads += 1
+        return store.Rows((), after, 0.0, 5.0, 5.0)
+
+
+def _relayed_node(name, tables, sent):
+    return table_relay.TableRelay(
+        ids.NodeId(name),
+        tables,
+        lambda node, data: sent.append((node, data)),
+        lambda: [ids.NodeId(f'n{number}') for number in range(12)],
+        lambda: True,
+        random.Random(1),
+    )
+
+
+def _table(source, confirmed):
+    return watch.TableWatch(
+        source,
+        't',
+        0.0,
+        _Log(),
+        lambda rows, snapshot: None,
+        confirmed.append,
+    )
+
+
+@behave.given(
+    'a node that does not follow the store and has a table up to version'
+    ' {version:d}'
+)
+def relayed_table(context, version):
+    nodes = [ids.NodeId(f'n{number}') for number in range(12)]
+    following = table_relay.followers(nodes)
+    context.follower_name = following[0]
+    name = next(node for node in nodes if node not in following)
+    context.confirmed, context.sent = [], []
+    context.source = _NoSource()
+    context.watched = _table(context.source, context.confirmed)
+    context.relay = _relayed_node(name, {'t': context.watched}, context.sent)
+    context.watched.version = version
+    context.watched.content_version = version
+    context.now = 5.2
+    assert not context.relay.follows_store()
+
+
+def _follower(context, version, age_s):
+    """A follower whose table was confirmed `age_s` before now."""
+    table = _table(_NoSource(), [])
+    sent = []
+    relay = _relayed_node(context.follower_name, {'t': table}, sent)
+    table.version = table.content_version = version
+    return table, relay, sent, age_s
+
+
+def _exchange(context, asked_at, version, answered_at):
+    table, relay, sent, age_s = _follower(context, version, 0.2)
+    table.confirmed_at = answered_at - age_s
+    with mock.patch.object(clock, 'now', lambda: asked_at):
+        context.relay.ask()
+    with mock.patch.object(clock, 'now', lambda: answered_at):
+        relay.take(context.sent[0][1])
+    with mock.patch.object(clock, 'now', lambda: context.now):
+        for _, data in sent:
+            assert context.relay.take(data)
+
+
+@behave.when(
+    'a follower answers a question of {asked:g} with version {version:d}'
+)
+def answer_question(context, asked, version):
+    _exchange(context, asked, version, asked + 0.1)
+
+
+@behave.when('an answer to a question of {asked:g} is read at {read:g}')
+def late_answer(context, asked, read):
+    context.now = read
+    _exchange(context, asked, 9, asked + 0.1)
+
+
+@behave.when('changes from {before:d} to {after:d} come')
+def relay_changes(context, before, after):
+    table, relay, sent, _ = _follower(context, before, 0.0)
+    relay._changed(table, before, after, [_Row('left', after, True)])
+    data = next(data for node, data in sent if node == context.relay.node)
+    # A table that was confirmed just before goes on being so.
+    context.watched.confirmed_at = context.now
+    context.relay.take(data)
+
+
+@behave.when('nobody answers')
+def no_answer(context):
+    context.watched.confirmed_at = context.now - 2.0
+
+
+@behave.when('a follower has read the whole table at version {version:d}')
+def whole_table(context, version):
+    table, relay, sent, _ = _follower(context, 10, 0.0)
+    table.version = None
+    asyncio.run(table._step())
+    assert table.version == version
+    table.confirmed_at = 5.0
+    with mock.patch.object(clock, 'now', lambda: 5.0):
+        context.relay.ask()
+        relay.take(context.sent[0][1])
+    for _, data in sent:
+        context.relay.take(data)
+
+
+@behave.then('the node {reads} the store and its table is confirmed for {at}')
+def check_relayed(context, reads, at):
+    with mock.patch.object(clock, 'now', lambda: context.now):
+        relayed = context.watched._is_relayed()
+    assert relayed == (reads == 'does not read'), context.watched.__dict__
+    expected = [] if at == 'never' else [float(at)]
+    assert [round(item, 3) for item in context.confirmed] == expected, (
+        context.confirmed
+    )
--- a/hornbeamrudder/gateway/node.py
+++ b/hornbeamrudder/gateway/node.py
@@ -19,6 +19,7 @@
 from . import records
 from . import repeats
 from . import server_book
+from . import table_relay
 from . import usage
 from . import watch
 
@@ -31,12 +32,8 @@
 # Interval at which the configuration is confirmed to be current; it counts
 # against the bounds on applying it and on revoked keys.
 CONFIGURATION_POLL_S = 0.9
-MAX_CONFIGURATION_POLL_S = 2.0
-# Pause between two feed calls where many nodes wait for the same changes, so
-# that several changes come with one call.
-MAX_SERVER_FEED_PAUSE_S = 0.9
-# Calls are priced and shared by all nodes: with more nodes than this, each
-# calls less often.
+# Calls are priced and shared by all nodes: with more nodes than this, a few
+# follow the store for all.
 FEW_NODES = 10
 HOUSEKEEPING_S = 0.1
 # Part of a usage window after which its counts are also written early.
@@ -114,6 +111,22 @@
         self._node_table = watch.TableWatch(
             self._store, NODE_TABLE, NODE_FEED_WAIT_S, log, self._take_nodes
         )
+        self._relay = table_relay.TableRelay(
+            settings.node,
+            {
+                table.table: table
+                for table in (
+                    self._configuration_table,
+                    self._server_table,
+                    self._node_table,
+                )
+            },
+            self.state.peers.send_to,
+            self.state.peers.heard_nodes,
+            lambda: self.state.peers.known > FEW_NODES,
+            self.state.rng,
+        )
+        self.state.peers.other = self._relay.take
         self._registered = False
         self._started_at = clock.now()
         self._sweep_at = 0.0
@@ -317,7 +330,7 @@
                 self.forwarder.pump_all()
             if not self._registered and not state.stopping:
                 await self._register()
-            self._pace_calls()
+            self._relay.ask()
             await self._remove_gone_nodes()
             self._flush_usage()
 
@@ -344,17 +357,6 @@
             timeout_s=0.5,
         )
 
-    def _pace_calls(self) -> None:
-        """Let each node call the store less often the more nodes there are."""
-        factor = self.state.peers.known / FEW_NODES
-        many = factor > 1
-        self._configuration_table.pause_s = min(
-            MAX_CONFIGURATION_POLL_S, CONFIGURATION_POLL_S * max(1.0, factor)
-        )
-        self._server_table.pause_s = (
-            min(MAX_SERVER_FEED_PAUSE_S, factor * 0.2) if many else 0.0
-        )
-
     def _changed_units(self) -> dict[str, tuple[float, float]]:
         """Accounts that were used here since a few reports ago."""
         now = clock.now()
--- a/hornbeamrudder/gateway/peers.py
+++ b/hornbeamrudder/gateway/peers.py
@@ -114,6 +114,7 @@
         self.node = node
         self.address_by_node: dict[ids.NodeId, types.Address] = {}
         self.malformed = 0
+        self.other: Callable[[bytes], bool] = lambda data: False
         self.unreachable = 0
         self.sent_bytes = 0
         self._on_report = on_report
@@ -166,6 +167,13 @@
                 self._transport.sendto(data, (address.ip, address.port))
                 self.sent_bytes += len(data)
 
+    def send_to(self, node: ids.NodeId, data: bytes) -> None:
+        """Send other bytes to one node; may be lost."""
+        address = self.address_by_node.get(node)
+        if self._transport is not None and address is not None:
+            self._transport.sendto(data, (address.ip, address.port))
+            self.sent_bytes += len(data)
+
     # asyncio.DatagramProtocol
 
     def connection_made(self, transport: Any) -> None:
@@ -174,6 +182,8 @@
 
     def datagram_received(self, data: bytes, address: Any) -> None:
         """Take in a report; called by the event loop."""
+        if self.other(data):
+            return
         report = decode(data)
         if report is None or report.node == self.node:
             self.malformed += report is None
--- a/hornbeamrudder/gateway/watch.py
+++ b/hornbeamrudder/gateway/watch.py
@@ -18,6 +18,10 @@
 RETURN_S = 2.3
 # An outage counts this long after the first answer that followed it.
 OUTAGE_MEMORY_S = 3.0
+# A node that does not follow the store itself reads it once no other node has
+# confirmed a table for this long.
+RELAYED_S = 1.7
+RELAYED_LOOK_S = 0.05
 
 
 class Source(Protocol):
@@ -59,7 +63,16 @@
         rng: random.Random | None = None,
     ) -> None:
         self.table = table
+        # Version of the store up to which all changes are known here, and
+        # that of the newest row of this table.
         self.version: int | None = None
+        self.content_version = 0
+        self.confirmed_at: float = float('-inf')
+        self.follows_store: Callable[[], bool] = lambda: True
+        self.on_changes: (
+            Callable[[TableWatch, int, int, tuple[Any, ...]], None] | None
+        ) = None
+        self._behind = False
         self.failing_since: float | None = None
         self.recovered_at: float = float('-inf')
         self._source = source
@@ -81,6 +94,9 @@
         """Follow the table until cancelled."""
         pause_s = FIRST_PAUSE_S
         while True:
+            if self._is_relayed():
+                await asyncio.sleep(RELAYED_LOOK_S)
+                continue
             failure = await self._step()
             if failure is None:
                 pause_s = FIRST_PAUSE_S
@@ -92,13 +108,74 @@
             await asyncio.sleep(pause_s * self._rng.uniform(0.6, 1.4))
             pause_s = min(MAX_PAUSE_S, pause_s * 1.6)
 
+    def _is_relayed(self) -> bool:
+        """Whether other nodes keep this table up to date."""
+        return (
+            self.version is not None
+            and not self._behind
+            and not self.follows_store()
+            and clock.now() - self.confirmed_at < RELAYED_S
+        )
+
+    def recovered_s(self) -> float:
+        """Seconds since the end of the last outage."""
+        return min(clock.now() - self.recovered_at, OUTAGE_MEMORY_S * 10)
+
+    def take_answer(
+        self, content_version: int, confirmed_at: float, recovered_s: float
+    ) -> None:
+        """Take in what a node says that follows the store.
+
+        Parameters
+        ----------
+        content_version : int
+            Version of the newest row that it knows.
+        confirmed_at : float
+            Time on this node's clock at which the store said so.
+        """
+        if self.version is None:
+            return
+        self.recovered_at = max(self.recovered_at, clock.now() - recovered_s)
+        if content_version > self.version:
+            self._behind = True
+        elif confirmed_at > self.confirmed_at:
+            self.confirmed_at = confirmed_at
+            self._on_confirmed(confirmed_at)
+
+    def take_changes(
+        self,
+        before: int,
+        after: int,
+        recovered_s: float,
+        rows: tuple[Any, ...],
+    ) -> None:
+        """Take in changes from a node that follows the store."""
+        if self.version is None or self.follows_store():
+            return
+        if before > self.version:
+            self._behind = True
+            return
+        self.recovered_at = max(self.recovered_at, clock.now() - recovered_s)
+        if after > self.version:
+            self.version = after
+            self._note(rows)
+            self._on_rows(rows, False)
+
+    def _note(self, rows: tuple[Any, ...]) -> None:
+        self.content_version = max(
+            [self.content_version, *(row.version for row in rows)]
+        )
+
     async def _step(self) -> errors.Failure | None:
         snapshot = self.version is None
+        before = self.version or 0
         if self.version is None:
             answer = await self._source.read_all(self.table)
         else:
             answer = await self._source.changes(
-                self.table, self.version, self._wait_s
+                self.table,
+                self.version,
+                self._wait_s if self.follows_store() else 0.0,
             )
         if isinstance(answer, errors.Failure):
             self._failed(answer)
@@ -113,8 +190,16 @@
             return None
         self._recovered(answer.version)
         self.version = max(answer.version, self.version or 0)
+        self._behind = False
+        self._note(answer.rows)
+        if snapshot:
+            # It does not show which rows were removed: others must read too.
+            self.content_version = answer.version
         if answer.rows or snapshot:
             self._on_rows(answer.rows, snapshot)
+        if answer.rows and not snapshot and self.on_changes is not None:
+            self.on_changes(self, before, answer.version, answer.rows)
+        self.confirmed_at = max(self.confirmed_at, answer.sent_at)
         self._on_confirmed(answer.sent_at)
         return None
 
--- a/hornbeamrudder/platform/features/adapter.feature
+++ b/hornbeamrudder/platform/features/adapter.feature
@@ -43,7 +43,7 @@
   Scenario: The operator's configuration is decoded
     # Guards against the wrong route, limit or rank for a request.
     When the configuration of the stand-in is decoded
-    Then the longest prefix wins, kinds, limits and shares are those of the operator
+    Then the longest prefix wins and the rest is as the operator says
 
   Scenario Outline: A malformed configuration is refused whole
     When "<field>" is missing in a route of the configuration
--- a/hornbeamrudder/platform/features/steps/adapter_steps.py
+++ b/hornbeamrudder/platform/features/steps/adapter_steps.py
@@ -160,9 +160,7 @@
     context.configuration = operator_config.decode(fields)
 
 
-@behave.then(
-    'the longest prefix wins, kinds, limits and shares are those of the operator'
-)
+@behave.then('the longest prefix wins and the rest is as the operator says')
 def check_configuration(context):
     decoded = context.configuration
     deeper = decoded.find_route('shop.example', '/plan/deep/x')
