--- a/hornbeamrudder/gateway/features/steps/decision_steps.py
+++ b/hornbeamrudder/gateway/features/steps/decision_steps.py
@@ -686,6 +686,7 @@
     data = next(data for node, data in sent if node == context.relay.node)
     # A table that was confirmed just before goes on being so.
     context.watched.confirmed_at = context.now
+    context.watched._answered_at = context.now
     context.relay.take(data)
 
 
--- a/hornbeamrudder/gateway/table_relay.py
+++ b/hornbeamrudder/gateway/table_relay.py
@@ -129,7 +129,7 @@
                 asked_at, states = fields
                 for name, content_version, age_s, recovered_s in states:
                     self._tables[name].take_answer(
-                        content_version, asked_at - age_s, recovered_s
+                        content_version, asked_at, age_s, recovered_s
                     )
             case Kind.CHANGES:
                 name, before, after, recovered_s, rows = fields
--- a/hornbeamrudder/gateway/watch.py
+++ b/hornbeamrudder/gateway/watch.py
@@ -73,6 +73,7 @@
             Callable[[TableWatch, int, int, tuple[Any, ...]], None] | None
         ) = None
         self._behind = False
+        self._answered_at = float('-inf')
         self.failing_since: float | None = None
         self.recovered_at: float = float('-inf')
         self._source = source
@@ -114,7 +115,10 @@
             self.version is not None
             and not self._behind
             and not self.follows_store()
-            and clock.now() - self.confirmed_at < RELAYED_S
+            and clock.now() - self._answered_at < RELAYED_S
+            # A follower's call may be open for its whole waiting time, and
+            # says nothing before.
+            and clock.now() - self.confirmed_at < RELAYED_S + 2 * self._wait_s
         )
 
     def recovered_s(self) -> float:
@@ -122,7 +126,11 @@
         return min(clock.now() - self.recovered_at, OUTAGE_MEMORY_S * 10)
 
     def take_answer(
-        self, content_version: int, confirmed_at: float, recovered_s: float
+        self,
+        content_version: int,
+        asked_at: float,
+        age_s: float,
+        recovered_s: float,
     ) -> None:
         """Take in what a node says that follows the store.
 
@@ -130,11 +138,15 @@
         ----------
         content_version : int
             Version of the newest row that it knows.
-        confirmed_at : float
-            Time on this node's clock at which the store said so.
+        asked_at : float
+            Time on this node's clock at which it was asked.
+        age_s : float
+            Age of the store's word at that node when it answered.
         """
         if self.version is None:
             return
+        self._answered_at = max(self._answered_at, asked_at)
+        confirmed_at = asked_at - age_s
         self.recovered_at = max(self.recovered_at, clock.now() - recovered_s)
         if content_version > self.version:
             self._behind = True
@@ -200,6 +212,7 @@
         if answer.rows and not snapshot and self.on_changes is not None:
             self.on_changes(self, before, answer.version, answer.rows)
         self.confirmed_at = max(self.confirmed_at, answer.sent_at)
+        self._answered_at = max(self._answered_at, answer.sent_at)
         self._on_confirmed(answer.sent_at)
         return None
 
