--- a/hornbeamrudder/operators/features/steps/page_steps.py
+++ b/hornbeamrudder/operators/features/steps/page_steps.py
@@ -1,4 +1,4 @@
-"""Steps that compare docs/operators.md with the code."""
+"""Steps that compare docs/OPERATIONS.md with the code."""
 
 import ast
 import pathlib
@@ -9,7 +9,7 @@
 from hornbeamrudder.telemetry import metrics
 
 ROOT = pathlib.Path(__file__).resolve().parents[4]
-PAGE = ROOT / 'docs/operators.md'
+PAGE = ROOT / 'docs/OPERATIONS.md'
 LOGGERS = ('log', 'LOG', '_logger', 'logger', 'self._log')
 LEVELS = ('debug', 'info', 'warning', 'error', 'exception', 'critical')
 
@@ -24,7 +24,7 @@
     return (item for item in ast.walk(tree) if isinstance(item, ast.Call))
 
 
-@behave.then('docs/operators.md has every event that the code logs')
+@behave.then('docs/OPERATIONS.md has every event that the code logs')
 def check_events(context):
     events = set()
     for call in (item for tree in trees() for item in calls_in(tree)):
@@ -39,7 +39,7 @@
     assert not missing, missing
 
 
-@behave.then('docs/operators.md has every metric and gauge')
+@behave.then('docs/OPERATIONS.md has every metric and gauge')
 def check_metrics(context):
     rendered, _ = metrics.NodeMetrics().render(['text/plain'])
     names = set(re.findall(r'# HELP (\S+)', rendered.decode()))
