Report usage from the last rows of a window, not from early ones

Change: a row says whether its window had ended, each node writes such a row, and the holder waits for those of all nodes it hears while the report is not due.

--- a/hornbeamrudder/gateway/duties.py
+++ b/hornbeamrudder/gateway/duties.py
@@ -235,7 +235,8 @@
         if isinstance(rows, errors.Failure):
             return None
         total = usage.add_up((row.key, row.value) for row in rows.rows)
-        complete = state.peers.heard_nodes() <= total.nodes
+        expected = state.peers.heard_nodes() | {state.settings.node}
+        complete = expected <= total.nodes
         if not usage.is_due(
             window,
             bounds.usage_window_s,
--- a/hornbeamrudder/gateway/features/steps/decision_steps.py
+++ b/hornbeamrudder/gateway/features/steps/decision_steps.py
@@ -461,12 +461,28 @@
     counter = usage.Counter(5.0)
     for second in (0.1, 1.0, 4.9, 5.0):
         counter.count(ids.AccountId('north'), second)
+    early = counter.changed(0)[0]
+    counter.written({0: early})
+    late = counter.changed(1)[0]
+    counter.written({0: late})
+    assert 0 not in counter.changed(1)
     rows = [
-        (usage.row_key(0, 'a', 1), counter.changed()[0]),
-        (usage.row_key(0, 'a', 2), {'north': 2}),
-        (usage.row_key(0, 'b', 1), {'north': 1, 'south': 4}),
+        (usage.row_key(0, 'a', 1), late),
+        (
+            usage.row_key(0, 'a', 2),
+            {'counts': {'north': 2}, 'complete': True},
+        ),
+        (
+            usage.row_key(0, 'b', 1),
+            {'counts': {'north': 1, 'south': 4}, 'complete': True},
+        ),
         (usage.row_key(0, 'c', 1), 'malformed'),
+        (
+            usage.row_key(0, 'd', 1),
+            {'counts': {'south': 1}, 'complete': False},
+        ),
     ]
+    assert usage.add_up([(usage.row_key(0, 'a', 1), early)]).nodes == set()
     context.sum = usage.add_up(rows)
 
 
@@ -474,8 +490,9 @@
     'the sum has all requests and a window is reported when its rows are there'
 )
 def check_usage(context):
-    assert context.sum.requests_by_account == {'north': 6, 'south': 4}
-    assert context.sum.nodes == {'a', 'b', 'c'}
+    assert context.sum.requests_by_account == {'north': 6, 'south': 5}
+    # Node d has only written in the middle of the window.
+    assert context.sum.nodes == {'a', 'b'}
     due = [
         usage.is_due(0, 5.0, 10.0, at, complete)
         for at, complete in (
--- a/hornbeamrudder/gateway/node.py
+++ b/hornbeamrudder/gateway/node.py
@@ -417,7 +417,7 @@
         state = self.state
         window_s = self.settings.bounds.usage_window_s
         present = state.usage.window_at(state.peers.true_time())
-        changed = state.usage.changed()
+        changed = state.usage.changed(present)
         if not changed:
             return
         ended = any(window < present for window in changed)
@@ -432,7 +432,9 @@
 
     async def _write_usage(self) -> None:
         state = self.state
-        counts = state.usage.changed()
+        counts = state.usage.changed(
+            state.usage.window_at(state.peers.true_time())
+        )
         if not counts:
             return
         self._written_at = clock.now()
--- a/hornbeamrudder/gateway/usage.py
+++ b/hornbeamrudder/gateway/usage.py
@@ -46,6 +46,7 @@
             collections.defaultdict(collections.Counter)
         )
         self._changed: set[int] = set()
+        self._complete: set[int] = set()
 
     def window_at(self, true_time: float) -> int:
         """Number of the window that contains a time."""
@@ -57,31 +58,54 @@
         self._counts[window][account] += 1
         self._changed.add(window)
 
-    def changed(self) -> dict[int, dict[ids.AccountId, int]]:
-        """Counts that are not written yet, by window."""
+    def changed(self, present: int) -> dict[int, dict[str, object]]:
+        """Rows that are not written yet, by window.
+
+        A window that has ended gets a last row, even without new counts, so
+        that the sum does not take an early row for a complete one.
+        """
+        ended = {
+            window
+            for window in self._counts
+            if window < present and window not in self._complete
+        }
         return {
-            window: dict(self._counts[window])
-            for window in sorted(self._changed)
+            window: _row(self._counts[window], window < present)
+            for window in sorted(self._changed | ended)
         }
 
-    def written(
-        self, counts: Mapping[int, Mapping[ids.AccountId, int]]
-    ) -> None:
-        """Note which counts the store has accepted."""
-        for window, by_account in counts.items():
-            if self._counts[window] == by_account:
+    def written(self, rows: Mapping[int, Mapping[str, object]]) -> None:
+        """Note which rows the store has accepted."""
+        for window, row in rows.items():
+            complete = bool(row['complete'])
+            if _row(self._counts[window], complete) == row:
                 self._changed.discard(window)
+                if complete:
+                    self._complete.add(window)
 
     def forget_before(self, window: int) -> None:
         """Drop windows that were reported long ago."""
         for old in [item for item in self._counts if item < window]:
             del self._counts[old]
             self._changed.discard(old)
+            self._complete.discard(old)
+
+
+def _row(
+    counts: Mapping[ids.AccountId, int], complete: bool
+) -> dict[str, object]:
+    return {'counts': dict(counts), 'complete': complete}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sum:
-    """Counts of all nodes for one window."""
+    """Counts of all nodes for one window.
+
+    Attributes
+    ----------
+    nodes : frozenset of str
+        Nodes that have written a row after the end of the window.
+    """
 
     requests_by_account: Mapping[str, int]
     nodes: frozenset[str]
@@ -91,12 +115,17 @@
     """Sum the rows of one window, as (key, counts)."""
     total: collections.Counter[str] = collections.Counter()
     nodes = set()
-    for key, counts in rows:
-        nodes.add(key.split('/')[1])
-        if isinstance(counts, dict):
-            total.update(
-                {str(name): int(count) for name, count in counts.items()}
-            )
+    for key, row in rows:
+        if not isinstance(row, dict) or not isinstance(
+            row.get('counts'), dict
+        ):
+            # Another writer's row; the window then counts as incomplete.
+            continue
+        if row.get('complete'):
+            nodes.add(key.split('/')[1])
+        total.update(
+            {str(name): int(count) for name, count in row['counts'].items()}
+        )
     return Sum(dict(total), frozenset(nodes))
 
 
