--- a/hornbeamrudder/infrastructure/http.py
+++ b/hornbeamrudder/infrastructure/http.py
@@ -200,6 +200,10 @@
 
     def close(self) -> None:
         """Stop the thread; calls in progress fail as interrupted."""
+        # New calls are refused at once: queued before the end, they could
+        # keep a slow thread from ever reaching it.
+        with self._lock:
+            self._closing = True
         self._command(_Close())
         self._thread.join()
 
@@ -207,7 +211,9 @@
         # The lock keeps the pipe's number from being closed, and given to
         # another file, before the write.
         with self._lock:
-            if not self._closed:
+            if not self._closed and (
+                not self._closing or isinstance(command, _Close)
+            ):
                 self._commands.append(command)
                 try:
                     os.write(self._wake_write, b'x')
