Add up reports at hubs where there are many nodes, and limit accounts by window

Cause: with 81 nodes each node reported to each 5,700 times a second in all, 1.2 s apart, and each report cost 0.28 ms (a copy of what was seen of every node, for each account). Placing a request looked at all engines, 0.7 ms each time, again for each waiting request. An account whose limit the operator had lowered was refused 1,404 times although the window of the users' rule had room: a bucket gives the burst only after a pause.

Change: above 10 nodes, each reports to three hubs with fast links, and gets digests of all others every 0.3 s; they carry how far the hub knows the tables of the store, which replaces questions and answers. Changes are compressed and split at versions. Placing looks at 16 servers and those that hold the shared parts. Limits hold over the window and, at once, over a bucket.

--- a/hornbeamrudder/gateway/duties.py
+++ b/hornbeamrudder/gateway/duties.py
@@ -291,10 +291,9 @@
             record.running + record.peer_running
             for record in self._state.book.of_service(service.name)
         )
-        waiting = len(self._state.line_by_service[service.name]) + sum(
-            report.waiting_by_service.get(service.name, (0, 0.0))[0]
-            for report in self._state.peers.reports()
-        )
+        waiting = len(
+            self._state.line_by_service[service.name]
+        ) + self._state.peers.waiting(service.name)
         demand = fleet_policy.observed(
             self._demand.get(service.name, fleet_policy.Demand()),
             running + waiting,
--- a/hornbeamrudder/gateway/features/steps/decision_steps.py
+++ b/hornbeamrudder/gateway/features/steps/decision_steps.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 import behave
+import msgpack
 
 from hornbeamrudder.core import ids
 from hornbeamrudder.core import types
@@ -14,6 +15,7 @@
 from hornbeamrudder.gateway.features import term_simulation
 from hornbeamrudder.gateway import fleet_policy
 from hornbeamrudder.gateway import health
+from hornbeamrudder.gateway import hubs
 from hornbeamrudder.gateway import messages
 from hornbeamrudder.gateway import peers
 from hornbeamrudder.gateway import placing
@@ -42,15 +44,17 @@
         self.started = started
         self.heard = {}
         self.bucket = None
+        self.seen = quota.SeenTotals()
 
     def limit(self, now, nodes, heard_s):
         """The limit as this node may use it."""
         heard = sum(now - at < heard_s for at in self.heard.values())
         return quota.Limit(
-            RATE * quota.RATE_FACTOR,
+            RATE,
             RATE + quota.extra_burst(SLACK),
             (1 + heard) / nodes,
             quota.extra_burst(SLACK),
+            WINDOW_S,
         )
 
     def ensure(self, now, nodes, heard_s):
@@ -75,7 +79,10 @@
     rng = random.Random(7)
     nodes = [QuotaNode(number, 1) for number in range(count)]
     report_s = peers.interval_s(count)
-    heard_s = peers.MISSED_REPORTS * report_s
+    if count > hubs.FEW_NODES:
+        # A report takes two steps, to a hub and in its digest.
+        report_s *= 2
+    heard_s = peers.FRESH_REPORTS * report_s
     admitted, refused = [], 0
     demand = 0.0
     now = -2.0
@@ -97,14 +104,16 @@
                     peer.ensure(now, count, heard_s)
                     peer.heard[node.id] = now
                     limit = peer.limit(now, count, heard_s)
-                    peer.bucket = quota.reported(
-                        quota.filled(peer.bucket, limit, now),
-                        limit,
-                        node.id,
-                        node.started,
-                        node.bucket.spent,
-                        node.bucket.level,
+                    news = peer.seen.news(
+                        node.id, node.started, {'a': node.bucket.spent}
                     )
+                    if 'a' in news:
+                        peer.bucket = quota.reported(
+                            quota.filled(peer.bucket, limit, now),
+                            limit,
+                            news['a'],
+                            quota.available(node.bucket, limit),
+                        )
         if now < 0:
             continue
         demand += times * RATE * STEP_S
@@ -572,9 +581,7 @@
                 messages.CallerFacts(None),
                 placing.Need(slot_share=100.0),
                 (),
-                lambda candidates, need: placing.choose(
-                    candidates, need, random.Random(seed)
-                ),
+                random.Random(seed),
                 0.0,
             )
             found.add(placement.record.entry.id)
@@ -621,14 +628,17 @@
         return store.Rows((), after, 0.0, 5.0, 5.0)
 
 
+_HUBS = [ids.NodeId(f'n{number}') for number in range(3)]
+
+
 def _relayed_node(name, tables, sent):
     return table_relay.TableRelay(
         ids.NodeId(name),
         tables,
         lambda node, data: sent.append((node, data)),
-        lambda: [ids.NodeId(f'n{number}') for number in range(12)],
+        lambda: _HUBS,
         lambda: True,
-        random.Random(1),
+        lambda: [ids.NodeId(f'n{number}') for number in range(12)],
     )
 
 
@@ -648,10 +658,8 @@
     ' {version:d}'
 )
 def relayed_table(context, version):
-    nodes = [ids.NodeId(f'n{number}') for number in range(12)]
-    following = table_relay.followers(nodes)
-    context.follower_name = following[0]
-    name = next(node for node in nodes if node not in following)
+    context.follower_name = _HUBS[0]
+    name = 'n7'
     context.confirmed, context.sent = [], []
     context.source = _NoSource()
     context.watched = _table(context.source, context.confirmed)
@@ -674,13 +682,10 @@
 def _exchange(context, asked_at, version, answered_at):
     table, relay, sent, age_s = _follower(context, version, 0.2)
     table.confirmed_at = answered_at - age_s
-    with mock.patch.object(clock, 'now', lambda: asked_at):
-        context.relay.ask()
     with mock.patch.object(clock, 'now', lambda: answered_at):
-        relay.take(context.sent[0][1])
+        states = relay.states()
     with mock.patch.object(clock, 'now', lambda: context.now):
-        for _, data in sent:
-            assert context.relay.take(data)
+        context.relay.take_states(asked_at, states)
 
 
 @behave.when(
@@ -704,7 +709,7 @@
     # A table that was confirmed just before goes on being so.
     context.watched.confirmed_at = context.now
     context.watched._answered_at = context.now
-    context.relay.take(data)
+    context.relay.take(msgpack.unpackb(data))
 
 
 @behave.when('nobody answers')
@@ -720,10 +725,7 @@
     assert table.version == version
     table.confirmed_at = 5.0
     with mock.patch.object(clock, 'now', lambda: 5.0):
-        context.relay.ask()
-        relay.take(context.sent[0][1])
-    for _, data in sent:
-        context.relay.take(data)
+        context.relay.take_states(5.0, relay.states())
 
 
 @behave.then('the node {reads} the store and its table is confirmed for {at}')
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -200,9 +200,7 @@
             call.admitted.facts,
             self._need(call),
             excluded,
-            lambda candidates, need: placing.choose(
-                candidates, need, self.state.rng
-            ),
+            self.state.rng,
             clock.now(),
         )
 
@@ -264,6 +262,7 @@
                 call.admitted.deadline,
                 lambda: self.reserve(call, call.excluded),
                 placed,
+                None if call.excluded else call.admitted.route.name,
             )
         )
         self.pump(call.service.name)
--- a/hornbeamrudder/gateway/node.py
+++ b/hornbeamrudder/gateway/node.py
@@ -10,6 +10,7 @@
 from ..core import ids
 from ..core import types
 from . import duties
+from . import exchange
 from . import forward
 from . import http_server
 from . import measures
@@ -32,9 +33,6 @@
 # Interval at which the configuration is confirmed to be current; it counts
 # against the bounds on applying it and on revoked keys.
 CONFIGURATION_POLL_S = 0.9
-# Calls are priced and shared by all nodes: with more nodes than this, a few
-# follow the store for all.
-FEW_NODES = 10
 HOUSEKEEPING_S = 0.1
 # Part of a usage window after which its counts are also written early.
 EARLY_WRITE_SHARE = 0.5
@@ -47,8 +45,6 @@
 # Time kept at the end of the grace time for closing down.
 STOP_RESERVE_S = 0.7
 LISTEN_BACKLOG = 512
-# Reports in a row that repeat what an account has used, for lost datagrams.
-UNITS_MEMORY_REPORTS = 8
 # Entry of a node that was not heard for this long is removed.
 NODE_GONE_S = 12.0
 
@@ -74,7 +70,7 @@
             book=server_book.ServerBook(
                 settings.data_centre, self._server_leaving
             ),
-            peers=peers.Peers(settings.node, self._take_report),
+            peers=peers.Peers(settings.node),
             usage=usage.Counter(bounds.usage_window_s),
             repeats=repeats.RepeatBudget(
                 bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
@@ -107,7 +103,6 @@
             self._confirm,
             CONFIGURATION_POLL_S,
         )
-        self._account_reports: dict[str, tuple[float, float]] = {}
         self._node_table = watch.TableWatch(
             self._store, NODE_TABLE, NODE_FEED_WAIT_S, log, self._take_nodes
         )
@@ -122,18 +117,28 @@
                 )
             },
             self.state.peers.send_to,
+            self.state.peers.hubs,
+            lambda: self.state.peers.uses_hubs,
             self.state.peers.heard_nodes,
-            lambda: self.state.peers.known > FEW_NODES,
-            self.state.rng,
         )
+        self._exchange = exchange.Exchange(
+            self.state,
+            self._relay,
+            lambda: self.duties.number,
+            self.duties.heard_holder,
+        )
+        self.state.peers.on_message = self._exchange.take
         self.state.peers.other = self._relay.take
         self._registered = False
+        self._own_entry = peers.KnownNode(
+            types.Address(settings.ip, settings.peer_port),
+            settings.link_mbps,
+        )
         self._started_at = clock.now()
         self._sweep_at = 0.0
         self._written_at = 0.0
         self._usage_write: asyncio.Task[None] | None = None
         self._stopped: asyncio.Event | None = None
-        self._reported_at = 0.0
         self._was_ready: bool | None = None
 
     async def run(self) -> None:
@@ -280,37 +285,21 @@
         self.mover.leaving(record)
 
     def _take_nodes(self, rows: tuple[Any, ...], snapshot: bool) -> None:
-        known = self.state.peers.address_by_node
-        if snapshot:
-            known.clear()
+        known = {} if snapshot else dict(self.state.peers.known_by_id)
         for row in rows:
             node = ids.NodeId(row.key)
             if row.removed:
                 known.pop(node, None)
-                if node == self.settings.node:
-                    self._registered = False
             elif isinstance(row.value, dict):
-                known[node] = types.Address(
-                    str(row.value.get('ip')), int(row.value.get('port') or 0)
-                )
-        if self.settings.node not in known:
-            self._registered = False
-
-    def _take_report(self, report: peers.Report) -> None:
-        state = self.state
-        now = clock.now()
-        state.book.take_report(report.node, report.load_by_server, now)
-        if report.duty_number:
-            self.duties.heard_holder()
-        configuration = state.configuration
-        if configuration is None:
-            return
-        for name, (spent, level) in report.units_by_account.items():
-            account = configuration.accounts_by_id.get(ids.AccountId(name))
-            if account is not None:
-                state.take_reported_units(
-                    account, report.node, report.started, spent, level
+                known[node] = peers.KnownNode(
+                    types.Address(
+                        str(row.value.get('ip')),
+                        int(row.value.get('port') or 0),
+                    ),
+                    float(row.value.get('link_mbps') or 0.0),
                 )
+        self._registered = known.get(self.settings.node) == self._own_entry
+        self.state.peers.set_known(known)
 
     # Housekeeping
 
@@ -323,14 +312,10 @@
                 self._server_table.recovered_at,
                 self._server_table.failing_since is not None,
             )
-            if now - self._reported_at >= peers.interval_s(state.peers.known):
-                self._reported_at = now
-                state.peers.send(self._report())
-                state.book.refresh_reports(now)
+            if self._exchange.step():
                 self.forwarder.pump_all()
             if not self._registered and not state.stopping:
                 await self._register()
-            self._relay.ask()
             await self._remove_gone_nodes()
             self._flush_usage()
 
@@ -345,7 +330,7 @@
         self._sweep_at = now + NODE_GONE_S / 4
         gone = [
             node
-            for node in self.state.peers.address_by_node
+            for node in self.state.peers.known_by_id
             if node != self.settings.node
             and self.state.peers.silent_for(node) > NODE_GONE_S
         ]
@@ -357,38 +342,6 @@
             timeout_s=0.5,
         )
 
-    def _changed_units(self) -> dict[str, tuple[float, float]]:
-        """Accounts that were used here since a few reports ago."""
-        now = clock.now()
-        kept_s = UNITS_MEMORY_REPORTS * peers.interval_s(
-            self.state.peers.known
-        )
-        units: dict[str, tuple[float, float]] = {}
-        for account, bucket in self.state.bucket_by_account.items():
-            spent, since = self._account_reports.get(account, (0.0, 0.0))
-            if spent != bucket.spent:
-                since = now
-                self._account_reports[account] = (bucket.spent, since)
-            if now - since < kept_s:
-                units[account] = (bucket.spent, bucket.level)
-        return units
-
-    def _report(self) -> peers.Report:
-        state = self.state
-        return peers.Report(
-            node=self.settings.node,
-            started=state.started,
-            wall=clock.wall(),
-            units_by_account=self._changed_units(),
-            load_by_server=state.book.own_report(),
-            waiting_by_service={
-                service: (len(line), 0.0)
-                for service, line in state.line_by_service.items()
-                if len(line)
-            },
-            duty_number=self.duties.number,
-        )
-
     async def _register(self) -> None:
         written = await self._store.write(
             (
@@ -399,6 +352,7 @@
                         'ip': self.settings.ip,
                         'port': self.settings.peer_port,
                         'started': self.state.started,
+                        'link_mbps': self.settings.link_mbps,
                     },
                 ),
             ),
@@ -407,8 +361,9 @@
         if isinstance(written, errors.Failure):
             return
         self._registered = True
-        self.state.peers.address_by_node[self.settings.node] = types.Address(
-            self.settings.ip, self.settings.peer_port
+        state = self.state
+        state.peers.set_known(
+            state.peers.known_by_id | {self.settings.node: self._own_entry}
         )
 
     def _flush_usage(self) -> None:
@@ -422,7 +377,7 @@
             return
         ended = any(window < present for window in changed)
         early = (
-            state.peers.known <= FEW_NODES
+            not state.peers.uses_hubs
             and clock.now() - self._written_at > window_s * EARLY_WRITE_SHARE
         )
         if ended or early:
--- a/hornbeamrudder/gateway/node_state.py
+++ b/hornbeamrudder/gateway/node_state.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 import random
-from typing import Any
+from typing import Any, Mapping
 
 from . import clock
 from ..core import ids
@@ -57,6 +57,9 @@
     bucket_by_account: dict[ids.AccountId, quota.Bucket] = dataclasses.field(
         default_factory=dict
     )
+    seen_totals: quota.SeenTotals = dataclasses.field(
+        default_factory=quota.SeenTotals
+    )
     line_by_service: dict[ids.ServiceName, waiting.Line] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(waiting.Line)
     )
@@ -78,10 +81,11 @@
             else 0.0
         )
         return quota.Limit(
-            account.rate_per_s * quota.RATE_FACTOR,
+            account.rate_per_s,
             account.burst + extra,
             self.peers.heard_share(),
             extra,
+            self.settings.bounds.quota_window_s,
         )
 
     def bucket(self, account: records.ClientAccount) -> quota.Bucket:
@@ -123,28 +127,46 @@
 
     def take_reported_units(
         self,
-        account: records.ClientAccount,
         node: ids.NodeId,
         started: int,
-        spent: float,
-        level: float,
-    ) -> None:
-        """Take in what another node has admitted of an account."""
-        known = self.bucket_by_account.get(account.id)
-        if (
-            known is not None
-            and known.seen_by_node.get((node, started)) == spent
-        ):
-            return
-        limit = self.limit(account)
-        self.bucket_by_account[account.id] = quota.reported(
-            quota.filled(self.bucket(account), limit, clock.now()),
-            limit,
+        units_by_account: Mapping[str, tuple[float, float]],
+        applies: bool,
+    ) -> dict[str, float | None]:
+        """Take in what another node has admitted, and its levels.
+
+        Parameters
+        ----------
+        applies : bool
+            Whether it is taken out of the buckets; otherwise only the totals
+            are kept, for when it does.
+
+        Returns
+        -------
+        dict
+            What is new, by account.
+        """
+        news = self.seen_totals.news(
             node,
             started,
-            spent,
-            level,
+            {name: spent for name, (spent, _) in units_by_account.items()},
         )
+        if self.configuration is None or not applies:
+            return news
+        now = clock.now()
+        for name, units in news.items():
+            account = self.configuration.accounts_by_id.get(
+                ids.AccountId(name)
+            )
+            if account is None or not account.rate_per_s:
+                continue
+            limit = self.limit(account)
+            self.bucket_by_account[account.id] = quota.reported(
+                quota.filled(self.bucket(account), limit, now),
+                limit,
+                units,
+                units_by_account[name][1],
+            )
+        return news
 
     def learn_speed(
         self, service: ids.ServiceName, tokens_per_ms: float
--- a/hornbeamrudder/gateway/placing.py
+++ b/hornbeamrudder/gateway/placing.py
@@ -6,11 +6,13 @@
 
 import dataclasses
 import random
-from typing import Sequence
+from typing import NamedTuple, Sequence, TypeVar
 
 from ..core import hashing
 from ..core import ids
 
+_Item = TypeVar('_Item')
+
 # Keeps requests in their data centre where the load is equal; in line with
 # the price of bytes between data centres.
 REMOTE_PENALTY_MS = 4.0
@@ -22,8 +24,15 @@
 PLAIN_REQUEST_MS = 20.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Candidate:
+# Backend servers that are looked at for one request, taken at random; with
+# few servers, all are.
+SAMPLE = 16
+# Backend servers on which all nodes place requests with the same shared parts.
+PREFERRED = 2
+_MASK = (1 << 64) - 1
+
+
+class Candidate(NamedTuple):
     """A backend server that a request could be sent to.
 
     Attributes
@@ -124,12 +133,34 @@
     )
 
 
-def preferred(
-    part: str, servers: Sequence[ids.WorkerId]
-) -> ids.WorkerId | None:
-    """Backend server on which all nodes place requests with this part."""
-    return max(
-        servers,
-        key=lambda server: (hashing.stable_hash(part, server), server),
-        default=None,
-    )
+def sample(items: Sequence[_Item], rng: random.Random) -> Sequence[_Item]:
+    """Choose the backend servers to look at.
+
+    Answers many nodes with reports of the same age: if each looked at all
+    servers, all would choose the same one until the next report. It also
+    bounds the processor time of a request.
+    """
+    if len(items) <= SAMPLE:
+        return items
+    return rng.sample(items, SAMPLE)
+
+
+def preferred(part: str, hashes: Sequence[int]) -> list[int]:
+    """Positions of the backend servers that are preferred for a part.
+
+    Parameters
+    ----------
+    hashes : sequence of int
+        Hash of each server's id, 64 bits.
+
+    Returns
+    -------
+    list of int
+        At most `PREFERRED`, the most preferred first.
+    """
+    # An odd factor by part, so that each part orders the servers anew.
+    factor = hashing.stable_hash(part) | 1
+    ranks = [(own * factor) & _MASK for own in hashes]
+    return sorted(range(len(ranks)), key=ranks.__getitem__, reverse=True)[
+        :PREFERRED
+    ]
--- a/hornbeamrudder/gateway/quota.py
+++ b/hornbeamrudder/gateway/quota.py
@@ -1,12 +1,18 @@
 """Limits of client accounts over all nodes; pure.
 
-Each node keeps the whole bucket of an account and subtracts what the other
-nodes report, so an account may send all its requests through one node. A
-node that does not hear others leaves them their part of the limit: they may
-be serving, cut off from this node alone. To it, each request costs as many
-times more as it hears fewer nodes, so the level stays comparable. Answers the
-load of accounts that send many times their limit, with uneven shares of
-connections, and nodes that start again while others go on.
+An account may use its rate and its burst in any window of the users' length.
+Each node keeps the whole limit and subtracts what the other nodes report, so
+an account may send all its requests through one node. A node that does not
+hear others leaves them their part of the limit: they may be serving, cut off
+from this node alone. To it, each request costs as many times more as it hears
+fewer nodes, so the level stays comparable. Answers the load of accounts that
+send many times their limit, with uneven shares of connections, and nodes that
+start again while others go on.
+
+Two bounds hold together. The window admits the burst again in each window,
+not only after a pause. The bucket bounds what is admitted at once, so that
+nodes that all start again, and know nothing of the window before, can't admit
+a whole window at once.
 """
 
 import dataclasses
@@ -14,37 +20,37 @@
 
 from ..core import ids
 
-# Part of the users' tolerance by which buckets are larger than stated; the
+# Part of the users' tolerance by which the limit is larger than stated; the
 # rest covers requests that reach several nodes between two reports.
-EXTRA_BURST_SHARE = 0.5
-# The users tolerate a tenth above the rate. Without some of it, requests that
-# arrive at the limit are refused for rounding and delays between nodes.
-RATE_FACTOR = 1.04
+EXTRA_BURST_SHARE = 0.25
+# Admitted units are remembered in steps of this length.
+STEP_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bucket:
-    """Saved units of one account.
+    """Saved units of one account, and those of the present window.
 
     Attributes
     ----------
     level : float
-        Units that all nodes together could admit if all were heard; may be
-        negative.
+        Units that all nodes together could admit at once if all were heard;
+        may be negative.
     filled_at : float
         Time of the last change, in seconds.
     spent : float
         Units that this node has admitted since its start.
-    seen_by_node : mapping
-        Last total that each other node has reported, by node and start.
+    steps : tuple of (int, float)
+        Units that all nodes have admitted, by step of time, oldest first.
+    recent : float
+        Their sum.
     """
 
     level: float
     filled_at: float
     spent: float = 0.0
-    seen_by_node: Mapping[tuple[str, int], float] = dataclasses.field(
-        default_factory=dict
-    )
+    steps: tuple[tuple[int, float], ...] = ()
+    recent: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,36 +59,81 @@
 
     Attributes
     ----------
+    burst : float
+        Units that may be admitted at once, the extra part included.
     heard_share : float
         Part of the known nodes that this node hears, itself included.
     extra : float
         Part of the burst that the account was not promised. A new bucket
         starts without it, as all nodes may start again at once.
+    window_s : float
+        Length of the window.
     """
 
     rate_per_s: float
     burst: float
     heard_share: float = 1.0
     extra: float = 0.0
+    window_s: float = 8.0
 
     def cost(self, units: float) -> float:
-        """What a request of this node takes from the level."""
+        """What a request of this node takes from the limit."""
         return units / max(self.heard_share, 1e-3)
 
+    @property
+    def most(self) -> float:
+        """Units that may be admitted in one window."""
+        return self.rate_per_s * self.window_s + self.burst
+
+    @property
+    def refill_per_s(self) -> float:
+        """Units that come back in a second."""
+        return self.most / self.window_s
+
 
 def first(limit: Limit, now: float) -> Bucket:
-    """Bucket of a node that has heard no other yet."""
-    return Bucket(limit.burst - limit.extra, now)
+    """Bucket of a node that has heard no other yet.
+
+    The account is taken to have used its rate in the window before.
+    """
+    last = _step(now)
+    count = int(limit.window_s / STEP_S)
+    each = limit.rate_per_s * STEP_S
+    return Bucket(
+        limit.burst - limit.extra,
+        now,
+        steps=tuple(
+            (step, each) for step in range(last - count + 1, last + 1)
+        ),
+        recent=each * count,
+    )
 
 
 def filled(bucket: Bucket, limit: Limit, now: float) -> Bucket:
-    """Add what was earned since the last change."""
-    level = bucket.level + limit.rate_per_s * max(0.0, now - bucket.filled_at)
-    return dataclasses.replace(
-        bucket, level=min(limit.burst, level), filled_at=now
+    """Add what has come back since the last change."""
+    level = bucket.level + limit.refill_per_s * max(
+        0.0, now - bucket.filled_at
+    )
+    oldest = _step(now - limit.window_s)
+    kept = bucket.steps
+    recent = bucket.recent
+    while kept and kept[0][0] < oldest:
+        recent -= kept[0][1]
+        kept = kept[1:]
+    return Bucket(
+        min(limit.burst, level),
+        max(now, bucket.filled_at),
+        bucket.spent,
+        kept,
+        recent if kept else 0.0,
     )
 
 
+def available(bucket: Bucket, limit: Limit) -> float:
+    """Units that could be admitted now."""
+    return min(bucket.level, limit.most - bucket.recent)
+
+
 def take(
     bucket: Bucket, limit: Limit, units: float, now: float
 ) -> tuple[Bucket, float | None]:
@@ -95,60 +146,112 @@
         admitted.
     """
     bucket = filled(bucket, limit, now)
-    # A request larger than the bucket is admitted by a full one.
+    # A request larger than the burst is admitted by a full bucket.
     cost = limit.cost(units)
     needed = min(cost, limit.burst)
-    if bucket.level < needed:
-        return bucket, (needed - bucket.level) / max(limit.rate_per_s, 1e-9)
+    if available(bucket, limit) < needed:
+        return bucket, _wait_s(bucket, limit, needed, now)
     return (
-        dataclasses.replace(
-            bucket, level=bucket.level - cost, spent=bucket.spent + units
-        ),
+        dataclasses.replace(_used(bucket, cost), spent=bucket.spent + units),
         None,
     )
 
 
+def _used(bucket: Bucket, cost: float) -> Bucket:
+    """Count units as admitted at the time of the last change."""
+    step = _step(bucket.filled_at)
+    steps = bucket.steps
+    if steps and steps[-1][0] >= step:
+        steps = (*steps[:-1], (steps[-1][0], steps[-1][1] + cost))
+    else:
+        steps = (*steps, (step, cost))
+    return Bucket(
+        bucket.level - cost,
+        bucket.filled_at,
+        bucket.spent,
+        steps,
+        bucket.recent + cost,
+    )
+
+
+def _wait_s(bucket: Bucket, limit: Limit, needed: float, now: float) -> float:
+    """Seconds until so many units are available, if nothing else is sent."""
+    wait_s = max(0.0, needed - bucket.level) / max(limit.refill_per_s, 1e-9)
+    over = needed - (limit.most - bucket.recent)
+    for step, units in bucket.steps:
+        if over <= 0:
+            break
+        over -= units
+        wait_s = max(wait_s, (step + 1) * STEP_S + limit.window_s - now)
+    return wait_s
+
+
 def give_back(bucket: Bucket, limit: Limit, units: float) -> Bucket:
     """Undo `take` for a request that did not run."""
-    return dataclasses.replace(
-        bucket,
-        level=bucket.level + limit.cost(units),
-        spent=bucket.spent - units,
-    )
+    undone = _used(bucket, -limit.cost(units))
+    return dataclasses.replace(undone, spent=bucket.spent - units)
 
 
 def reported(
-    bucket: Bucket,
-    limit: Limit,
-    node: ids.NodeId,
-    started: int,
-    spent: float,
-    level: float,
+    bucket: Bucket, limit: Limit, news: float | None, level: float
 ) -> Bucket:
-    """Take in another node's total since its start.
+    """Take in another node's report; fill the bucket before.
 
-    The first report of a node can't be subtracted: its total may be from
-    before the start of this node. Its level is taken instead.
+    Parameters
+    ----------
+    news : float or None
+        Units that the node has admitted since its last report. None for its
+        first report, which can't be subtracted: its total may be from before
+        the start of this node. What it has left counts instead.
+    level : float
+        Units that are available at that node.
     """
-    key = (node, started)
-    before = bucket.seen_by_node.get(key)
-    others = {
-        other: total
-        for other, total in bucket.seen_by_node.items()
-        if other[0] != node
-    }
-    if before is not None:
-        new_level = bucket.level - limit.cost(spent - before)
-    elif len(others) < len(bucket.seen_by_node):
-        # The node has started again: all of its total is new.
-        new_level = bucket.level - limit.cost(spent)
-    elif not bucket.seen_by_node and not bucket.spent:
-        new_level = level
-    else:
-        new_level = min(bucket.level, level)
-    return dataclasses.replace(
-        bucket, level=new_level, seen_by_node=others | {key: spent}
-    )
+    if news is None:
+        return _used(bucket, max(0.0, available(bucket, limit) - level))
+    return _used(bucket, limit.cost(news))
+
+
+def _step(moment: float) -> int:
+    return int(moment // STEP_S)
+
+
+class SeenTotals:
+    """Totals of other nodes since their starts, by account.
+
+    Kept apart from the buckets: with many nodes, each report must cost the
+    same however many others there are.
+    """
+
+    def __init__(self) -> None:
+        self._by_node: dict[ids.NodeId, tuple[int, dict[str, float]]] = {}
+
+    def news(
+        self, node: ids.NodeId, started: int, totals: Mapping[str, float]
+    ) -> dict[str, float | None]:
+        """Return what a node has admitted since its last report.
+
+        Parameters
+        ----------
+        totals : mapping
+            Totals since its start; accounts without change may be left out.
+
+        Returns
+        -------
+        dict
+            Units by account; None where the node's total was not known
+            before. All of the total of a node that has started again is new.
+        """
+        known_start, known = self._by_node.get(node, (None, {}))
+        if known_start != started:
+            self._by_node[node] = (started, dict(totals))
+            return dict.fromkeys(totals) if known_start is None else {**totals}
+        news = {
+            account: total - known[account] if account in known else None
+            for account, total in totals.items()
+            if known.get(account) != total
+        }
+        known.update(totals)
+        return news
 
 
 def extra_burst(slack: float) -> float:
--- a/hornbeamrudder/gateway/records.py
+++ b/hornbeamrudder/gateway/records.py
@@ -263,6 +263,8 @@
         Port for messages between nodes, the same on all hosts.
     boot_path : str
         File that the settings came from.
+    link_mbps : float
+        Speed of the host's link in Mbit/s; 0 if unknown.
     """
 
     node: ids.NodeId
@@ -279,6 +281,7 @@
     row_bytes: int
     bounds: Bounds
     boot_path: str = ''
+    link_mbps: float = 0.0
 
 
 def urgency_by_service(
--- a/hornbeamrudder/gateway/server_book.py
+++ b/hornbeamrudder/gateway/server_book.py
@@ -2,14 +2,17 @@
 
 import collections
 import dataclasses
-from typing import Callable, Iterable, Iterator, Mapping
+import random
+from typing import Callable, Container, Iterable, Sequence
 
+from ..core import hashing
 from ..core import ids
 from . import health
 from . import http_client
 from . import messages
 from . import placing
 from . import records
+from . import reports
 
 # Prompt parts remembered for each backend server, the newest ones.
 MAX_PARTS = 2000
@@ -22,8 +25,10 @@
 MAX_IDLE_S = 1.0
 # Share of the stated keep-alive time during which a connection is used.
 KEEP_ALIVE_SHARE = 0.5
-# Reports of other nodes older than this no longer count.
+# Reports of other nodes older than this no longer count, or than this many
+# intervals of reports where these are longer.
 REPORT_AGE_S = 1.5
+REPORT_AGE_INTERVALS = 2.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,11 +51,13 @@
     """One backend server and what is known of it."""
 
     entry: records.BackendServer
+    id_hash: int
+    key: int
     condition: health.Health = health.Health()
     running: int = 0
     backlog_tokens: float = 0.0
     peer_running: int = 0
-    peer_backlog_tokens: float = 0.0
+    peer_backlog_tokens: int = 0
     cold_until: float = 0.0
     leaving_since: float | None = None
     leaves_at: float | None = None
@@ -111,19 +118,17 @@
         on_leaving: Callable[[ServerRecord], None],
     ) -> None:
         self.by_id: dict[ids.WorkerId, ServerRecord] = {}
+        self._by_service: dict[
+            ids.ServiceName, dict[ids.WorkerId, ServerRecord]
+        ] = collections.defaultdict(dict)
         self._data_centre = data_centre
         self._on_leaving = on_leaving
-        self._reports: dict[
-            ids.NodeId, tuple[float, Mapping[str, tuple[int, float]]]
-        ] = {}
+        self._by_key: dict[int, ServerRecord] = {}
+        self._reports: dict[ids.NodeId, tuple[float, reports.Load]] = {}
 
-    def of_service(self, service: ids.ServiceName) -> Iterator[ServerRecord]:
-        """Iterate over the backend servers of a service."""
-        return (
-            record
-            for record in self.by_id.values()
-            if record.entry.service == service
-        )
+    def of_service(self, service: ids.ServiceName) -> Iterable[ServerRecord]:
+        """Backend servers of a service."""
+        return self._by_service[service].values()
 
     def put(self, entry: records.BackendServer, now: float) -> None:
         """Take in a new or changed entry."""
@@ -137,9 +142,17 @@
             self._leave(record, now)
             record = None
         if record is None:
-            record = ServerRecord(entry)
-            self.by_id[entry.id] = record
-            self._apply_reports()
+            record = ServerRecord(
+                entry,
+                hashing.stable_hash(entry.id),
+                reports.server_key(entry.id),
+            )
+            self._apply_reports(record)
+            self._by_key[record.key] = record
+        elif record.entry.service != entry.service:
+            self._by_service[record.entry.service].pop(entry.id, None)
+        self.by_id[entry.id] = record
+        self._by_service[entry.service][entry.id] = record
         record.entry = entry
         record.missing_since = None
         record.cold_until = now + entry.cold_s
@@ -152,6 +165,8 @@
         """Take out a backend server whose entry is gone."""
         record = self.by_id.pop(server, None)
         if record is not None:
+            self._by_service[record.entry.service].pop(server, None)
+            self._by_key.pop(record.key, None)
             record.drop_idle()
             self._leave(record, now)
 
@@ -166,14 +181,17 @@
         service: records.BackendService,
         facts: messages.CallerFacts,
         need: placing.Need,
-        excluded: Iterable[ids.WorkerId],
-        chooser: Callable[
-            [list[placing.Candidate], placing.Need],
-            placing.Candidate | None,
-        ],
+        excluded: Container[ids.WorkerId],
+        rng: random.Random,
         now: float,
     ) -> Placement | None:
-        """Choose a backend server and count the request there."""
+        """Choose a backend server and count the request there.
+
+        Returns
+        -------
+        Placement or None
+            None where none has room now.
+        """
         usable = [
             record
             for record in self.of_service(service.name)
@@ -184,11 +202,41 @@
         usable = [
             record for record in usable if record.missing_since is None
         ] or usable
-        candidates = self._candidates(usable, service, facts, now)
-        chosen = chooser(candidates, need)
+        shared = facts.prompt_parts[:-1] if service.engine else ()
+        preferred = (
+            [
+                usable[position]
+                for position in placing.preferred(
+                    shared[-1].name, [record.id_hash for record in usable]
+                )
+            ]
+            if shared
+            else []
+        )
+        few = {
+            record.entry.id: record
+            for record in (*preferred, *placing.sample(usable, rng))
+        }
+        first = preferred[0] if preferred else None
+        chosen = placing.choose(
+            self._candidates(few.values(), first, facts, now), need, rng
+        )
+        if chosen is None and len(few) < len(usable):
+            chosen = placing.choose(
+                self._candidates(usable, first, facts, now), need, rng
+            )
         if chosen is None:
             return None
-        record = self.by_id[chosen.id]
+        return self._count(self.by_id[chosen.id], service, facts, chosen, now)
+
+    def _count(
+        self,
+        record: ServerRecord,
+        service: records.BackendService,
+        facts: messages.CallerFacts,
+        chosen: placing.Candidate,
+        now: float,
+    ) -> Placement:
         missing = (
             max(0, facts.prompt_tokens - chosen.cached_tokens)
             if service.engine
@@ -205,36 +253,28 @@
 
     def _candidates(
         self,
-        usable: list[ServerRecord],
-        service: records.BackendService,
+        usable: Iterable[ServerRecord],
+        preferred: ServerRecord | None,
         facts: messages.CallerFacts,
         now: float,
-    ) -> list[placing.Candidate]:
-        shared = facts.prompt_parts[:-1]
-        preferred = (
-            placing.preferred(
-                shared[-1].name, [item.entry.id for item in usable]
-            )
-            if shared and service.engine
-            else None
+    ) -> Sequence[placing.Candidate]:
+        preferred_tokens = int(
+            PREFERRED_SHARE
+            * sum(part.tokens for part in facts.prompt_parts[:-1])
         )
-        shared_tokens = sum(part.tokens for part in shared)
         return [
             placing.Candidate(
-                id=record.entry.id,
-                slots=record.entry.slots,
-                running=record.running + record.peer_running,
-                backlog_tokens=record.backlog_tokens
-                + record.peer_backlog_tokens,
-                cached_tokens=max(
+                record.entry.id,
+                record.entry.slots,
+                record.running + record.peer_running,
+                record.backlog_tokens + record.peer_backlog_tokens,
+                max(
                     _cached_tokens(record, facts),
-                    int(shared_tokens * PREFERRED_SHARE)
-                    if record.entry.id == preferred
-                    else 0,
+                    preferred_tokens if record is preferred else 0,
                 ),
-                same_data_centre=record.entry.data_centre == self._data_centre,
-                avoided=health.is_avoided(record.condition, now),
-                cold=now < record.cold_until,
+                record.entry.data_centre == self._data_centre,
+                health.is_avoided(record.condition, now),
+                now < record.cold_until,
             )
             for record in usable
         ]
@@ -266,42 +306,57 @@
 
     # Reports of other nodes
 
-    def own_report(self) -> dict[str, tuple[int, int]]:
+    def own_report(self) -> dict[int, tuple[int, int]]:
         """Requests and unread prompt tokens of this node, by server."""
         return {
-            server: (record.running, int(record.backlog_tokens))
-            for server, record in self.by_id.items()
+            record.key: (record.running, int(record.backlog_tokens))
+            for record in self.by_id.values()
             if record.running
         }
 
     def take_report(
-        self,
-        node: ids.NodeId,
-        report: Mapping[str, tuple[int, float]],
-        now: float,
+        self, node: ids.NodeId, report: reports.Load, now: float
     ) -> None:
         """Take in the report of another node."""
+        _, before = self._reports.get(node, (0.0, {}))
         self._reports[node] = (now, report)
-
-    def refresh_reports(self, now: float) -> None:
-        """Add up the reports and forget those of silent nodes."""
-        self._reports = {
-            node: (at, report)
-            for node, (at, report) in self._reports.items()
-            if now - at < REPORT_AGE_S
-        }
-        self._apply_reports()
-
-    def _apply_reports(self) -> None:
-        running: collections.Counter[str] = collections.Counter()
-        backlog: collections.Counter[str] = collections.Counter()
+        self._replace(before, report)
+
+    def forget_old_reports(self, now: float, interval_s: float) -> None:
+        """Forget the reports of nodes that are silent.
+
+        Parameters
+        ----------
+        interval_s : float
+            Time between two reports of a node.
+        """
+        limit_s = max(REPORT_AGE_S, REPORT_AGE_INTERVALS * interval_s)
+        for node, (at, report) in list(self._reports.items()):
+            if now - at >= limit_s:
+                del self._reports[node]
+                self._replace(report, {})
+
+    def forget_reports(self) -> None:
+        """Forget all reports, as other nodes will tell of the same load."""
+        self._reports.clear()
+        for record in self.by_id.values():
+            record.peer_running = 0
+            record.peer_backlog_tokens = 0
+
+    def _replace(self, before: reports.Load, after: reports.Load) -> None:
+        for report, sign in ((before, -1), (after, 1)):
+            for key, (running, backlog) in report.items():
+                record = self._by_key.get(key)
+                if record is not None:
+                    record.peer_running += sign * running
+                    record.peer_backlog_tokens += sign * backlog
+
+    def _apply_reports(self, record: ServerRecord) -> None:
+        """Add up what the reports say of a new record."""
         for _, report in self._reports.values():
-            for server, (count, tokens) in report.items():
-                running[server] += count
-                backlog[server] += int(tokens)
-        for server, record in self.by_id.items():
-            record.peer_running = running[server]
-            record.peer_backlog_tokens = backlog[server]
+            running, backlog = report.get(record.key, (0, 0))
+            record.peer_running += running
+            record.peer_backlog_tokens += backlog
 
 
 def _cached_tokens(record: ServerRecord, facts: messages.CallerFacts) -> int:
--- a/hornbeamrudder/gateway/table_relay.py
+++ b/hornbeamrudder/gateway/table_relay.py
@@ -1,43 +1,33 @@
 """Tables of the store passed on between nodes, where there are many nodes.
 
-A few nodes follow the store; the others ask them whether they are up to date
-and get changes from them. Answers the load of many nodes that would each wait
-for the same changes: calls to the store are priced and limited for all nodes
-together.
-
-A node asks with a time on its own clock and gets it back, so an answer that
-was delayed, or lay unread while the host was suspended, only counts for the
-time at which it was asked for.
+Only the hubs follow the store; the others learn from their digests whether
+they are up to date, and get changes from them. Answers the load of many nodes
+that would each wait for the same changes: calls to the store are priced and
+limited for all nodes together.
+
+A digest returns the time on a node's own clock at which the node has asked
+for it, so a digest that was delayed, or lay unread while the host was
+suspended, only counts for that time.
 """
 
 import dataclasses
-import enum
-import random
+import zlib
 from typing import Any, Callable, Iterable, Mapping, Sequence
 
 import msgpack
 
 from . import clock
-from ..core import hashing
 from ..core import ids
+from . import reports
 from . import watch
 
-FORMAT = 2
-# Nodes that follow the store themselves; one may be slow, one cut off.
-FOLLOWERS = 3
-# Followers that a node asks each time, for lost datagrams.
-ASKED = 2
-ASK_INTERVAL_S = 0.6
+CHANGES_FORMAT = 2
+# Hubs that pass on each change; the second one for lost datagrams.
+SENDERS = 2
 # Larger datagrams would be split by the network.
 MAX_DATAGRAM_BYTES = 1300
-
-
-class Kind(enum.IntEnum):
-    """Kind of a message between nodes."""
-
-    ASK = 0
-    ANSWER = 1
-    CHANGES = 2
+# Entries of servers resemble each other; speed matters more than size.
+COMPRESSION_LEVEL = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,24 +40,28 @@
     removed: bool
 
 
-def followers(nodes: Iterable[ids.NodeId]) -> list[ids.NodeId]:
-    """Nodes that follow the store, the same for all that hear the same."""
-    return sorted(
-        nodes, key=lambda node: hashing.stable_hash('follower', node)
-    )[:FOLLOWERS]
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """All changes of a table after one version up to another."""
+
+    table: str
+    before: int
+    after: int
+    recovered_s: float
+    rows: tuple[Row, ...]
 
 
 class TableRelay:
-    """Asks followers, answers askers, and passes changes on.
+    """Tells how far tables are known, and passes changes on.
 
     Parameters
     ----------
     send : callable
         Sends bytes to a node.
+    hubs : callable
+        Nodes that follow the store, in order; empty where all do.
     heard : callable
         Other nodes that are heard.
-    applies : callable
-        Whether there are so many nodes that tables are relayed.
     """
 
     def __init__(
@@ -75,17 +69,16 @@
         node: ids.NodeId,
         tables: Mapping[str, watch.TableWatch],
         send: Callable[[ids.NodeId, bytes], None],
+        hubs: Callable[[], Sequence[ids.NodeId]],
+        uses_hubs: Callable[[], bool],
         heard: Callable[[], Iterable[ids.NodeId]],
-        applies: Callable[[], bool],
-        rng: random.Random,
     ) -> None:
         self.node = node
         self._tables = tables
         self._send = send
+        self._hubs = hubs
+        self._uses_hubs = uses_hubs
         self._heard = heard
-        self._applies = applies
-        self._rng = rng
-        self._asked_at = 0.0
         for name, table in tables.items():
             table.on_changes = self._changed
             table.follows_store = self.follows_store
@@ -93,57 +86,15 @@
 
     def follows_store(self) -> bool:
         """Whether this node follows the store itself."""
-        return not self._applies() or self.node in self._followers()
-
-    def _followers(self) -> list[ids.NodeId]:
-        return followers({self.node, *self._heard()})
-
-    def ask(self) -> None:
-        """Ask followers about all tables; call often."""
-        now = clock.now()
-        if now - self._asked_at < ASK_INTERVAL_S or self.follows_store():
-            return
-        self._asked_at = now
-        others = self._followers()
-        for node in self._rng.sample(others, min(ASKED, len(others))):
-            self._send(node, _pack(Kind.ASK, self.node, now))
+        return not self._uses_hubs() or self.node in self._hubs()
 
-    def take(self, data: bytes) -> bool:
-        """Take in a datagram; returns whether it is one of these."""
-        try:
-            fields = msgpack.unpackb(data)
-            if fields[0] != FORMAT:
-                return False
-            self._take(Kind(fields[1]), fields[2:])
-        except (ValueError, TypeError, IndexError, KeyError):
-            return False
-        return True
-
-    def _take(self, kind: Kind, fields: Sequence[Any]) -> None:
-        match kind:
-            case Kind.ASK:
-                node, asked_at = fields
-                if self.follows_store():
-                    self._answer(ids.NodeId(node), asked_at)
-            case Kind.ANSWER:
-                asked_at, states = fields
-                for name, content_version, age_s, recovered_s in states:
-                    self._tables[name].take_answer(
-                        content_version, asked_at, age_s, recovered_s
-                    )
-            case Kind.CHANGES:
-                name, before, after, recovered_s, rows = fields
-                self._tables[name].take_changes(
-                    before,
-                    after,
-                    recovered_s,
-                    tuple(Row(*row) for row in rows),
-                )
-
-    def _answer(self, node: ids.NodeId, asked_at: float) -> None:
+    def states(self) -> tuple[reports.TableState, ...]:
+        """How far the tables are known that this node follows."""
+        if not self.follows_store():
+            return ()
         now = clock.now()
-        states = [
-            (
+        return tuple(
+            reports.TableState(
                 name,
                 table.content_version,
                 now - table.confirmed_at,
@@ -151,8 +102,35 @@
             )
             for name, table in self._tables.items()
             if table.version is not None and table.failing_since is None
-        ]
-        self._send(node, _pack(Kind.ANSWER, asked_at, states))
+        )
+
+    def take_states(
+        self, asked_at: float, states: Iterable[reports.TableState]
+    ) -> None:
+        """Take in how far a hub knows the tables."""
+        for state in states:
+            table = self._tables.get(state.table)
+            if table is not None:
+                table.take_answer(
+                    state.content_version,
+                    asked_at,
+                    state.age_s,
+                    state.recovered_s,
+                )
+
+    def take(self, fields: Any) -> bool:
+        """Take in a decoded datagram; returns whether it is a change."""
+        try:
+            if fields[0] != CHANGES_FORMAT:
+                return False
+            changes = _decode(fields)
+            table = self._tables[changes.table]
+        except (ValueError, TypeError, IndexError, KeyError, zlib.error):
+            return False
+        table.take_changes(
+            changes.before, changes.after, changes.recovered_s, changes.rows
+        )
+        return True
 
     def _changed(
         self,
@@ -162,25 +140,82 @@
         rows: Sequence[Any],
     ) -> None:
         """Pass changes on to the nodes that do not follow the store."""
-        if not self._applies() or not self.follows_store():
+        hubs = self._hubs()
+        if not self._uses_hubs() or self.node not in hubs[:SENDERS]:
             return
-        data = _pack(
-            Kind.CHANGES,
+        whole = Changes(
             table.table,
             before,
             after,
             table.recovered_s(),
-            [(row.key, row.value, row.version, row.removed) for row in rows],
+            tuple(
+                Row(row.key, row.value, row.version, row.removed)
+                for row in sorted(rows, key=lambda row: row.version)
+            ),
         )
-        if len(data) > MAX_DATAGRAM_BYTES:
-            # The others learn of it when they ask, and read the store.
-            return
-        following = self._followers()
+        parts = list(_split(whole))
         for node in self._heard():
-            if node not in following:
-                self._send(node, data)
+            if node not in hubs:
+                for data in parts:
+                    self._send(node, data)
+
 
+def _split(changes: Changes) -> Iterable[bytes]:
+    """Encode changes in datagrams; each goes on where the last one ended.
 
-def _pack(kind: Kind, *fields: Any) -> bytes:
-    packed: bytes = msgpack.packb([FORMAT, int(kind), *fields])
-    return packed
+    Rows of one transaction stay together. What doesn't fit is left out, and
+    all after it: nodes notice the gap and read the store themselves.
+    """
+    data = _encode(changes)
+    if len(data) <= MAX_DATAGRAM_BYTES:
+        yield data
+        return
+    versions = sorted({row.version for row in changes.rows})
+    if len(versions) < 2:
+        return
+    middle = versions[len(versions) // 2 - 1]
+    yield from _split(
+        dataclasses.replace(
+            changes,
+            after=middle,
+            rows=tuple(row for row in changes.rows if row.version <= middle),
+        )
+    )
+    yield from _split(
+        dataclasses.replace(
+            changes,
+            before=middle,
+            rows=tuple(row for row in changes.rows if row.version > middle),
+        )
+    )
+
+
+def _encode(changes: Changes) -> bytes:
+    packed = msgpack.packb(
+        [
+            (row.key, row.value, row.version, row.removed)
+            for row in changes.rows
+        ]
+    )
+    data: bytes = msgpack.packb(
+        [
+            CHANGES_FORMAT,
+            changes.table,
+            changes.before,
+            changes.after,
+            changes.recovered_s,
+            zlib.compress(packed, COMPRESSION_LEVEL),
+        ]
+    )
+    return data
+
+
+def _decode(fields: Sequence[Any]) -> Changes:
+    _, table, before, after, recovered_s, packed = fields
+    return Changes(
+        str(table),
+        int(before),
+        int(after),
+        float(recovered_s),
+        tuple(Row(*row) for row in msgpack.unpackb(zlib.decompress(packed))),
+    )
--- a/hornbeamrudder/gateway/waiting.py
+++ b/hornbeamrudder/gateway/waiting.py
@@ -33,6 +33,9 @@
         Gets the result of `place`, or None at the refusal.
     place : callable
         Reserves a backend server; None where none has room.
+    kind : RouteName or None
+        Requests of one kind have room at the same servers, so that one
+        without room stands for all. None where that isn't so.
     """
 
     rank: int
@@ -41,6 +44,7 @@
     gives_up_at: float
     place: Callable[[], object | None]
     placed: asyncio.Future[object | None]
+    kind: records.RouteName | None = None
 
 
 def make_ticket(
@@ -50,6 +54,7 @@
     deadline: float,
     place: Callable[[], object | None],
     placed: asyncio.Future[object | None],
+    kind: records.RouteName | None = None,
 ) -> Ticket:
     """Make the ticket of a request from its route's times."""
     late_at = arrived_at + LATE_SHARE * route.target_s
@@ -63,6 +68,7 @@
         ),
         place=place,
         placed=placed,
+        kind=kind,
     )
 
 
@@ -95,6 +101,8 @@
     def serve(self, now: float) -> None:
         """Place all requests for which there is room, in order.
 
+        With a long line, each kind of request is tried until it has no room.
+
         A request without room does not hold up others: smaller ones, or
         those of a rank with more room, may still be placed.
         """
@@ -121,12 +129,15 @@
         self, entries: list[tuple[int, float, int, Ticket]]
     ) -> list[tuple[int, float, int, Ticket]]:
         left = []
+        without_room = set()
         while entries:
             entry = heapq.heappop(entries)
             ticket = entry[-1]
-            place = ticket.place()
+            place = None if ticket.kind in without_room else ticket.place()
             if place is None:
                 left.append(entry)
+                if ticket.kind is not None:
+                    without_room.add(ticket.kind)
             else:
                 ticket.placed.set_result(place)
         heapq.heapify(left)
--- a/hornbeamrudder/gateway/watch.py
+++ b/hornbeamrudder/gateway/watch.py
@@ -20,8 +20,9 @@
 OUTAGE_MEMORY_S = 3.0
 # A node that does not follow the store itself reads it once no other node has
 # confirmed a table for this long.
-RELAYED_S = 1.7
-RELAYED_LOOK_S = 0.05
+RELAYED_S = 2.2
+# How often a node that does not follow the store looks whether it has to.
+RELAYED_LOOK_S = 0.2
 
 
 class Source(Protocol):
--- a/hornbeamrudder/platform/settings.py
+++ b/hornbeamrudder/platform/settings.py
@@ -77,6 +77,7 @@
         row_bytes=int(fields['platform'].get('rowBytes') or 65536),
         bounds=_decode_bounds(fields.get('bounds') or {}),
         boot_path=path,
+        link_mbps=float((fields.get('limits') or {}).get('linkMbps') or 0.0),
     )
 
 
