--- a/hornbeamrudder/gateway/features/node_network.py
+++ b/hornbeamrudder/gateway/features/node_network.py
@@ -9,6 +9,7 @@
 from hornbeamrudder.core import types
 from hornbeamrudder.gateway import clock
 from hornbeamrudder.gateway import exchange
+from hornbeamrudder.gateway.features import quiet_log
 from hornbeamrudder.gateway import measures
 from hornbeamrudder.gateway import messages
 from hornbeamrudder.gateway import node_state
@@ -19,7 +20,6 @@
 from hornbeamrudder.gateway import server_book
 from hornbeamrudder.gateway import table_relay
 from hornbeamrudder.gateway import usage
-from hornbeamrudder.gateway.features import quiet_log
 
 STEP_S = 0.02
 DELAY_S = 0.002
--- a/hornbeamrudder/gateway/features/steps/decision_steps.py
+++ b/hornbeamrudder/gateway/features/steps/decision_steps.py
@@ -12,12 +12,12 @@
 from hornbeamrudder.core import types
 from hornbeamrudder.gateway import clock
 from hornbeamrudder.gateway import events
+from hornbeamrudder.gateway.features import pause_load
 from hornbeamrudder.gateway.features import term_simulation
 from hornbeamrudder.gateway import fleet_policy
 from hornbeamrudder.gateway import health
 from hornbeamrudder.gateway import hubs
 from hornbeamrudder.gateway import messages
-from hornbeamrudder.gateway.features import pause_load
 from hornbeamrudder.gateway import peers
 from hornbeamrudder.gateway import placing
 from hornbeamrudder.gateway import quota
@@ -758,7 +758,7 @@
     'at most half as many streams have too long a pause as without regard to'
     ' pauses'
 )
-def check_pauses(context):
+def check_long_pauses(context):
     shares = [
         sum(late for _, late in runs) / sum(count for count, _ in runs)
         for runs in (context.with_rule, context.without)
--- a/hornbeamrudder/gateway/features/steps/exchange_steps.py
+++ b/hornbeamrudder/gateway/features/steps/exchange_steps.py
@@ -2,9 +2,9 @@
 
 import behave
 
+from hornbeamrudder.gateway.features import node_network
 from hornbeamrudder.gateway import hubs
 from hornbeamrudder.gateway import quota
-from hornbeamrudder.gateway.features import node_network
 
 # A report and a digest, each lost twice in a row.
 KNOWN_WITHIN_S = 2.4
@@ -93,8 +93,8 @@
     for number, node in nodes.items():
         bucket = node.state.bucket_by_account[node_network.ACCOUNT.id]
         # What was admitted before leaves the window meanwhile.
-        limit = node.state.limit(node_network.ACCOUNT)
         with network.clock():
+            limit = node.state.limit(node_network.ACCOUNT)
             aged = quota.filled(bucket, limit, network.now)
         counted = sum(
             units
