--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: help setup format lint types features deploy test proofs bench capacity demo
+.PHONY: help setup format lint types features deploy test proofs bench capacity demo soak
 
 help:
 	@echo 'make test      formatter, linter, types and behaviour tests'
@@ -10,6 +10,7 @@
 	@echo 'make demo      the whole system on this machine, under a minute'
 	@echo 'make bench     policy measurements'
 	@echo 'make capacity  slopes for docs/CAPACITY.md'
+	@echo 'make soak      real nodes under random faults; SOAK="--seeds 50"'
 
 setup: $(VENV)/ready
 
@@ -45,5 +46,11 @@
 bench: setup
 	$(BIN)/python -m hornbeamrudder.cli bench examples/scenarios/*.yaml --out results
 
+# Options of the soak, such as --seed, --seeds, --minutes and --fault.
+SOAK ?= --seeds 1
+
+soak: setup
+	$(BIN)/python -m hornbeamrudder.soak $(SOAK)
+
 capacity: setup
 	$(BIN)/python -m hornbeamrudder.cli capacity
--- a/hornbeamrudder/gateway/exchange.py
+++ b/hornbeamrudder/gateway/exchange.py
@@ -49,6 +49,9 @@
         self._duty_number = duty_number
         self._on_holder = on_holder
         self._admitted = digests.AdmittedUnits()
+        self._seen = quota.SeenTotals()
+        # What hubs have said since the hub in use has said something.
+        self._untaken_by_hub: dict[ids.NodeId, dict[str, float | None]] = {}
         self._changed_at: dict[str, tuple[float, float]] = {}
         self._sent_at = float('-inf')
         self._round = 0
@@ -85,12 +88,13 @@
             self._source = hub
 
     def _take_report(self, report: reports.Report) -> None:
-        direct = self._source is None
-        news = self._state.take_reported_units(
-            report.node, report.started, report.units_by_account, direct
+        news = self._seen.news(
+            report.node, report.started, _spent(report.units_by_account)
         )
         self._admitted.count(report.node, news, clock.now())
-        if direct:
+        if self._source is None:
+            self._untaken_by_hub.clear()
+            self._state.take_admitted(news, report.units_by_account)
             self._state.book.take_report(
                 report.node, report.load_by_server, clock.now()
             )
@@ -98,17 +102,31 @@
             self._on_holder()
 
     def _take_load(self, digest: reports.LoadDigest) -> None:
-        chosen = digest.hub == self._source
-        self._state.take_reported_units(
+        news = self._seen.news(
             ids.NodeId(f'hub {digest.hub}'),
             digest.started,
+            _spent(digest.units_by_account),
+        )
+        untaken = self._untaken_by_hub.pop(digest.hub, {})
+        for account, units in news.items():
+            untaken[account] = _sum(untaken.get(account, 0.0), units)
+        if digest.hub != self._source:
+            # Another hub may have told of this already; it counts only if
+            # this one is used before the other has said more.
+            self._untaken_by_hub[digest.hub] = untaken
+            return
+        self._untaken_by_hub.clear()
+        self._state.take_admitted(
+            {
+                account: units
+                for account, units in untaken.items()
+                if account in digest.units_by_account
+            },
             digest.units_by_account,
-            chosen,
         )
-        if chosen:
-            self._state.book.take_report(
-                ALL_OTHERS, digest.load_by_server, clock.now()
-            )
+        self._state.book.take_report(
+            ALL_OTHERS, digest.load_by_server, clock.now()
+        )
 
     # Sending
 
@@ -239,7 +257,7 @@
             account = accounts.get(ids.AccountId(name))
             if account is not None and account.rate_per_s:
                 limit = state.limit(account)
-                levels[name] = quota.available(
+                levels[name] = quota.known_left(
                     quota.filled(state.bucket(account), limit, now), limit
                 )
         return levels
@@ -260,3 +278,12 @@
                 level,
             )
         return units
+
+
+def _spent(units: reports.Units) -> dict[str, float]:
+    return {name: spent for name, (spent, _) in units.items()}
+
+
+def _sum(one: float | None, other: float | None) -> float | None:
+    """Add up news; unknown with unknown stays so."""
+    return None if one is None or other is None else one + other
--- a/hornbeamrudder/gateway/features/exchange.feature
+++ b/hornbeamrudder/gateway/features/exchange.feature
@@ -25,3 +25,11 @@
     When the trouble is "half of the nodes lose the first hub"
     And each node starts requests and admits units
     Then each node hears at least 95 in 100 of the nodes
+
+  Scenario: Accounts are served soon after all nodes have started again
+    # Guards against what a node admitted while it heard nobody yet counting
+    # as many times more for the whole window after (a trouble day that ends
+    # with a loss of power: a fifth of the requests refused to the end).
+    Given 40 nodes that report to each other
+    When all nodes start again while an account sends 0.6 times its limit
+    Then none of its requests is refused later than 1.5 seconds after
--- a/hornbeamrudder/gateway/features/path.feature
+++ b/hornbeamrudder/gateway/features/path.feature
@@ -156,3 +156,9 @@
   Scenario: Metrics and readiness are served
     When the metrics and the readiness of the node are read
     Then the metrics count the requests and the node is ready
+
+  Scenario: A settings file that changes without a signal is taken in
+    # Guards against a node that goes on with bounds and addresses that the
+    # platform has replaced.
+    When the settings file of a running node changes its bounds and its ports
+    Then the bounds are in force, and the ports are named as left for a restart
--- a/hornbeamrudder/gateway/features/steps/decision_steps.py
+++ b/hornbeamrudder/gateway/features/steps/decision_steps.py
@@ -113,7 +113,7 @@
                             quota.filled(peer.bucket, limit, now),
                             limit,
                             news['a'],
-                            quota.available(node.bucket, limit),
+                            quota.known_left(node.bucket, limit),
                         )
         if now < 0:
             continue
--- a/hornbeamrudder/gateway/features/steps/exchange_steps.py
+++ b/hornbeamrudder/gateway/features/steps/exchange_steps.py
@@ -55,16 +55,12 @@
     context.sent_before = {
         number: node.sent for number, node in network.node_by_number.items()
     }
+    context.started_at = network.now
     with network.clock():
         for number, node in network.node_by_number.items():
             for _ in range(number % 4):
                 assert node.place() is not None
             node.state.take_units(node_network.ACCOUNT, 100.0)
-    network.run(node_network.STEP_S)
-    context.levels = {
-        number: node.state.bucket_by_account[node_network.ACCOUNT.id].recent
-        for number, node in network.node_by_number.items()
-    }
     network.run(KNOWN_WITHIN_S)
 
 
@@ -89,7 +85,7 @@
 def check_units(context):
     network = context.network
     nodes = network.node_by_number
-    expected = 100.0 * (len(nodes) - 1)
+    expected = 100.0 * len(nodes)
     for number, node in nodes.items():
         bucket = node.state.bucket_by_account[node_network.ACCOUNT.id]
         # What was admitted before leaves the window meanwhile.
@@ -97,16 +93,11 @@
             limit = node.state.limit(node_network.ACCOUNT)
             aged = quota.filled(bucket, limit, network.now)
         counted = sum(
-            units
-            for step, units in aged.steps
-            if step * quota.STEP_S > network.now - KNOWN_WITHIN_S - 0.3
-        )
-        share = limit.cost(1.0)
-        assert abs(counted - (expected + 100.0) * share) <= 110.0 * share, (
-            number,
-            counted,
-            expected,
+            step.units
+            for step in aged.steps
+            if step.number * quota.STEP_S > context.started_at - quota.STEP_S
         )
+        assert counted == expected, (number, counted, expected)
 
 
 @behave.then('each node but the hubs sends at most {most:d} messages a second')
@@ -142,3 +133,45 @@
             heard = node.state.peers.heard_share()
             # The hub that is cut off hears the others only through the rest.
             assert heard >= share / 100, (number, heard)
+
+
+@behave.when(
+    'all nodes start again while an account sends {times:g} times its limit'
+)
+def restart_all(context, times):
+    network = context.network
+    rate = times * node_network.ACCOUNT.rate_per_s
+    context.refused = []
+    owed = 0.0
+
+    def send():
+        nonlocal owed
+        owed += rate * node_network.STEP_S
+        while owed > 0:
+            units = network.rng.uniform(1000.0, 8000.0)
+            owed -= units
+            node = network.rng.choice(list(network.node_by_number.values()))
+            wait_s = node.state.take_units(node_network.ACCOUNT, units)
+            if wait_s is not None:
+                context.refused.append((network.now, wait_s))
+
+    network.run(9.0, send)
+    assert not context.refused, context.refused
+    for number in list(network.node_by_number):
+        network.restart(number)
+    context.started_at = network.now
+    network.run(10.0, send)
+
+
+@behave.then(
+    'none of its requests is refused later than {seconds:g} seconds after'
+)
+def check_served_again(context, seconds):
+    late = [
+        (at - context.started_at, wait_s)
+        for at, wait_s in context.refused
+        if at > context.started_at + seconds
+    ]
+    assert not late, (len(late), late[:5])
+    # While the others are not heard, clients are told to come back soon.
+    assert all(wait_s <= 1.0 for _, wait_s in context.refused)
--- a/hornbeamrudder/gateway/features/steps/path_steps.py
+++ b/hornbeamrudder/gateway/features/steps/path_steps.py
@@ -1,16 +1,21 @@
 """Steps for the request path, with a node between stand-ins."""
 
 import asyncio
+import dataclasses
 import os
+import pathlib
 import signal
+import tempfile
 import time
 
 import behave
+import yaml
 
 from hornbeamrudder.core import errors
 from hornbeamrudder.gateway.features import trial
 from hornbeamrudder.gateway import records
 from hornbeamrudder.platform import names
+from hornbeamrudder.standins import platform_caller
 from hornbeamrudder.standins import platform_server
 
 Behaviour = platform_server.Behaviour
@@ -108,7 +113,7 @@
             server.behaviours = [Behaviour(kind)] * count
         got = []
         for _ in range(count):
-            request_id = trial.new_id()
+            request_id = platform_caller.new_id()
             got.append(
                 (
                     request_id,
@@ -201,8 +206,8 @@
     'folded header': _HEAD + b'X: 1\r\n folded: 2\r\n\r\n',
     'head over the limit': _HEAD + b'X: ' + b'a' * 5000 + b'\r\n\r\n',
     'body over the limit': _HEAD + b'Content-Length: 70000\r\n\r\n',
-    'unknown route': trial.request_bytes('/nowhere/x'),
-    'unknown key': trial.request_bytes('/book/x', key='stolen'),
+    'unknown route': platform_caller.request_bytes('/nowhere/x'),
+    'unknown key': platform_caller.request_bytes('/book/x', key='stolen'),
     'half a head': _HEAD,
 }
 
@@ -212,7 +217,7 @@
     async def scenario(running):
         reader, writer = await running.open()
         writer.write(_INPUT_BY_NAME[name])
-        return await trial.read_answer(reader), running.runs()
+        return await platform_caller.read_answer(reader), running.runs()
 
     context.answer, context.runs = trial.play(scenario)
 
@@ -236,7 +241,7 @@
                 b'3\r\nab%d\r\n2\r\ncd\r\n0\r\nX-Trailer: 1\r\n\r\n'
                 % (number, number, number)
             )
-        answers = [await trial.read_answer(reader) for _ in range(3)]
+        answers = [await platform_caller.read_answer(reader) for _ in range(3)]
         return answers, running.runs()
 
     context.answers, context.runs = trial.play(scenario, plain=1)
@@ -269,7 +274,7 @@
             if not streamed:
                 server.behaviours = [Behaviour.HANG]
         reader, writer = await running.open()
-        writer.write(trial.request_bytes('/chat/x'))
+        writer.write(platform_caller.request_bytes('/chat/x'))
         if streamed:
             await reader.readuntil(b'data')
         else:
@@ -501,7 +506,7 @@
         ):
             reader, writer = await asyncio.open_connection(trial.IP, port)
             writer.write(b'GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n')
-            texts.append(await trial.read_answer(reader))
+            texts.append(await platform_caller.read_answer(reader))
         return texts
 
     context.metrics, context.readiness = trial.play(scenario)
@@ -540,3 +545,56 @@
     assert context.answer.whole, context.answer
     assert context.answer.body == _whole_stream()
     assert len(context.runs) == count, context.runs
+
+
+def _boot_file(settings, revoke_ms, front_port):
+    return yaml.safe_dump(
+        {
+            'node': settings.node,
+            'ip': settings.ip,
+            'zone': settings.data_centre,
+            'listen': {
+                'front': f'{settings.ip}:{front_port}',
+                'readiness': str(settings.readiness),
+            },
+            'internalPorts': [settings.peer_port, settings.metrics_port],
+            'bounds': {'revokeMs': revoke_ms},
+            'platform': {'address': str(settings.store)},
+            'cloudApi': {'address': str(settings.cloud)},
+        }
+    )
+
+
+@behave.when(
+    'the settings file of a running node changes its bounds and its ports'
+)
+def change_settings(context):
+    async def scenario(running):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'boot.yaml'
+            settings = running.settings
+            path.write_text(_boot_file(settings, 5000, settings.front.port))
+            running.node.settings = dataclasses.replace(
+                settings, boot_path=str(path)
+            )
+            await asyncio.sleep(1.3)
+            path.write_text(_boot_file(settings, 9000, 1))
+            await asyncio.sleep(1.3)
+            return running.node.state.settings, running.log.lines
+
+    context.settings, context.lines = trial.play(scenario)
+
+
+@behave.then(
+    'the bounds are in force, and the ports are named as left for a restart'
+)
+def check_settings(context):
+    assert context.settings.bounds.revoke_s == 9.0
+    assert context.settings.front.port != 1
+    fields = [
+        fields
+        for event, fields in context.lines
+        if event == 'settings are read again'
+    ][-1]
+    assert fields['changed'] == ['bounds'], fields
+    assert fields['after_restart'] == ['front'], fields
--- a/hornbeamrudder/gateway/features/trial.py
+++ b/hornbeamrudder/gateway/features/trial.py
@@ -1,8 +1,6 @@
 """A node in this process, between stand-ins of the platform."""
 
 import asyncio
-import dataclasses
-import itertools
 import socket
 import time
 from typing import Any
@@ -12,6 +10,7 @@
 from hornbeamrudder.gateway import node
 from hornbeamrudder.gateway import records
 from hornbeamrudder.platform import names
+from hornbeamrudder.standins import platform_caller
 from hornbeamrudder.standins import platform_cloud
 from hornbeamrudder.standins import platform_server
 from hornbeamrudder.standins import row_store
@@ -20,7 +19,6 @@
 ENGINE = 'engines'
 PLAIN = 'plain'
 READY_TIMEOUT_S = 8.0
-_numbers = itertools.count(1)
 
 
 def free_port(kind=socket.SOCK_STREAM):
@@ -43,25 +41,6 @@
     warning = error = info
 
 
-@dataclasses.dataclass
-class Answer:
-    """What a client got.
-
-    Attributes
-    ----------
-    status : int
-        0 where the connection ended without an answer.
-    whole : bool
-        Whether the answer was complete by its framing.
-    """
-
-    status: int
-    headers: dict
-    body: bytes
-    whole: bool
-    took_s: float
-
-
 class Trial:
     """Stand-ins and one node; use as an asynchronous context."""
 
@@ -159,76 +138,13 @@
         own = connection is None
         reader, writer = connection or await self.open()
         started = time.monotonic()
-        writer.write(request_bytes(path, **options))
-        answer = await read_answer(reader, started)
+        writer.write(platform_caller.request_bytes(path, **options))
+        answer = await platform_caller.read_answer(reader, started)
         if own:
             writer.close()
         return answer
 
 
-def request_bytes(
-    path,
-    method='POST',
-    request_id=None,
-    key='key-north',
-    remaining_ms=3000,
-    body=b'',
-    headers=(),
-):
-    """Bytes of one request, as a client of the platform sends it."""
-    lines = [
-        f'{method} {path} HTTP/1.1',
-        'Host: shop.example',
-        f'X-Hornbeamrudder-Request-Id: {request_id or new_id()}',
-        f'X-Hornbeamrudder-Deadline-Remaining: {remaining_ms}',
-        f'Content-Length: {len(body)}',
-        *headers,
-    ]
-    if key:
-        lines.append(f'Authorization: Bearer {key}')
-    return '\r\n'.join([*lines, '', '']).encode() + body
-
-
-def new_id():
-    """A request id that was not used yet."""
-    return f'{next(_numbers):016x}'
-
-
-async def read_answer(reader, started=0.0):
-    """Read one answer by its framing."""
-
-    def ended(status, headers, body, whole):
-        return Answer(status, headers, body, whole, time.monotonic() - started)
-
-    try:
-        head = await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 8)
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return ended(0, {}, b'', False)
-    lines = head.decode('latin-1').split('\r\n')
-    status = int(lines[0].split()[1])
-    headers = {
-        name.lower(): value.strip()
-        for name, _, value in (line.partition(':') for line in lines[1:])
-        if name
-    }
-    body = b''
-    try:
-        if headers.get('transfer-encoding') == 'chunked':
-            while True:
-                size = int(await reader.readuntil(b'\r\n'), 16)
-                part = await reader.readexactly(size + 2)
-                if not size:
-                    return ended(status, headers, body, True)
-                body += part[:-2]
-        body = await reader.readexactly(
-            int(headers.get('content-length') or 0)
-        )
-    except (asyncio.IncompleteReadError, ConnectionError) as error:
-        body += getattr(error, 'partial', b'')
-        return ended(status, headers, body, False)
-    return ended(status, headers, body, True)
-
-
 def play(scenario, **options) -> Any:
     """Run one scenario in a fresh trial."""
 
--- a/hornbeamrudder/gateway/json_calls.py
+++ b/hornbeamrudder/gateway/json_calls.py
@@ -101,6 +101,12 @@
         self.drop_idle()
         return self._failure(kind, detail, types.Outcome.UNKNOWN)
 
+    def set_address(self, address: types.Address) -> None:
+        """Make further calls to another address."""
+        if address != self.address:
+            self.address = address
+            self.drop_idle()
+
     def drop_idle(self) -> None:
         """Close the kept connections."""
         for connection in self._idle:
--- a/hornbeamrudder/gateway/node.py
+++ b/hornbeamrudder/gateway/node.py
@@ -1,6 +1,8 @@
 """A node: starts its parts, keeps them going, and stops in good order."""
 
 import asyncio
+import dataclasses
+import os
 import random
 import signal
 from typing import Any
@@ -34,6 +36,17 @@
 # against the bounds on applying it and on revoked keys.
 CONFIGURATION_POLL_S = 0.9
 HOUSEKEEPING_S = 0.1
+# How often the settings file is looked at for changes without a signal.
+SETTINGS_LOOK_S = 1.0
+FIXED_SETTINGS = (
+    'node',
+    'ip',
+    'data_centre',
+    'front',
+    'readiness',
+    'peer_port',
+    'metrics_port',
+)
 # Part of a usage window after which its counts are also written early.
 EARLY_WRITE_SHARE = 0.5
 # A node is not ready while its configuration is older than this share of
@@ -59,7 +72,11 @@
         self._platform = platform
         self._log = log
         self._store = platform.Store(settings.store)
-        cloud = platform.CloudApi(settings.cloud) if settings.cloud else None
+        self._cloud = cloud = (
+            platform.CloudApi(settings.cloud) if settings.cloud else None
+        )
+        self._settings_look_at = 0.0
+        self._settings_stamp = _file_stamp(settings.boot_path)
         bounds = settings.bounds
         started = int(clock.wall() * 1e3)
         self.state = node_state.NodeState(
@@ -261,13 +278,50 @@
             self.state.confirmed_at = max(self.state.confirmed_at, sent_at)
 
     def _reload(self) -> None:
+        """Take in the settings file, as far as a running node can."""
         loaded = self._platform.load_settings(self.settings.boot_path)
         if isinstance(loaded, errors.Failure):
             self._log.error('settings are malformed', failure=str(loaded))
             return
+        before = self.settings
+        # What this process listens on, and its name, last as long as it does.
+        applied = dataclasses.replace(
+            loaded,
+            **{name: getattr(before, name) for name in FIXED_SETTINGS},
+        )
         self._log.info(
-            'settings are read again', changed=loaded != self.settings
+            'settings are read again',
+            changed=[
+                field.name
+                for field in dataclasses.fields(loaded)
+                if getattr(applied, field.name) != getattr(before, field.name)
+            ],
+            after_restart=[
+                name
+                for name in FIXED_SETTINGS
+                if getattr(loaded, name) != getattr(before, name)
+            ],
         )
+        self.settings = self.state.settings = applied
+        self.state.repeats.set_budget(
+            applied.bounds.retry_ratio,
+            applied.bounds.retry_window_s,
+            applied.bounds.retry_slack,
+        )
+        self._store.caller.set_address(applied.store)
+        if self._cloud is not None and applied.cloud is not None:
+            self._cloud.caller.set_address(applied.cloud)
+
+    def _look_at_settings(self) -> None:
+        """Read the settings again where the file has changed unannounced."""
+        now = clock.now()
+        if not self.settings.boot_path or now < self._settings_look_at:
+            return
+        self._settings_look_at = now + SETTINGS_LOOK_S
+        stamp = _file_stamp(self.settings.boot_path)
+        if stamp != self._settings_stamp:
+            self._settings_stamp = stamp
+            self._reload()
 
     # Servers and nodes
 
@@ -311,6 +365,7 @@
                 self._server_table.recovered_at,
                 self._server_table.failing_since is not None,
             )
+            self._look_at_settings()
             if self._exchange.step():
                 self.forwarder.pump_all()
             if not self._registered and not state.stopping:
@@ -445,3 +500,13 @@
             ((b'Content-Type', b'text/plain; version=0.0.4'),),
             self.state.measures.render(),
         )
+
+
+def _file_stamp(path: str) -> tuple[int, int] | None:
+    """Time of change and size of a file; None where it can't be looked at."""
+    try:
+        found = os.stat(path)
+    except OSError:
+        # Being replaced; the next look finds it.
+        return None
+    return found.st_mtime_ns, found.st_size
--- a/hornbeamrudder/gateway/node_state.py
+++ b/hornbeamrudder/gateway/node_state.py
@@ -57,9 +57,6 @@
     bucket_by_account: dict[ids.AccountId, quota.Bucket] = dataclasses.field(
         default_factory=dict
     )
-    seen_totals: quota.SeenTotals = dataclasses.field(
-        default_factory=quota.SeenTotals
-    )
     line_by_service: dict[ids.ServiceName, waiting.Line] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(waiting.Line)
     )
@@ -125,33 +122,22 @@
                 found, self.limit(account), units
             )
 
-    def take_reported_units(
+    def take_admitted(
         self,
-        node: ids.NodeId,
-        started: int,
+        news: Mapping[str, float | None],
         units_by_account: Mapping[str, tuple[float, float]],
-        applies: bool,
-    ) -> dict[str, float | None]:
-        """Take in what another node has admitted, and its levels.
+    ) -> None:
+        """Take what other nodes have admitted out of the buckets.
 
         Parameters
         ----------
-        applies : bool
-            Whether it is taken out of the buckets; otherwise only the totals
-            are kept, for when it does.
-
-        Returns
-        -------
-        dict
-            What is new, by account.
+        news : mapping
+            Units by account, as `quota.reported` gets them.
+        units_by_account : mapping
+            The report that it comes from.
         """
-        news = self.seen_totals.news(
-            node,
-            started,
-            {name: spent for name, (spent, _) in units_by_account.items()},
-        )
-        if self.configuration is None or not applies:
-            return news
+        if self.configuration is None:
+            return
         now = clock.now()
         for name, units in news.items():
             account = self.configuration.accounts_by_id.get(
@@ -166,7 +152,6 @@
                 units,
                 units_by_account[name][1],
             )
-        return news
 
     def learn_speed(
         self, service: ids.ServiceName, tokens_per_ms: float
--- a/hornbeamrudder/gateway/peers.py
+++ b/hornbeamrudder/gateway/peers.py
@@ -28,7 +28,7 @@
 # must soon leave them their part.
 FRESH_REPORTS = 2.5
 # Digests missed before those of another hub are used, and before no hub's are.
-LATE_DIGESTS = 2
+LATE_DIGESTS = 3
 MISSED_DIGESTS = 5
 # Each request asks which nodes are heard; the answer is kept for this long.
 LOOK_INTERVAL_S = 0.05
--- a/hornbeamrudder/gateway/quota.py
+++ b/hornbeamrudder/gateway/quota.py
@@ -4,10 +4,10 @@
 Each node keeps the whole limit and subtracts what the other nodes report, so
 an account may send all its requests through one node. A node that does not
 hear others leaves them their part of the limit: they may be serving, cut off
-from this node alone. To it, each request costs as many times more as it hears
-fewer nodes, so the level stays comparable. Answers the load of accounts that
-send many times their limit, with uneven shares of connections, and nodes that
-start again while others go on.
+from this node alone. For as long as it does not hear them, what it admits
+counts as many times more as it hears fewer nodes. Answers the load of
+accounts that send many times their limit, with uneven shares of connections,
+and nodes that start again while others go on.
 
 Two bounds hold together. The window admits the burst again in each window,
 not only after a pause. The bucket bounds what is admitted at once, so that
@@ -16,7 +16,7 @@
 """
 
 import dataclasses
-from typing import Mapping
+from typing import Mapping, NamedTuple
 
 from ..core import ids
 
@@ -25,6 +25,28 @@
 EXTRA_BURST_SHARE = 0.25
 # Admitted units are remembered in steps of this length.
 STEP_S = 0.25
+# The bucket holds about this much of an account's use; the window holds more.
+BUCKET_S = 1.0
+# When a client may come back to a node that does not hear the others yet.
+UNHEARD_RETRY_S = 0.4
+
+
+class Step(NamedTuple):
+    """Units that were admitted in one step of time.
+
+    Attributes
+    ----------
+    number : int
+        Steps of `STEP_S` since the start of the clock.
+    units : float
+        Of all nodes, as far as they were heard.
+    alone : float
+        The part that was counted while some nodes were not heard.
+    """
+
+    number: int
+    units: float
+    alone: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,17 +62,18 @@
         Time of the last change, in seconds.
     spent : float
         Units that this node has admitted since its start.
-    steps : tuple of (int, float)
-        Units that all nodes have admitted, by step of time, oldest first.
-    recent : float
-        Their sum.
+    steps : tuple of Step
+        Units that all nodes have admitted, oldest first.
+    recent, alone : float
+        Their sums.
     """
 
     level: float
     filled_at: float
     spent: float = 0.0
-    steps: tuple[tuple[int, float], ...] = ()
+    steps: tuple[Step, ...] = ()
     recent: float = 0.0
+    alone: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,9 +99,10 @@
     extra: float = 0.0
     window_s: float = 8.0
 
-    def cost(self, units: float) -> float:
-        """What a request of this node takes from the limit."""
-        return units / max(self.heard_share, 1e-3)
+    @property
+    def unheard(self) -> float:
+        """Nodes that are not heard, for each one that is."""
+        return 1.0 / max(self.heard_share, 1e-3) - 1.0
 
     @property
     def most(self) -> float:
@@ -103,7 +127,7 @@
         limit.burst - limit.extra,
         now,
         steps=tuple(
-            (step, each) for step in range(last - count + 1, last + 1)
+            Step(number, each) for number in range(last - count + 1, last + 1)
         ),
         recent=each * count,
     )
@@ -116,9 +140,10 @@
     )
     oldest = _step(now - limit.window_s)
     kept = bucket.steps
-    recent = bucket.recent
-    while kept and kept[0][0] < oldest:
-        recent -= kept[0][1]
+    recent, alone = bucket.recent, bucket.alone
+    while kept and kept[0].number < oldest:
+        recent -= kept[0].units
+        alone -= kept[0].alone
         kept = kept[1:]
     return Bucket(
         min(limit.burst, level),
@@ -126,14 +151,29 @@
         bucket.spent,
         kept,
         recent if kept else 0.0,
+        alone if kept else 0.0,
     )
 
 
-def available(bucket: Bucket, limit: Limit) -> float:
-    """Units that could be admitted now."""
+def known_left(bucket: Bucket, limit: Limit) -> float:
+    """Units that are left by what is known, whoever is not heard."""
     return min(bucket.level, limit.most - bucket.recent)
 
 
+def available(bucket: Bucket, limit: Limit) -> float:
+    """Units that the nodes that are heard could admit now."""
+    if not limit.unheard or not bucket.alone:
+        return known_left(bucket, limit)
+    first_step = _step(bucket.filled_at - BUCKET_S)
+    lately = sum(
+        step.alone for step in bucket.steps if step.number >= first_step
+    )
+    return min(
+        bucket.level - lately * limit.unheard,
+        limit.most - bucket.recent - bucket.alone * limit.unheard,
+    )
+
+
 def take(
     bucket: Bucket, limit: Limit, units: float, now: float
 ) -> tuple[Bucket, float | None]:
@@ -147,30 +187,44 @@
     """
     bucket = filled(bucket, limit, now)
     # A request larger than the burst is admitted by a full bucket.
-    cost = limit.cost(units)
-    needed = min(cost, limit.burst)
-    if available(bucket, limit) < needed:
+    needed = min(units, limit.burst)
+    # The nodes that are not heard may admit as much at this moment.
+    others = min(units, limit.most) * limit.unheard
+    left = available(bucket, limit)
+    if left < needed or (
+        others and limit.most - bucket.recent - others < needed
+    ):
+        if limit.unheard:
+            return bucket, UNHEARD_RETRY_S
         return bucket, _wait_s(bucket, limit, needed, now)
     return (
-        dataclasses.replace(_used(bucket, cost), spent=bucket.spent + units),
+        dataclasses.replace(
+            _used(bucket, limit, units), spent=bucket.spent + units
+        ),
         None,
     )
 
 
-def _used(bucket: Bucket, cost: float) -> Bucket:
+def _used(bucket: Bucket, limit: Limit, units: float) -> Bucket:
     """Count units as admitted at the time of the last change."""
-    step = _step(bucket.filled_at)
+    number = _step(bucket.filled_at)
+    alone = units if limit.unheard else 0.0
     steps = bucket.steps
-    if steps and steps[-1][0] >= step:
-        steps = (*steps[:-1], (steps[-1][0], steps[-1][1] + cost))
+    if steps and steps[-1].number >= number:
+        last = steps[-1]
+        steps = (
+            *steps[:-1],
+            Step(last.number, last.units + units, last.alone + alone),
+        )
     else:
-        steps = (*steps, (step, cost))
+        steps = (*steps, Step(number, units, alone))
     return Bucket(
-        bucket.level - cost,
+        bucket.level - units,
         bucket.filled_at,
         bucket.spent,
         steps,
-        bucket.recent + cost,
+        bucket.recent + units,
+        bucket.alone + alone,
     )
 
 
@@ -178,17 +232,17 @@
     """Seconds until so many units are available, if nothing else is sent."""
     wait_s = max(0.0, needed - bucket.level) / max(limit.refill_per_s, 1e-9)
     over = needed - (limit.most - bucket.recent)
-    for step, units in bucket.steps:
+    for step in bucket.steps:
         if over <= 0:
             break
-        over -= units
-        wait_s = max(wait_s, (step + 1) * STEP_S + limit.window_s - now)
+        over -= step.units
+        wait_s = max(wait_s, (step.number + 1) * STEP_S + limit.window_s - now)
     return wait_s
 
 
 def give_back(bucket: Bucket, limit: Limit, units: float) -> Bucket:
     """Undo `take` for a request that did not run."""
-    undone = _used(bucket, -limit.cost(units))
+    undone = _used(bucket, limit, -units)
     return dataclasses.replace(undone, spent=bucket.spent - units)
 
 
@@ -204,11 +258,13 @@
         first report, which can't be subtracted: its total may be from before
         the start of this node. What it has left counts instead.
     level : float
-        Units that are available at that node.
+        Units that are available by what that node knows.
     """
     if news is None:
-        return _used(bucket, max(0.0, available(bucket, limit) - level))
-    return _used(bucket, limit.cost(news))
+        return _used(
+            bucket, limit, max(0.0, known_left(bucket, limit) - level)
+        )
+    return _used(bucket, limit, news)
 
 
 def _step(moment: float) -> int:
--- a/hornbeamrudder/gateway/repeats.py
+++ b/hornbeamrudder/gateway/repeats.py
@@ -37,6 +37,12 @@
             collections.defaultdict(Window)
         )
 
+    def set_budget(self, ratio: float, window_s: float, slack: float) -> None:
+        """Change the budget; what was sent before counts on."""
+        self._ratio = ratio
+        self._window_s = window_s
+        self._slack = slack
+
     def count_first(self, service: ids.ServiceName, now: float) -> None:
         """Count the first send of a request."""
         self._window_by_service[service].first.append(now)
--- /dev/null
+++ b/hornbeamrudder/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real node processes under faults from outside."""
--- /dev/null
+++ b/hornbeamrudder/soak/checks.py
@@ -0,0 +1,210 @@
+"""Promises, checked from what was seen outside the nodes; pure."""
+
+import collections
+import itertools
+from typing import Iterable, Iterator, Mapping, Sequence
+
+from . import observed
+from . import plan
+
+# Bounds of the users; the deployment of the soak sets the same ones.
+REVOKE_S = 5.0
+DRAIN_S = 2.0
+CONTACT_S = 3.0
+# Calls that arrive right after their sender was paused or its link healed may
+# be old ones.
+THAW_SLACK_S = 0.5
+GRACE_S = 8.0
+NOT_RUN = frozenset({408, 421, 429, 503})
+OutcomeById = Mapping[str, observed.Outcome]
+RunsById = Mapping[str, Sequence[observed.Run]]
+REPEATABLE = frozenset({'look', 'plan'})
+ACCOUNT_BY_KEY_START = {'key-north': 'north', 'key-south': 'south'}
+EVENTS = 6
+WHOLE_STREAM = b''.join(
+    b'id: %d\ndata: piece %d\n\n' % (number, number)
+    for number in range(1, EVENTS + 1)
+)
+
+
+def problems(seen: observed.Observed) -> list[str]:
+    """Return a line for each broken promise."""
+    outcome_by_id = {item.request_id: item for item in seen.outcomes}
+    runs_by_id: dict[str, list[observed.Run]] = collections.defaultdict(list)
+    for run in seen.runs:
+        runs_by_id[run.request_id].append(run)
+    return [
+        *_twice(outcome_by_id, runs_by_id),
+        *_refused(outcome_by_id, runs_by_id),
+        *_answers(seen.outcomes),
+        *_unasked(outcome_by_id, seen.runs),
+        *_revoked(outcome_by_id, seen),
+        *_draining(outcome_by_id, seen),
+        *_stopped(seen),
+        *_duties(seen),
+        *(
+            f'node {node} does not serve {route} after the faults'
+            for node, route, served in seen.served_after
+            if not served
+        ),
+        *seen.exits,
+    ]
+
+
+def _twice(outcome_by_id: OutcomeById, runs_by_id: RunsById) -> Iterator[str]:
+    for request_id, runs in runs_by_id.items():
+        outcome = outcome_by_id.get(request_id)
+        ran = [run for run in runs if run.ran]
+        if outcome and outcome.route not in REPEATABLE and len(ran) > 1:
+            servers = [run.server for run in ran]
+            yield f'{outcome.route} {request_id} ran at {servers}'
+
+
+def _refused(
+    outcome_by_id: OutcomeById, runs_by_id: RunsById
+) -> Iterator[str]:
+    for request_id, outcome in outcome_by_id.items():
+        ran = [run for run in runs_by_id.get(request_id, ()) if run.ran]
+        if (
+            outcome.status in NOT_RUN
+            and ran
+            and outcome.route not in REPEATABLE
+        ):
+            yield (
+                f'{outcome.route} {request_id} got {outcome.status} and ran'
+                f' at {ran[0].server}'
+            )
+
+
+def _answers(outcomes: Iterable[observed.Outcome]) -> Iterator[str]:
+    for item in outcomes:
+        if item.status and item.echoed_id not in ('', item.request_id):
+            yield f'{item.request_id} got the answer of {item.echoed_id}'
+        if item.status != 200 or item.left:
+            continue
+        if item.route in ('plan', 'chat'):
+            good = (
+                item.body == WHOLE_STREAM
+                if item.whole
+                else WHOLE_STREAM.startswith(item.body)
+            )
+        else:
+            good = not item.whole or item.body.startswith(b'answer of ')
+        if not good:
+            yield f'{item.route} {item.request_id} got {item.body!r}'
+
+
+def _unasked(
+    outcome_by_id: OutcomeById, runs: Iterable[observed.Run]
+) -> Iterator[str]:
+    for run in runs:
+        outcome = outcome_by_id.get(run.request_id)
+        if outcome is None:
+            yield f'{run.server} ran {run.request_id}, which nobody sent'
+            continue
+        account = ACCOUNT_BY_KEY_START[outcome.key[:9]]
+        if run.account != account or run.carries_key:
+            yield f'{run.request_id} ran for account {run.account!r}'
+        if run.ran and run.expected_server != run.server:
+            yield f'{run.request_id} ran at {run.server} by its address'
+
+
+def _revoked(
+    outcome_by_id: OutcomeById, seen: observed.Observed
+) -> Iterator[str]:
+    at_by_key = dict(seen.revoked_at)
+    for run in seen.runs:
+        outcome = outcome_by_id.get(run.request_id)
+        if outcome is None or not run.ran:
+            continue
+        at = at_by_key.get(outcome.key)
+        if at is not None and outcome.sent_at > at + REVOKE_S:
+            yield (
+                f'{run.request_id} ran {outcome.sent_at - at:.2f} s after its'
+                ' key was taken away'
+            )
+
+
+def _troubled(
+    seen: observed.Observed, node: int, begun: float, ended: float
+) -> bool:
+    """Whether a fault that excuses a node touches a time."""
+    return any(
+        span.node in (None, node)
+        and span.begun < ended
+        and span.ended > begun - CONTACT_S
+        for span in seen.spans
+        if span.what != plan.Kind.TERMINATE.value
+    )
+
+
+def _draining(
+    outcome_by_id: OutcomeById, seen: observed.Observed
+) -> Iterator[str]:
+    at_by_server = {item.server: item.at for item in seen.leavings}
+    for run in seen.runs:
+        at = at_by_server.get(run.server)
+        outcome = outcome_by_id.get(run.request_id)
+        if at is None or outcome is None or not run.ran:
+            continue
+        late = run.at - at
+        if late > DRAIN_S and not _troubled(seen, outcome.node, at, run.at):
+            yield (
+                f'{run.request_id} reached {run.server} {late:.2f} s after'
+                ' its leaving'
+            )
+
+
+def _stopped(seen: observed.Observed) -> Iterator[str]:
+    """Requests that a stop in good order has cut off."""
+    stops = [
+        span for span in seen.spans if span.what == plan.Kind.TERMINATE.value
+    ]
+    for item in seen.outcomes:
+        for stop in stops:
+            if (
+                stop.node == item.node
+                and stop.begun - 2.0 < item.sent_at < stop.begun - 0.05
+                and item.ended_at > stop.begun
+                and item.status == 0
+                and not item.left
+                and not _troubled(seen, item.node, item.sent_at, item.ended_at)
+            ):
+                yield (
+                    f'{item.route} {item.request_id} was cut off'
+                    f' {item.ended_at - stop.begun:.2f} s after the stop of'
+                    f' node {item.node}'
+                )
+
+
+def _duties(seen: observed.Observed) -> Iterator[str]:
+    counts_by_window: dict[object, object] = {}
+    holder_by_number: dict[int, str] = {}
+    highest = 0
+    for call in seen.duty_calls:
+        holder = holder_by_number.setdefault(call.number, call.holder)
+        if holder != call.holder:
+            yield f'{holder} and {call.holder} act with number {call.number}'
+        if call.number < highest and not any(
+            span.begun < call.at < span.ended + THAW_SLACK_S
+            for span in seen.spans
+        ):
+            yield f'number {call.number} after {highest} by {call.holder}'
+        highest = max(highest, call.number)
+        if call.path != '/usage' or not isinstance(call.body, dict):
+            continue
+        window, counts = call.body['window'], call.body['counts']
+        if counts_by_window.setdefault(window, counts) != counts:
+            yield f'window {window} has two reports'
+
+
+def summary(seen: observed.Observed) -> dict[str, int]:
+    """Count requests by route and status."""
+    ordered = sorted(
+        (item.route, 'left' if item.left else str(item.status))
+        for item in seen.outcomes
+    )
+    return {
+        f'{route} {status}': len(list(group))
+        for (route, status), group in itertools.groupby(ordered)
+    }
--- /dev/null
+++ b/hornbeamrudder/soak/features/steps/soak_steps.py
@@ -0,0 +1,127 @@
+"""Steps for the soak."""
+
+import dataclasses
+import itertools
+import pathlib
+import tempfile
+
+import behave
+
+from hornbeamrudder.soak import __main__ as soak_main
+from hornbeamrudder.soak import checks
+from hornbeamrudder.soak import observed
+from hornbeamrudder.soak import plan
+
+
+@behave.when('a soak of {seconds:d} seconds is run with seed {seed:d}')
+def run_soak(context, seconds, seed):
+    with tempfile.TemporaryDirectory() as folder:
+        context.report = soak_main.play(
+            plan.make_plan(seed, seconds), pathlib.Path(folder)
+        )
+
+
+@behave.then('no promise was broken and all kinds of requests were served')
+def check_soak(context):
+    assert not context.report['problems'], context.report
+    for route in ('plan', 'chat', 'book', 'look'):
+        assert context.report['requests'].get(f'{route} 200'), context.report
+
+
+_OUTCOME = observed.Outcome(
+    'r1',
+    'chat',
+    'key-north',
+    0,
+    10.0,
+    10.5,
+    200,
+    True,
+    checks.WHOLE_STREAM,
+    'r1',
+)
+_RUN = observed.Run('r1', 'e1', 10.1, True, 'north', 'e1', False)
+_CALL = observed.DutyCall('/usage', 'n1', 2, {'window': 1, 'counts': {}}, 9.0)
+
+
+def _seen(change):
+    outcome, runs, calls = _OUTCOME, (_RUN,), (_CALL,)
+    spans, leavings, revoked = (), (), ()
+    match change:
+        case 'it runs twice':
+            runs = (
+                _RUN,
+                dataclasses.replace(_RUN, server='e2', expected_server='e2'),
+            )
+        case 'it is refused':
+            outcome = dataclasses.replace(outcome, status=503)
+        case "the answer is another's":
+            outcome = dataclasses.replace(outcome, echoed_id='r2')
+        case 'the answer is cut':
+            outcome = dataclasses.replace(outcome, body=outcome.body[:-9])
+        case 'nobody sent it':
+            runs = (dataclasses.replace(_RUN, request_id='r9'),)
+        case 'another account':
+            runs = (dataclasses.replace(_RUN, account='south'),)
+        case 'the key is passed on':
+            runs = (dataclasses.replace(_RUN, carries_key=True),)
+        case 'the key was taken away':
+            revoked = (('key-north', 4.0),)
+        case 'the server has left':
+            leavings = (observed.Leaving('e1', 8.0),)
+        case 'the node was stopped':
+            outcome = dataclasses.replace(
+                outcome, status=0, whole=False, body=b''
+            )
+            spans = (observed.Span(plan.Kind.TERMINATE.value, 10.2, 12.0, 0),)
+        case 'two reports of one window':
+            calls += (
+                dataclasses.replace(
+                    _CALL, body={'window': 1, 'counts': {'north': 1}}
+                ),
+            )
+        case 'two holders of one number':
+            calls += (dataclasses.replace(_CALL, holder='n2'),)
+        case 'a lower number':
+            calls += (dataclasses.replace(_CALL, number=1, holder='n0'),)
+    return observed.Observed(
+        (outcome,), runs, calls, spans, leavings, revoked, (), ()
+    )
+
+
+@behave.when('a caller\'s request and its run are changed by "{change}"')
+def change_seen(context, change):
+    context.problems = checks.problems(_seen(change))
+
+
+@behave.then('the checks report "{problem}"')
+def check_problems(context, problem):
+    if problem == 'nothing':
+        assert not context.problems, context.problems
+    else:
+        assert any(problem in line for line in context.problems), (
+            context.problems
+        )
+
+
+@behave.when('plans are made for {count:d} seeds twice')
+def make_plans(context, count):
+    context.plans = [
+        [plan.make_plan(seed, 15.0) for seed in range(count)] for _ in range(2)
+    ]
+
+
+@behave.then(
+    'they are equal by seed, differ between seeds and hold each kind of fault'
+)
+def check_plans(context):
+    first, second = context.plans
+    assert first == second
+    assert len({item.faults for item in first}) == len(first)
+    kinds = {
+        fault.kind
+        for fault in itertools.chain.from_iterable(
+            item.faults for item in first
+        )
+    }
+    assert kinds == set(plan.Kind), set(plan.Kind) - kinds
--- a/hornbeamrudder/standins/platform_cloud.py
+++ b/hornbeamrudder/standins/platform_cloud.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import time
 from typing import Any
 
 import orjson
@@ -17,6 +18,7 @@
     holder: str
     number: int
     body: Any
+    at: float = dataclasses.field(default_factory=time.monotonic)
 
 
 class PlatformCloud:
--- a/hornbeamrudder/standins/platform_server.py
+++ b/hornbeamrudder/standins/platform_server.py
@@ -5,6 +5,7 @@
 import enum
 import socket
 import struct
+import time
 from typing import Any
 
 
@@ -43,6 +44,7 @@
     body: bytes
     ran: bool = True
     stopped_early: bool = False
+    at: float = dataclasses.field(default_factory=time.monotonic)
 
 
 class PlatformServer:
