--- a/hornbeamrudder/gateway/features/steps/path_steps.py
+++ b/hornbeamrudder/gateway/features/steps/path_steps.py
@@ -598,8 +598,8 @@
         for event, fields in context.lines
         if event == 'settings are read again'
     ][-1]
-    assert fields['changed'] == ['bounds'], fields
-    assert fields['after_restart'] == ['front'], fields
+    assert fields['changed'] == ('bounds',), fields
+    assert fields['after_restart'] == ('front',), fields
 
 
 # Tells how the signal is handled when the first module of the node is looked
--- a/hornbeamrudder/gateway/node.py
+++ b/hornbeamrudder/gateway/node.py
@@ -1,16 +1,12 @@
 """A node: starts its parts, keeps them going, and stops in good order."""
 
 import asyncio
-import dataclasses
-import os
 import random
 import signal
 from typing import Any
 
 from . import clock
 from ..core import errors
-from ..core import ids
-from ..core import types
 from . import duties
 from . import exchange
 from . import forward
@@ -20,13 +16,14 @@
 from . import node_state
 from . import peers
 from . import records
+from . import registration
 from . import repeats
 from . import server_book
+from . import settings_file
 from . import table_relay
 from . import usage
 from . import watch
 
-NODE_TABLE = 'nodes'
 # Time for which the store keeps a feed call open while nothing changes. A
 # feed on a connection that has gone silent is noticed after this time, which
 # must stay below the bound on requests to leaving backend servers.
@@ -38,15 +35,6 @@
 HOUSEKEEPING_S = 0.1
 # How often the settings file is looked at for changes without a signal.
 SETTINGS_LOOK_S = 1.0
-FIXED_SETTINGS = (
-    'node',
-    'ip',
-    'data_centre',
-    'front',
-    'readiness',
-    'peer_port',
-    'metrics_port',
-)
 # Part of a usage window after which its counts are also written early.
 EARLY_WRITE_SHARE = 0.5
 # A node is not ready while its configuration is older than this share of
@@ -58,8 +46,6 @@
 # Time kept at the end of the grace time for closing down.
 STOP_RESERVE_S = 0.7
 LISTEN_BACKLOG = 512
-# Entry of a node that was not heard for this long is removed.
-NODE_GONE_S = 12.0
 
 
 class Node:
@@ -76,7 +62,7 @@
             platform.CloudApi(settings.cloud) if settings.cloud else None
         )
         self._settings_look_at = 0.0
-        self._settings_stamp = _file_stamp(settings.boot_path)
+        self._settings_stamp = settings_file.stamp(settings.boot_path)
         bounds = settings.bounds
         started = int(clock.wall() * 1e3)
         self.state = node_state.NodeState(
@@ -120,8 +106,15 @@
             self._confirm,
             CONFIGURATION_POLL_S,
         )
+        self._registration = registration.Registration(
+            self.state, self._store, platform
+        )
         self._node_table = watch.TableWatch(
-            self._store, NODE_TABLE, NODE_FEED_WAIT_S, log, self._take_nodes
+            self._store,
+            registration.TABLE,
+            NODE_FEED_WAIT_S,
+            log,
+            self._registration.take_rows,
         )
         self._relay = table_relay.TableRelay(
             settings.node,
@@ -146,13 +139,6 @@
         )
         self.state.peers.on_message = self._exchange.take
         self.state.peers.other = self._relay.take
-        self._registered = False
-        self._own_entry = peers.KnownNode(
-            types.Address(settings.ip, settings.peer_port),
-            settings.link_mbps,
-        )
-        self._started_at = clock.now()
-        self._sweep_at = 0.0
         self._written_at = 0.0
         self._usage_write: asyncio.Task[None] | None = None
         self._stopped: asyncio.Event | None = None
@@ -195,6 +181,7 @@
                 self._server_table.run(),
                 self._node_table.run(),
                 self.duties.run(),
+                self._registration.run(lambda: bool(self.duties.number)),
                 self._keep_house(),
             )
         ]
@@ -237,10 +224,7 @@
             if clock.now() > begun + STOP_ACCEPT_S:
                 self.server.close_idle()
         await self._write_usage()
-        await self._store.write(
-            (self._platform.Remove(NODE_TABLE, self.settings.node),),
-            timeout_s=0.3,
-        )
+        await self._registration.leave()
 
     # Configuration
 
@@ -283,26 +267,13 @@
         if isinstance(loaded, errors.Failure):
             self._log.error('settings are malformed', failure=str(loaded))
             return
-        before = self.settings
-        # What this process listens on, and its name, last as long as it does.
-        applied = dataclasses.replace(
-            loaded,
-            **{name: getattr(before, name) for name in FIXED_SETTINGS},
-        )
+        change = settings_file.change(self.settings, loaded)
         self._log.info(
             'settings are read again',
-            changed=[
-                field.name
-                for field in dataclasses.fields(loaded)
-                if getattr(applied, field.name) != getattr(before, field.name)
-            ],
-            after_restart=[
-                name
-                for name in FIXED_SETTINGS
-                if getattr(loaded, name) != getattr(before, name)
-            ],
+            changed=change.changed,
+            after_restart=change.after_restart,
         )
-        self.settings = self.state.settings = applied
+        applied = self.settings = self.state.settings = change.settings
         self.state.repeats.set_budget(
             applied.bounds.retry_ratio,
             applied.bounds.retry_window_s,
@@ -318,7 +289,7 @@
         if not self.settings.boot_path or now < self._settings_look_at:
             return
         self._settings_look_at = now + SETTINGS_LOOK_S
-        stamp = _file_stamp(self.settings.boot_path)
+        stamp = settings_file.stamp(self.settings.boot_path)
         if stamp != self._settings_stamp:
             self._settings_stamp = stamp
             self._reload()
@@ -338,29 +309,11 @@
         )
         self.mover.leaving(record)
 
-    def _take_nodes(self, rows: tuple[Any, ...], snapshot: bool) -> None:
-        known = {} if snapshot else dict(self.state.peers.known_by_id)
-        for row in rows:
-            node = ids.NodeId(row.key)
-            if row.removed:
-                known.pop(node, None)
-            elif isinstance(row.value, dict):
-                known[node] = peers.KnownNode(
-                    types.Address(
-                        str(row.value.get('ip')),
-                        int(row.value.get('port') or 0),
-                    ),
-                    float(row.value.get('link_mbps') or 0.0),
-                )
-        self._registered = known.get(self.settings.node) == self._own_entry
-        self.state.peers.set_known(known)
-
     # Housekeeping
 
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
-            state = self.state
             self._servers.drop_missing(
                 self._server_table.recovered_at,
                 self._server_table.failing_since is not None,
@@ -368,58 +321,8 @@
             self._look_at_settings()
             if self._exchange.step():
                 self.forwarder.pump_all()
-            if not self._registered and not state.stopping:
-                await self._register()
-            await self._remove_gone_nodes()
             self._flush_usage()
 
-    async def _remove_gone_nodes(self) -> None:
-        """Remove the entries of nodes that are gone for good.
-
-        A node that was only cut off registers again when it sees this.
-        """
-        now = clock.now()
-        if not self.duties.number or now < self._sweep_at:
-            return
-        self._sweep_at = now + NODE_GONE_S / 4
-        gone = [
-            node
-            for node in self.state.peers.known_by_id
-            if node != self.settings.node
-            and self.state.peers.silent_for(node) > NODE_GONE_S
-        ]
-        if not gone or now - self._started_at < NODE_GONE_S:
-            return
-        self._log.info('nodes are gone', nodes=gone)
-        await self._store.write(
-            tuple(self._platform.Remove(NODE_TABLE, node) for node in gone),
-            timeout_s=0.5,
-        )
-
-    async def _register(self) -> None:
-        written = await self._store.write(
-            (
-                self._platform.Put(
-                    NODE_TABLE,
-                    self.settings.node,
-                    {
-                        'ip': self.settings.ip,
-                        'port': self.settings.peer_port,
-                        'started': self.state.started,
-                        'link_mbps': self.settings.link_mbps,
-                    },
-                ),
-            ),
-            timeout_s=0.5,
-        )
-        if isinstance(written, errors.Failure):
-            return
-        self._registered = True
-        state = self.state
-        state.peers.set_known(
-            state.peers.known_by_id | {self.settings.node: self._own_entry}
-        )
-
     def _flush_usage(self) -> None:
         if self._usage_write is not None and not self._usage_write.done():
             return
@@ -500,13 +403,3 @@
             ((b'Content-Type', b'text/plain; version=0.0.4'),),
             self.state.measures.render(),
         )
-
-
-def _file_stamp(path: str) -> tuple[int, int] | None:
-    """Time of change and size of a file; None where it can't be looked at."""
-    try:
-        found = os.stat(path)
-    except OSError:
-        # Being replaced; the next look finds it.
-        return None
-    return found.st_mtime_ns, found.st_size
