--- /dev/null
+++ b/hornbeamrudder/gateway/features/steps/relay_steps.py
@@ -0,0 +1,246 @@
+"""Steps for tables of the store, followed or relayed."""
+
+import asyncio
+import random
+from unittest import mock
+
+import behave
+import msgpack
+
+from hornbeamrudder.core import ids
+from hornbeamrudder.core import types
+from hornbeamrudder.gateway import clock
+from hornbeamrudder.gateway.features import quiet_log
+from hornbeamrudder.gateway import messages
+from hornbeamrudder.gateway import placing
+from hornbeamrudder.gateway import records
+from hornbeamrudder.gateway import server_book
+from hornbeamrudder.gateway import table_relay
+from hornbeamrudder.gateway import watch
+from hornbeamrudder.platform import store
+
+
+class _Row:
+    def __init__(self, key, version, removed=False):
+        self.key, self.version, self.removed = key, version, removed
+        self.value = {}
+
+
+@behave.when('entries lapse while the store fails this node')
+def lapse(context):
+    book = server_book.ServerBook(ids.DataCentreName('a'), lambda record: None)
+
+    def decode(key, _):
+        return records.BackendServer(
+            ids.WorkerId(key),
+            records.StartedMs(1),
+            ids.ServiceName('s'),
+            types.Address('127.0.0.1', 1),
+            ids.DataCentreName('a'),
+            6,
+            records.ServerState.READY,
+        )
+
+    watched = watch.ServerWatch(
+        book, decode, lambda: True, quiet_log.QuietLog()
+    )
+    watched.take_rows((_Row('left', 1), _Row('stays', 2)), True)
+    service = records.BackendService(ids.ServiceName('s'), 100)
+
+    def used():
+        found = set()
+        for seed in range(20):
+            placement = book.reserve(
+                service,
+                messages.CallerFacts(None),
+                placing.Need(slot_share=100.0),
+                (),
+                random.Random(seed),
+                0.0,
+            )
+            found.add(placement.record.entry.id)
+            book.release(placement)
+        return found
+
+    context.before = used()
+    watched.take_rows((_Row('left', 3, True),), False)
+    context.one_left = used()
+    watched.take_rows((_Row('stays', 4, True),), False)
+    context.none_left = used()
+    for record in book.by_id.values():
+        record.missing_since -= 10
+    watched.drop_missing(float('-inf'), False)
+    context.after = set(book.by_id)
+
+
+@behave.then(
+    'servers with an entry are used first and the others until their time is'
+    ' over'
+)
+def check_lapse(context):
+    assert context.before == {'left', 'stays'}, context.before
+    assert context.one_left == {'stays'}, ('one left', context.one_left)
+    assert context.none_left == {'left', 'stays'}, context.none_left
+    assert context.after == set(), ('after', context.after)
+
+
+class _NoSource:
+    """A store that notes whether it is read."""
+
+    def __init__(self, rows=()):
+        self.reads = 0
+        self._rows = rows
+
+    async def read_all(self, table):
+        """Read a table."""
+        self.reads += 1
+        return store.Rows(self._rows, 15, 0.0, 5.0, 5.0)
+
+    async def changes(self, table, after, wait_s):
+        """Wait for changes."""
+        self.reads += 1
+        return store.Rows((), after, 0.0, 5.0, 5.0)
+
+
+_HUBS = [ids.NodeId(f'n{number}') for number in range(3)]
+
+
+def _relayed_node(name, tables, sent):
+    return table_relay.TableRelay(
+        ids.NodeId(name),
+        tables,
+        lambda node, data: sent.append((node, data)),
+        lambda: _HUBS,
+        lambda: True,
+        lambda: [ids.NodeId(f'n{number}') for number in range(12)],
+    )
+
+
+def _table(source, confirmed):
+    return watch.TableWatch(
+        source,
+        't',
+        0.0,
+        quiet_log.QuietLog(),
+        lambda rows, snapshot: None,
+        confirmed.append,
+    )
+
+
+@behave.given(
+    'a node that does not follow the store and has a table up to version'
+    ' {version:d}'
+)
+def relayed_table(context, version):
+    context.follower_name = _HUBS[0]
+    name = 'n7'
+    context.confirmed, context.sent = [], []
+    context.source = _NoSource()
+    context.watched = _table(context.source, context.confirmed)
+    context.relay = _relayed_node(name, {'t': context.watched}, context.sent)
+    context.watched.version = version
+    context.watched.content_version = version
+    context.now = 5.2
+    assert not context.relay.follows_store()
+
+
+def _follower(context, version, age_s):
+    """A follower whose table was confirmed `age_s` before now."""
+    table = _table(_NoSource(), [])
+    sent = []
+    relay = _relayed_node(context.follower_name, {'t': table}, sent)
+    table.version = table.content_version = version
+    return table, relay, sent, age_s
+
+
+def _exchange(context, asked_at, version, answered_at):
+    table, relay, sent, age_s = _follower(context, version, 0.2)
+    table.confirmed_at = answered_at - age_s
+    with mock.patch.object(clock, 'now', lambda: answered_at):
+        states = relay.states()
+    with mock.patch.object(clock, 'now', lambda: context.now):
+        context.relay.take_states(asked_at, states)
+
+
+@behave.when(
+    'a follower answers a question of {asked:g} with version {version:d}'
+)
+def answer_question(context, asked, version):
+    _exchange(context, asked, version, asked + 0.1)
+
+
+@behave.when('an answer to a question of {asked:g} is read at {read:g}')
+def late_answer(context, asked, read):
+    context.now = read
+    _exchange(context, asked, 9, asked + 0.1)
+
+
+@behave.when('changes from {before:d} to {after:d} come')
+def relay_changes(context, before, after):
+    table, relay, sent, _ = _follower(context, before, 0.0)
+    relay._changed(table, before, after, [_Row('left', after, True)])
+    data = next(data for node, data in sent if node == context.relay.node)
+    # A table that was confirmed just before goes on being so.
+    context.watched.confirmed_at = context.now
+    context.watched._answered_at = context.now
+    context.relay.take(msgpack.unpackb(data))
+
+
+@behave.when('nobody answers')
+def no_answer(context):
+    context.watched.confirmed_at = context.now - 2.0
+
+
+@behave.when('a follower has read the whole table at version {version:d}')
+def whole_table(context, version):
+    table, relay, sent, _ = _follower(context, 10, 0.0)
+    table.version = None
+    asyncio.run(table._step())
+    assert table.version == version
+    table.confirmed_at = 5.0
+    with mock.patch.object(clock, 'now', lambda: 5.0):
+        context.relay.take_states(5.0, relay.states())
+
+
+@behave.then('the node {reads} the store and its table is confirmed for {at}')
+def check_relayed(context, reads, at):
+    with mock.patch.object(clock, 'now', lambda: context.now):
+        relayed = context.watched._is_relayed()
+    assert relayed == (reads == 'does not read'), context.watched.__dict__
+    expected = [] if at == 'never' else [float(at)]
+    assert [round(item, 3) for item in context.confirmed] == expected, (
+        context.confirmed
+    )
+
+
+class _Answers(_NoSource):
+    """A store whose feed gives the answers that it was told."""
+
+    def __init__(self, answers):
+        super().__init__()
+        self._answers = answers
+
+    async def changes(self, table, after, wait_s):
+        """Wait for changes."""
+        return self._answers.pop(0)
+
+
+@behave.when(
+    'a follower hears nothing up to version {quiet:d} and then a change at'
+    ' {version:d}'
+)
+def other_tables(context, quiet, version):
+    table, relay, sent, _ = _follower(context, 10, 0.0)
+    table._source = _Answers(
+        [
+            store.Rows((), quiet, 0.0, 5.0, 5.0),
+            store.Rows((_Row('left', version, True),), version, 0.0, 5.1, 5.1),
+        ]
+    )
+    for _ in range(2):
+        asyncio.run(table._step())
+    data = next(data for node, data in sent if node == context.relay.node)
+    context.watched.confirmed_at = context.now
+    context.watched._answered_at = context.now
+    assert context.relay.take(msgpack.unpackb(data))
+    assert context.watched.version == version
