Log how much of a response was sent when a request ends

What callers saw: a stream that was cut while most of its time was left. `request ended` told the status that was sent (200) and the last detail, but not whether the response was complete, how long its server had been silent, or whether attempts were left, so that an engine that broke off, a node that gave up a silent engine and a route out of attempts looked alike.

Change: `request ended` and `request is sent again` carry the events sent, the silence since the last one, the sends out of how many and the time left; `request ended` says whether the response was complete; the counter `hornbeamrudder_cut_responses_total` tells responses that clients and that nodes ended. No decision depends on them.

--- a/hornbeamrudder/gateway/calls.py
+++ b/hornbeamrudder/gateway/calls.py
@@ -41,6 +41,8 @@
     ----------
     started : bool
         Whether any event has been sent to the client.
+    last_event_at : float or None
+        Time at which the latest event was sent to the client.
     resume_elsewhere_at : float or None
         Time at which the stream should continue elsewhere, because its
         backend server is about to terminate.
@@ -50,6 +52,7 @@
 
     splitter: events.EventSplitter
     started: bool = False
+    last_event_at: float | None = None
     resume_elsewhere_at: float | None = None
     moving: 'asyncio.Task[Moved | None] | None' = None
     moved: Moved | None = None
@@ -97,6 +100,19 @@
     placement: server_registry.Placement | None = None
     excluded: set[ids.WorkerId] = dataclasses.field(default_factory=set)
 
+    def progress(self, now: float) -> dict[str, int | bool | None]:
+        """Return log fields that tell how much of the response was sent."""
+        last_event_at = self.stream.last_event_at
+        return {
+            'sends': self.sends,
+            'max_servers': self.admitted.route.max_servers,
+            'events': self.stream.splitter.count,
+            'silent_ms': int((now - last_event_at) * 1e3)
+            if last_event_at is not None
+            else None,
+            'left_ms': int((self.admitted.deadline - now) * 1e3),
+        }
+
     @property
     def request_id(self) -> ids.RequestId:
         """Id of the request; admission guarantees that there is one."""
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -38,6 +38,7 @@
 RETRY_AFTER_SHARE = 1 / 3
 # Batches capacity changes, to avoid a scan of the queue for each one.
 DISPATCH_DELAY_S = 0.004
+CLIENT_DISCONNECTED = 'client disconnected'
 
 
 class Forwarder:
@@ -102,7 +103,7 @@
             calls.Stream(events.EventSplitter(metadata.last_event_id)),
         )
         self.calls.add(call)
-        outcome = 'client disconnected'
+        outcome = CLIENT_DISCONNECTED
         try:
             await self._serve_with_retries(call)
             outcome = call.detail or 'served'
@@ -184,7 +185,7 @@
                 after=result.value,
                 detail=call.detail,
                 server=placement.record.entry.id,
-                sends=call.sends,
+                **call.progress(clock.now()),
             )
 
     def may_retry(self, call: calls.Call) -> bool:
@@ -493,6 +494,15 @@
                 'outcome': str(call.status or 'none'),
             }
         )
+        if call.reply.started and not call.reply.complete:
+            self.state.metrics.cut_responses.inc(
+                {
+                    'route': call.admitted.route.name,
+                    'ended_by': 'client'
+                    if outcome == CLIENT_DISCONNECTED
+                    else 'node',
+                }
+            )
         if call.first_at is not None:
             self.state.metrics.first_byte_s.observe(
                 {'route': call.admitted.route.name},
@@ -509,15 +519,15 @@
             configuration=call.admitted.version,
             status=call.status,
             outcome=outcome,
+            complete=call.reply.complete,
             server=record.entry.id if record else None,
-            sends=call.sends,
             unreachable=call.unreachable,
             waited_ms=int(call.waited_s * 1e3),
             first_ms=int((call.first_at - arrived_at) * 1e3)
             if call.first_at
             else None,
             total_ms=int((now - arrived_at) * 1e3),
-            left_ms=int((call.admitted.deadline - now) * 1e3),
+            **call.progress(now),
         )
 
 
--- a/hornbeamrudder/gateway/http_server.py
+++ b/hornbeamrudder/gateway/http_server.py
@@ -51,7 +51,14 @@
 class ResponseWriter:
     """Writer for the response to one request."""
 
-    __slots__ = ('_connection', 'started', 'ended', '_chunked', '_keep_alive')
+    __slots__ = (
+        '_connection',
+        'started',
+        'ended',
+        'complete',
+        '_chunked',
+        '_keep_alive',
+    )
 
     def __init__(
         self, connection: 'CallerConnection', request: CallerRequest
@@ -59,6 +66,7 @@
         self._connection = connection
         self.started = False
         self.ended = False
+        self.complete = False
         self._chunked = False
         self._keep_alive = request.keep_alive
 
@@ -113,6 +121,7 @@
         if self._chunked:
             self._connection.write(b'0\r\n\r\n')
         self.ended = True
+        self.complete = True
         if not self._keep_alive:
             self._connection.close()
 
--- a/hornbeamrudder/gateway/metrics.py
+++ b/hornbeamrudder/gateway/metrics.py
@@ -28,6 +28,11 @@
             'hornbeamrudder_requests_total',
             'Requests of clients by route and outcome.',
         )
+        self.cut_responses = self._counter(
+            'hornbeamrudder_cut_responses_total',
+            'Responses that ended before they were complete, by route and by'
+            ' whether the client or the node ended them.',
+        )
         self.sends = self._counter(
             'hornbeamrudder_sends_total',
             'Requests sent to backend servers by service and result.',
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -436,6 +436,7 @@
                 None,
             )
         call.stream.started = True
+        call.stream.last_event_at = clock.now()
         call.reply.write(event_bytes)
 
     def _finish_stream(self, call: calls.Call, head: http_client.Head) -> None:
