Show that a response in progress is cut if the server tried instead refuses

What callers saw: a stream was closed in the middle of its response, 2.3 s before its deadline; its engine was still working and not leaving.

The scenarios play a server that is late or leaving and a second one that refuses, resets, fails or does not listen.

--- a/hornbeamrudder/gateway/features/node_harness.py
+++ b/hornbeamrudder/gateway/features/node_harness.py
@@ -162,6 +162,34 @@
         return response
 
 
+class BehaviourSequence(list):
+    """Behaviours shared by all servers, used in order of arrival."""
+
+    def __init__(self, order, names):
+        super().__init__()
+        self._order = order
+        self._names = names
+
+    def __bool__(self):
+        return True
+
+    def __getitem__(self, index):
+        return platform_server.Behaviour(self._names[min(len(self._order), 1)])
+
+    def pop(self, index=0):
+        name = self._names[min(len(self._order), 1)]
+        self._order.append(name)
+        return platform_server.Behaviour(name)
+
+
+def complete_stream(event_count):
+    """Return the body of a stream that a client receives completely."""
+    return b''.join(
+        b'id: %d\ndata: piece %d\n\n' % (number, number)
+        for number in range(1, event_count + 1)
+    )
+
+
 def run_scenario(scenario, **options) -> Any:
     """Run a scenario against a new node and return its result."""
 
--- /dev/null
+++ b/hornbeamrudder/gateway/features/steps/handover_steps.py
@@ -0,0 +1,168 @@
+"""Steps for requests that are tried at a second backend server."""
+
+import asyncio
+import time
+
+import behave
+
+from hornbeamrudder.gateway.features import node_harness
+from hornbeamrudder.standins import platform_caller
+from hornbeamrudder.standins import platform_server
+
+Behaviour = platform_server.Behaviour
+EVENT_COUNT = 6
+LEAVING_EVENT_COUNT = 40
+LEAVING_EVENT_INTERVAL_S = 0.04
+LEAVES_MS = 900
+POLL_S = 0.005
+CANCEL_S = 0.5
+
+
+async def _wait_for_requests(harness, count):
+    while len(harness.received_requests()) < count:
+        await asyncio.sleep(POLL_S)
+    return sorted(
+        harness.received_requests(), key=lambda request: request.received_at
+    )
+
+
+@behave.when(
+    'a request on "{route}" gets "{first}" from one server and "{second}" from'
+    ' the other'
+)
+def send_to_slow_server(context, route, first, second):
+    async def scenario(harness):
+        order = []
+        for server in (*harness.plain_servers, *harness.engines):
+            server.behaviours = node_harness.BehaviourSequence(
+                order, [first, second]
+            )
+        return await harness.send_request(
+            f'/{route}/x'
+        ), harness.received_requests()
+
+    context.event_count = EVENT_COUNT
+    context.response, context.requests = node_harness.run_scenario(
+        scenario, event_count=EVENT_COUNT
+    )
+
+
+@behave.when('a resumable stream pauses and the other server is not listening')
+def pause_stream_beside_ended_server(context):
+    async def scenario(harness):
+        for server in harness.engines:
+            server.behaviours = [Behaviour.PAUSE]
+        pending = asyncio.create_task(harness.send_request('/plan/x'))
+        await _wait_for_requests(harness, 1)
+        for server in harness.engines:
+            if not server.requests:
+                server.listener.close()
+        return await pending, harness.received_requests()
+
+    context.event_count = EVENT_COUNT
+    context.response, context.requests = node_harness.run_scenario(
+        scenario, event_count=EVENT_COUNT
+    )
+
+
+@behave.when(
+    'a resumable stream is served by an engine that leaves and the other'
+    ' refuses'
+)
+def leave_beside_full_engine(context):
+    async def scenario(harness):
+        for server in harness.engines:
+            server.event_interval_s = LEAVING_EVENT_INTERVAL_S
+        pending = asyncio.create_task(harness.send_request('/plan/x'))
+        await _wait_for_requests(harness, 1)
+        for server in harness.engines:
+            if server.requests:
+                harness.put_entry(
+                    server, state='draining', leaves_ms=LEAVES_MS
+                )
+            else:
+                server.behaviours = [Behaviour.FULL]
+        return await pending, harness.received_requests()
+
+    context.event_count = LEAVING_EVENT_COUNT
+    context.response, context.requests = node_harness.run_scenario(
+        scenario, event_count=LEAVING_EVENT_COUNT
+    )
+
+
+@behave.then(
+    'the client receives the complete response of the first of {count:d}'
+    ' servers'
+)
+def check_first_response(context, count):
+    assert context.response.status == 200, context.response
+    assert context.response.complete, context.response
+    requests = sorted(
+        context.requests, key=lambda request: request.received_at
+    )
+    assert len(requests) == count, requests
+    assert not requests[0].client_disconnected, requests
+    seal = context.response.headers['x-hornbeamrudder-response-seal']
+    expected = requests[0].headers['x-hornbeamrudder-expect-instance']
+    assert seal == f'seal-{expected}', (seal, expected)
+    assert context.response.body in (
+        node_harness.complete_stream(context.event_count),
+        f'answer of {expected}'.encode(),
+    )
+
+
+@behave.then('the client receives the error response of the first server')
+def check_error_response(context):
+    assert len(context.requests) == 2, context.requests
+    assert context.response.status == 500, context.response
+    assert 'x-hornbeamrudder-response-seal' in context.response.headers
+
+
+@behave.when('neither server responds to a request on "plan"')
+def send_to_silent_servers(context):
+    async def scenario(harness):
+        for server in harness.engines:
+            server.behaviours = [Behaviour.HANG]
+        pending = asyncio.create_task(harness.send_request('/plan/x'))
+        first, second = await _wait_for_requests(harness, 2)
+        while not first.client_disconnected:
+            await asyncio.sleep(POLL_S)
+        elapsed_s = time.monotonic() - second.received_at
+        pending.cancel()
+        return elapsed_s, second.client_disconnected
+
+    context.elapsed_s, context.second_disconnected = node_harness.run_scenario(
+        scenario
+    )
+
+
+@behave.then(
+    'the first one is disconnected within {limit_s:g} seconds of the second'
+    ' request'
+)
+def check_overlap(context, limit_s):
+    assert context.elapsed_s < limit_s, context.elapsed_s
+    assert not context.second_disconnected
+
+
+@behave.when(
+    'a client disconnects while its request is tried at a second server'
+)
+def disconnect_during_handover(context):
+    async def scenario(harness):
+        for server in harness.engines:
+            server.behaviours = [Behaviour.HANG]
+        _, writer = await harness.connect()
+        writer.write(platform_caller.request_bytes('/plan/x'))
+        await _wait_for_requests(harness, 2)
+        writer.close()
+        await asyncio.sleep(CANCEL_S)
+        return harness.received_requests()
+
+    context.requests = node_harness.run_scenario(scenario)
+
+
+@behave.then('the request is cancelled at both servers within half a second')
+def check_both_cancelled(context):
+    assert len(context.requests) == 2, context.requests
+    assert all(request.client_disconnected for request in context.requests)
--- a/hornbeamrudder/gateway/features/steps/path_steps.py
+++ b/hornbeamrudder/gateway/features/steps/path_steps.py
@@ -24,13 +24,6 @@
 EVENT_COUNT = 6
 
 
-def _complete_stream():
-    return b''.join(
-        b'id: %d\ndata: piece %d\n\n' % (number, number)
-        for number in range(1, EVENT_COUNT + 1)
-    )
-
-
 @behave.when(
     'a request on "{route}" is sent to servers that respond with "{first}" and'
     ' then "{second}"'
@@ -39,33 +32,15 @@
     async def scenario(harness):
         order = []
         for server in (*harness.plain_servers, *harness.engines):
-            server.behaviours = _BehaviourSequence(order, [first, second])
+            server.behaviours = node_harness.BehaviourSequence(
+                order, [first, second]
+            )
         response = await harness.send_request(f'/{route}/x', remaining_ms=1500)
         return response, harness.received_requests()
 
     context.response, context.requests = node_harness.run_scenario(scenario)
 
 
-class _BehaviourSequence(list):
-    """Behaviours shared by all servers, used in order of arrival."""
-
-    def __init__(self, order, names):
-        super().__init__()
-        self._order = order
-        self._names = names
-
-    def __bool__(self):
-        return True
-
-    def __getitem__(self, index):
-        return Behaviour(self._names[min(len(self._order), 1)])
-
-    def pop(self, index=0):
-        name = self._names[min(len(self._order), 1)]
-        self._order.append(name)
-        return Behaviour(name)
-
-
 @behave.then(
     'the client receives {status:d} and {count:d} servers receive the request'
 )
@@ -83,7 +58,9 @@
     async def scenario(harness):
         order = []
         for server in harness.engines:
-            server.behaviours = _BehaviourSequence(order, ['cut', 'normal'])
+            server.behaviours = node_harness.BehaviourSequence(
+                order, ['cut', 'normal']
+            )
         return await harness.send_request(
             f'/{route}/x'
         ), harness.received_requests()
@@ -99,7 +76,9 @@
 )
 def check_resumed(context):
     assert context.response.complete
-    assert context.response.body == _complete_stream(), context.response.body
+    assert context.response.body == node_harness.complete_stream(
+        EVENT_COUNT
+    ), context.response.body
     last_ids = {
         request.headers.get('last-event-id') for request in context.requests
     }
@@ -110,7 +89,9 @@
 def check_truncated(context):
     assert context.response.status == 200
     assert not context.response.complete
-    assert _complete_stream().startswith(context.response.body)
+    assert node_harness.complete_stream(EVENT_COUNT).startswith(
+        context.response.body
+    )
 
 
 @behave.when(
@@ -586,7 +567,9 @@
     async def scenario(harness):
         order = []
         for server in harness.engines:
-            server.behaviours = _BehaviourSequence(order, ['pause', 'normal'])
+            server.behaviours = node_harness.BehaviourSequence(
+                order, ['pause', 'normal']
+            )
         return await harness.send_request(
             '/plan/x'
         ), harness.received_requests()
@@ -602,7 +585,7 @@
 @behave.then('the client receives the complete stream from {count:d} servers')
 def check_complete_stream(context, count):
     assert context.response.complete, context.response
-    assert context.response.body == _complete_stream()
+    assert context.response.body == node_harness.complete_stream(EVENT_COUNT)
     assert len(context.requests) == count, context.requests
 
 
--- a/hornbeamrudder/standins/platform_server.py
+++ b/hornbeamrudder/standins/platform_server.py
@@ -14,6 +14,9 @@
 STREAM_PAUSE_S = 1.0
 EARLY_BODY_DELAY_S = 0.1
 LATE_EXTRA_DELAY_S = 0.05
+# Longer than nodes wait for the response before they try another server, and
+# shorter than the time-outs of the routes in `configuration`.
+LATE_RESPONSE_DELAY_S = 0.85
 UNFRAMED_RESET_DELAY_S = 0.05
 CUT_RESET_DELAY_S = 0.02
 
@@ -27,6 +30,7 @@
     the connection, `UNFRAMED_RESET` by resetting it. `EARLY` responds before
     the body is read. `CUT` closes the connection within the body, or resets
     it within a stream. `PAUSE` interrupts the stream for `STREAM_PAUSE_S`.
+    `LATE` delays the response by `LATE_RESPONSE_DELAY_S`.
     """
 
     NORMAL = 'normal'
@@ -43,6 +47,7 @@
     UNFRAMED_RESET = 'unframed reset'
     EARLY = 'early'
     PAUSE = 'pause'
+    LATE = 'late'
 
 
 @dataclasses.dataclass(slots=True)
@@ -196,6 +201,8 @@
         content_length = f'Content-Length: {len(body)}'
         await asyncio.sleep(self.response_delay_s)
         match behaviour:
+            case Behaviour.LATE:
+                await asyncio.sleep(LATE_RESPONSE_DELAY_S)
             case Behaviour.HANG:
                 await self._wait_for_disconnect(request, reader)
                 return False
