Give up a late or leaving server only once another has accepted the request

What callers saw: a stream cut in the middle, 2.3 s before its deadline, by a node whose engine was working; in the same way 502 for calls whose server would have answered in time.

Cause: a node broke off the exchange with a silent, late or leaving server first and looked for another one afterwards. That one could refuse, be gone or have its places taken in between, and with the route's attempts used up nothing was left to go back to. That a place seemed free (`has_alternative`) is a guess from load reports, not a promise.

Evidence: in the users' record the engine's run ends 405 ms after its first event, 0.8 of the route's longest pause; the second engine refuses 60 ms later; the connection is closed 4 ms after that.

Change: the second server is tried while the first attempt stays open (gateway/failover.py). The first is aborted once the second has begun a response that can be relayed, or has not refused for 0.3 s; it goes on if the second refuses, fails or can't be reached, or if it answers meanwhile. The same mechanism serves late responses, stalled streams and streams of leaving engines. What is sent to servers and counted for it moves from forward.py and relay.py to gateway/sending.py.

--- a/hornbeamrudder/gateway/calls.py
+++ b/hornbeamrudder/gateway/calls.py
@@ -7,6 +7,7 @@
 from . import admit
 from ..core import ids
 from . import events
+from . import http_client
 from . import http_server
 from . import records
 from . import server_registry
@@ -23,6 +24,8 @@
     DEADLINE_EXCEEDED = 'out of time'
     # The run continues at another backend server from a copy of its KV cache.
     MOVED = 'moved'
+    # Another backend server has accepted the request.
+    FAILED_OVER = 'failed over'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,6 +36,30 @@
     placement: server_registry.Placement
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """A request that was sent to one backend server.
+
+    Attributes
+    ----------
+    sent_at : float
+        Time on `clock.now`, in seconds.
+    reused : bool
+        Whether the connection was used before.
+    """
+
+    placement: server_registry.Placement
+    connection: http_client.ServerConnection
+    exchange: http_client.Exchange
+    sent_at: float
+    reused: bool = False
+
+    @property
+    def server(self) -> ids.WorkerId:
+        """Id of the backend server."""
+        return self.placement.record.entry.id
+
+
 @dataclasses.dataclass(slots=True)
 class Stream:
     """State of a streamed response.
@@ -82,6 +109,8 @@
         reported to the client as not run.
     counted : bool
         Whether it was counted as usage of its account.
+    next_attempt : Attempt or None
+        Attempt to which the request was failed over, until it is followed.
     """
 
     request: http_server.CallerRequest
@@ -99,6 +128,12 @@
     detail: str = ''
     placement: server_registry.Placement | None = None
     excluded: set[ids.WorkerId] = dataclasses.field(default_factory=set)
+    next_attempt: Attempt | None = None
+
+    def take_next_attempt(self) -> Attempt | None:
+        """Take the attempt to which the request was failed over."""
+        next_attempt, self.next_attempt = self.next_attempt, None
+        return next_attempt
 
     def progress(self, now: float) -> dict[str, int | bool | None]:
         """Return log fields that tell how much of the response was sent."""
--- a/hornbeamrudder/gateway/events.py
+++ b/hornbeamrudder/gateway/events.py
@@ -34,6 +34,10 @@
         self._buffer = b''
         self._skip_to = _event_number(self.last_id)
 
+    def completes_event(self, data: bytes) -> bool:
+        """Return whether more bytes would complete an event."""
+        return _END.search(self._buffer + data) is not None
+
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the events completed by them.
 
--- /dev/null
+++ b/hornbeamrudder/gateway/failover.py
@@ -0,0 +1,196 @@
+"""Fails requests over to another backend server.
+
+A backend server that is late may still answer, and the one that is tried
+instead may refuse. The first attempt is therefore given up only once the
+second server has accepted the request.
+"""
+
+import asyncio
+import dataclasses
+from typing import Any, Callable
+
+from . import calls
+from . import clock
+from ..core import ids
+from . import health
+from . import http_client
+from . import node_state
+from . import records
+from . import sending
+from . import server_registry
+
+# Longest time for which two backend servers work on one request. A server
+# that refuses does so at once.
+MAX_OVERLAP_S = 0.3
+
+Reserve = Callable[
+    [calls.Call, set[ids.WorkerId]], server_registry.Placement | None
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FailedOver:
+    """The request goes on in `Call.next_attempt`; the last one has ended."""
+
+
+class Failover:
+    """Tries requests of one node at a second backend server."""
+
+    def __init__(
+        self,
+        state: node_state.NodeState,
+        translation: Any,
+        sender: sending.Sender,
+        reserve: Reserve,
+    ) -> None:
+        self._state = state
+        self._translation = translation
+        self._sender = sender
+        self._reserve = reserve
+
+    async def try_elsewhere(
+        self, call: calls.Call, attempt: calls.Attempt, leaving: bool
+    ) -> FailedOver | None:
+        """Fail a request over to a server that accepts it.
+
+        Parameters
+        ----------
+        leaving : bool
+            Whether the server of `attempt` is about to end, so that it is
+            left although it still answers.
+
+        Returns
+        -------
+        FailedOver or None
+            None if `attempt` goes on.
+        """
+        placement = self._reserve(call, {*call.excluded, attempt.server})
+        if placement is None:
+            return None
+        task = asyncio.create_task(self._try(call, placement))
+        task.add_done_callback(lambda _: attempt.exchange.wake())
+        try:
+            while not task.done() and not self._is_kept(
+                call, attempt, leaving
+            ):
+                await attempt.exchange.wait(call.admitted.deadline)
+        except asyncio.CancelledError:
+            self._abandon(task, placement)
+            raise
+        if self._is_kept(call, attempt, leaving):
+            self._abandon(task, placement)
+            next_attempt = None
+        else:
+            next_attempt = task.result()
+        if next_attempt is None:
+            self._log(call, 'request stays at its server', attempt, placement)
+            return None
+        attempt.connection.abort()
+        call.next_attempt = next_attempt
+        self._log(call, 'request fails over', attempt, placement)
+        return FailedOver()
+
+    def _abandon(
+        self,
+        task: 'asyncio.Task[calls.Attempt | None]',
+        placement: server_registry.Placement,
+    ) -> None:
+        if not task.done():
+            task.cancel()
+        elif not task.cancelled() and task.exception() is None:
+            unused = task.result()
+            if unused is not None:
+                unused.connection.abort()
+        self._state.servers.release(placement)
+
+    def _log(
+        self,
+        call: calls.Call,
+        event: str,
+        attempt: calls.Attempt,
+        placement: server_registry.Placement,
+    ) -> None:
+        self._state.log.info(
+            event,
+            request=call.request_id,
+            server=attempt.server,
+            tried=placement.record.entry.id,
+            **call.progress(clock.now()),
+        )
+
+    def _is_kept(
+        self, call: calls.Call, attempt: calls.Attempt, leaving: bool
+    ) -> bool:
+        """Whether to go on with `attempt`, as it has got a response since."""
+        if clock.now() >= call.admitted.deadline:
+            return True
+        events = attempt.exchange.events
+        if any(isinstance(event, http_client.End) for event in events):
+            return True
+        # What a leaving server sends is read only if it is not left.
+        if leaving or any(
+            isinstance(event, http_client.ConnectionBroken) for event in events
+        ):
+            return False
+        if events and isinstance(events[0], http_client.Head):
+            return self._is_accepting(call, events[0])
+        body = b''.join(
+            event.data
+            for event in events
+            if isinstance(event, http_client.Body)
+        )
+        if call.admitted.route.retry_safety is records.RetrySafety.STREAM:
+            return call.stream.splitter.completes_event(body)
+        return bool(body)
+
+    def _is_accepting(self, call: calls.Call, head: http_client.Head) -> bool:
+        """Whether a response has begun that can be relayed to the client."""
+        metadata = self._translation.decode_response(head.status, head.headers)
+        if metadata.not_executed or not metadata.sealed:
+            return False
+        return head.status == 200 if call.stream.started else head.status < 500
+
+    async def _try(
+        self, call: calls.Call, placement: server_registry.Placement
+    ) -> calls.Attempt | None:
+        """Send a request to a second server; None if it does not accept it.
+
+        A server without a response after `MAX_OVERLAP_S` counts as accepting,
+        since it has not refused.
+        """
+        record = placement.record
+        opened = await self._sender.open(call, record)
+        if isinstance(opened, http_client.ConnectionBroken):
+            self._decline(call, placement)
+            return None
+        attempt = self._sender.send(call, placement, opened)
+        try:
+            if not attempt.exchange.events:
+                await attempt.exchange.wait(clock.now() + MAX_OVERLAP_S)
+        except asyncio.CancelledError:
+            attempt.connection.abort()
+            raise
+        match next(iter(attempt.exchange.events), None):
+            case None:
+                return attempt
+            case http_client.Head() as head if self._is_accepting(call, head):
+                return attempt
+            case http_client.ConnectionBroken(detail, answered):
+                # The server may have closed an idle connection at any time.
+                if answered or not attempt.reused:
+                    self._sender.record_outcome(
+                        record, health.Outcome.UNREACHABLE, detail
+                    )
+            case _:
+                self._sender.record_outcome(
+                    record, health.Outcome.ERROR, 'request is not accepted'
+                )
+        attempt.connection.abort()
+        self._decline(call, placement)
+        return None
+
+    def _decline(
+        self, call: calls.Call, placement: server_registry.Placement
+    ) -> None:
+        call.excluded.add(placement.record.entry.id)
+        self._state.servers.release(placement)
--- a/hornbeamrudder/gateway/features/handover.feature
+++ b/hornbeamrudder/gateway/features/failover.feature
@@ -1,4 +1,4 @@
-Feature: Handover of requests from late to other backend servers
+Feature: Failover of requests to other backend servers
 
   Scenario Outline: A response in progress is not given up for a server that refuses
     # Guards against responses cut because the server tried instead refuses.
--- a/hornbeamrudder/gateway/features/steps/handover_steps.py
+++ b/hornbeamrudder/gateway/features/steps/failover_steps.py
@@ -148,7 +148,7 @@
 @behave.when(
     'a client disconnects while its request is tried at a second server'
 )
-def disconnect_during_handover(context):
+def disconnect_during_failover(context):
     async def scenario(harness):
         for server in harness.engines:
             server.behaviours = [Behaviour.HANG]
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -8,21 +8,18 @@
 from . import clock
 from ..core import ids
 from . import events
-from . import health
+from . import failover
 from . import http_client
 from . import http_server
 from . import messages
 from . import node_state
 from . import records
 from . import relay
+from . import sending
 from . import server_registry
 from . import server_selection
 from . import waiting
 
-# Connect timeout as a share of the route's target time, and its bounds.
-CONNECT_SHARE = 0.35
-MIN_CONNECT_S = 0.06
-MAX_CONNECT_S = 0.3
 # Failed connection attempts after which a request is no longer retried.
 MAX_CONNECT_FAILURES = 4
 # Share of a backend server's slots that is reserved for the most urgent rank.
@@ -49,8 +46,12 @@
         self.translation = translation
         self.calls: set[calls.Call] = set()
         self._scheduled_services: set[ids.ServiceName] = set()
-        self.relay = relay.Relay(
-            state, translation, self.may_retry, self.has_alternative
+        self._sender = sending.Sender(state, translation)
+        self._relay = relay.Relay(
+            state,
+            translation,
+            self.may_retry,
+            failover.Failover(state, translation, self._sender, self.reserve),
         )
 
     async def handle(
@@ -110,6 +111,7 @@
         finally:
             self.calls.discard(call)
             self._clear_placement(call)
+            self._abandon_next_attempt(call)
             if decision.account is not None and not call.sends:
                 state.refund_units(decision.account, decision.units)
             self._record_end(call, outcome)
@@ -149,14 +151,22 @@
     async def _serve_with_retries(self, call: calls.Call) -> None:
         """Try backend servers until one responds or no retry is allowed."""
         while True:
+            next_attempt = call.take_next_attempt()
             placement = (
-                call.stream.take_moved() or await self._acquire_placement(call)
+                next_attempt.placement
+                if next_attempt
+                else call.stream.take_moved()
+                or await self._acquire_placement(call)
             )
             if placement is None:
                 self._fail(call, call.detail or 'no place in time')
                 return
             call.placement = placement
-            result = await self._send(call, placement)
+            result = (
+                await self._follow(call, next_attempt)
+                if next_attempt
+                else await self._send(call, placement)
+            )
             self._clear_placement(call)
             match result:
                 case calls.Result.DONE:
@@ -166,6 +176,9 @@
                     return
                 case calls.Result.MOVED:
                     continue
+                case calls.Result.FAILED_OVER:
+                    call.excluded.add(placement.record.entry.id)
+                    continue
                 case calls.Result.NOT_SENT:
                     call.unreachable += 1
                     retry = call.unreachable < MAX_CONNECT_FAILURES
@@ -213,17 +226,6 @@
             clock.now(),
         )
 
-    def has_alternative(self, call: calls.Call) -> bool:
-        """Whether another backend server has capacity for a request now."""
-        excluded = set(call.excluded)
-        if call.placement is not None:
-            excluded.add(call.placement.record.entry.id)
-        placement = self.reserve(call, excluded)
-        if placement is None:
-            return False
-        self.state.servers.release(placement)
-        return True
-
     def _requirements(self, call: calls.Call) -> server_selection.Requirements:
         if call.service.engine is None:
             return server_selection.Requirements(slot_share=2.0)
@@ -325,50 +327,45 @@
         self._release(call.placement)
         call.placement = None
 
+    def _abandon_next_attempt(self, call: calls.Call) -> None:
+        next_attempt = call.take_next_attempt()
+        if next_attempt is not None:
+            next_attempt.connection.abort()
+            self._release(next_attempt.placement)
+
     # Sending
 
     async def _send(
         self, call: calls.Call, placement: server_registry.Placement
     ) -> calls.Result:
-        record = placement.record
-        route = call.admitted.route
-        now = clock.now()
-        connection = (
-            record.pop_idle_connection(now)
-            if route.retry_safety is records.RetrySafety.SAFE
-            else None
-        )
-        reused = connection is not None
-        if connection is None:
-            opened = await http_client.connect(
-                record.entry.address,
-                min(
-                    max(CONNECT_SHARE * route.target_s, MIN_CONNECT_S),
-                    MAX_CONNECT_S,
-                ),
-            )
-            if isinstance(opened, http_client.ConnectionBroken):
-                call.detail = opened.detail
-                self.record_outcome(
-                    record, health.Outcome.UNREACHABLE, opened.detail
-                )
-                return calls.Result.NOT_SENT
-            connection = opened
+        opened = await self._sender.open(call, placement.record)
+        if isinstance(opened, http_client.ConnectionBroken):
+            call.detail = opened.detail
+            return calls.Result.NOT_SENT
         if clock.now() >= call.admitted.deadline:
-            connection.abort()
+            opened.connection.abort()
             return calls.Result.DEADLINE_EXCEEDED
-        self._record_send(call)
         before = call.may_have_run
         call.may_have_run = True
+        result = await self._follow(
+            call,
+            self._sender.send(call, placement, opened),
+        )
+        if result is calls.Result.NOT_EXECUTED:
+            call.may_have_run = before
+        return result
+
+    async def _follow(
+        self, call: calls.Call, attempt: calls.Attempt
+    ) -> calls.Result:
+        """Relay the response to a request that was sent."""
         try:
-            answer = await self.relay.exchange(call, placement, connection)
+            answer = await self._relay.follow(call, attempt)
         except BaseException:
-            connection.abort()
+            attempt.connection.abort()
             raise
-        if answer.result is calls.Result.NOT_EXECUTED:
-            call.may_have_run = before
         if (
-            reused
+            attempt.reused
             and answer.result is calls.Result.FAILED
             and not answer.answered
             and answer.ended_early
@@ -379,41 +376,10 @@
             return answer.result
         call.detail = answer.detail
         if answer.server_outcome is not None:
-            self.record_outcome(record, answer.server_outcome, answer.detail)
-        return answer.result
-
-    def _record_send(self, call: calls.Call) -> None:
-        now = clock.now()
-        if call.sends:
-            self.state.retry_budget.record_retry(call.service.name, now)
-        else:
-            self.state.retry_budget.record_first_attempt(
-                call.service.name, now
-            )
-        call.sends += 1
-
-    def record_outcome(
-        self,
-        record: server_registry.ServerRecord,
-        outcome: health.Outcome,
-        detail: str,
-    ) -> None:
-        """Update metrics and health; log a server that becomes avoided."""
-        self.state.metrics.sends.inc(
-            {'service': record.entry.service, 'result': outcome.value}
-        )
-        if self.state.servers.record_outcome(record, outcome, clock.now()):
-            self.state.log.info(
-                'backend server is avoided',
-                server=record.entry.id,
-                outcome=outcome.value,
-                detail=detail,
-                unreachable=record.health_state.unreachable,
-                failure_share=round(record.health_state.failure_share, 2),
-                for_s=round(
-                    record.health_state.avoided_until - clock.now(), 2
-                ),
+            self._sender.record_outcome(
+                attempt.placement.record, answer.server_outcome, answer.detail
             )
+        return answer.result
 
     # Completion
 
--- a/hornbeamrudder/gateway/http_client.py
+++ b/hornbeamrudder/gateway/http_client.py
@@ -110,8 +110,30 @@
                     self._connection.pause()
             case End() | ConnectionBroken():
                 self.ended = True
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake the reader without an event."""
+        if self._waiter is not None:
+            _wake(self._waiter)
+
+    async def wait(self, until: float) -> None:
+        """Return at the next event, at `wake`, or at the time `until`.
+
+        Parameters
+        ----------
+        until : float
+            Time on `clock.now`, in seconds.
+        """
+        loop = asyncio.get_running_loop()
+        waiter = loop.create_future()
+        self._waiter = waiter
+        timer = loop.call_later(until - clock.now(), _wake, waiter)
+        try:
+            await waiter
+        finally:
+            timer.cancel()
+            self._waiter = None
 
     async def next_event(self, until: float) -> Event:
         """Return the next event, or `TimedOut` at the time `until`.
@@ -121,21 +143,10 @@
         until : float
             Time on `clock.now`, in seconds.
         """
+        if not self.events and clock.now() < until:
+            await self.wait(until)
         if not self.events:
-            wait_s = until - clock.now()
-            if wait_s <= 0:
-                return TimedOut()
-            loop = asyncio.get_running_loop()
-            waiter = loop.create_future()
-            self._waiter = waiter
-            timer = loop.call_later(wait_s, _wake, waiter)
-            try:
-                await waiter
-            finally:
-                timer.cancel()
-                self._waiter = None
-            if not self.events:
-                return TimedOut()
+            return TimedOut()
         event = self.events.popleft()
         if isinstance(event, Body):
             self.buffered -= len(event.data)
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -5,6 +5,7 @@
 
 from . import calls
 from . import clock
+from . import failover
 from . import health
 from . import http_client
 from . import messages
@@ -13,7 +14,7 @@
 from . import server_registry
 
 # Share of the target time without a response after which a retryable request
-# is sent to another backend server.
+# is tried at another backend server.
 STREAM_RESPONSE_TIMEOUT_SHARE = 0.75
 PLAIN_RESPONSE_TIMEOUT_SHARE = 0.55
 # A resumable stream counts as stalled after this share of the route's target
@@ -59,46 +60,34 @@
         state: node_state.NodeState,
         translation: Any,
         may_retry: Callable[[calls.Call], bool],
-        has_alternative: Callable[[calls.Call], bool],
+        failover_: failover.Failover,
     ) -> None:
         self._state = state
         self._translation = translation
         self._may_retry = may_retry
-        self._has_alternative = has_alternative
+        self._failover = failover_
 
-    async def exchange(
-        self,
-        call: calls.Call,
-        placement: server_registry.Placement,
-        connection: http_client.ServerConnection,
+    async def follow(
+        self, call: calls.Call, attempt: calls.Attempt
     ) -> ExchangeResult:
-        """Send a request and relay its response to the client."""
-        call.stream.last_record = placement.record
-        resuming = call.stream.started
-        if resuming:
+        """Relay the response to a request that was sent."""
+        record = attempt.placement.record
+        call.stream.last_record = record
+        call.stream.resume_elsewhere_at = record.leaves_at
+        if call.stream.started:
             call.stream.splitter.restart()
-        call.stream.resume_elsewhere_at = placement.record.leaves_at
-        sent_at = clock.now()
-        exchange = connection.send(
-            self._request_bytes(call, placement, resuming),
-            lambda status, headers: self._matches_request(
-                call, status, headers
-            ),
-            call.request.method == b'HEAD',
+        wait_s = self._response_timeout_s(call)
+        event = await self._next_event(
+            call,
+            attempt,
+            self._retry_at(call, attempt.sent_at, wait_s),
+            wait_s,
         )
-        until = self._response_timeout_at(call, sent_at)
-        event = await exchange.next_event(until)
-        while isinstance(
-            event, http_client.TimedOut
-        ) and self._should_keep_waiting(call):
-            event = await exchange.next_event(call.admitted.deadline)
         match event:
             case http_client.Head() as head:
-                return await self._handle_head(
-                    call, placement, connection, exchange, head, sent_at
-                )
+                return await self._handle_head(call, attempt, head)
             case http_client.ConnectionBroken(detail, answered):
-                connection.abort()
+                attempt.connection.abort()
                 return ExchangeResult(
                     calls.Result.FAILED,
                     detail,
@@ -106,110 +95,96 @@
                     True,
                     health.Outcome.UNREACHABLE,
                 )
+            case failover.FailedOver():
+                return _failed_over_result('no answer')
             case _:
-                connection.abort()
-                return self._timeout_result(call, 'no answer')
+                attempt.connection.abort()
+                return _deadline_result('no answer')
 
-    def _request_bytes(
+    async def _next_event(
         self,
         call: calls.Call,
-        placement: server_registry.Placement,
-        resuming: bool,
-    ) -> bytes:
-        request = call.request
-        metadata = call.admitted.metadata
-        now = clock.now()
-        remaining_s = call.admitted.deadline - now
-        dispatch = messages.Dispatch(
-            remaining_s=remaining_s,
-            server=placement.record.entry.id,
-            account=call.admitted.account.id
-            if call.admitted.account
-            else None,
-            rank=call.admitted.rank if call.service.engine else None,
-            resume_after=call.stream.splitter.last_id
-            if resuming
-            else metadata.last_event_id,
-            copy=call.stream.copy,
-        )
-        call.stream.copy = None
-        lines = [request.method + b' ' + request.target + b' HTTP/1.1']
-        lines.extend(
-            name + b': ' + value
-            for name, value in self._translation.backend_request_headers(
-                request.headers, dispatch
-            )
-        )
-        if request.body or request.method in (b'POST', b'PUT', b'PATCH'):
-            lines.append(b'Content-Length: %d' % len(request.body))
-        return b'\r\n'.join(lines) + b'\r\n\r\n' + request.body
+        attempt: calls.Attempt,
+        until: float,
+        wait_s: float | None,
+    ) -> http_client.Event | failover.FailedOver:
+        """Return the next event; without one in time, try elsewhere.
 
-    def _matches_request(
-        self,
-        call: calls.Call,
-        status: int,
-        headers: tuple[http_client.Header, ...],
-    ) -> bool:
-        found = self._translation.decode_response(status, headers).request_id
-        return found is None or found == call.request_id
+        Parameters
+        ----------
+        until : float
+            Time of the first try, on `clock.now`, in seconds.
+        wait_s : float or None
+            Time between further tries; None if the request may not be sent
+            to another server.
 
-    def _response_timeout_at(self, call: calls.Call, sent_at: float) -> float:
+        Returns
+        -------
+        Event or FailedOver
+            `TimedOut` only at the deadline.
+        """
         deadline = call.admitted.deadline
+        while True:
+            event = await attempt.exchange.next_event(until)
+            if not isinstance(event, http_client.TimedOut):
+                return event
+            now = clock.now()
+            if now >= deadline:
+                return event
+            if wait_s is not None and self._may_retry(call):
+                leaving = self._is_leaving(call, now)
+                failed_over = await self._failover.try_elsewhere(
+                    call, attempt, leaving
+                )
+                if failed_over is not None:
+                    return failed_over
+                if leaving:
+                    call.stream.resume_elsewhere_at = None
+            until = self._retry_at(call, clock.now(), wait_s)
+
+    def _retry_at(
+        self, call: calls.Call, since: float, wait_s: float | None
+    ) -> float:
+        """Return when to try another server; the deadline if it may not."""
+        if wait_s is None or not self._may_retry(call):
+            return call.admitted.deadline
+        return min(call.admitted.deadline, since + wait_s)
+
+    def _is_leaving(self, call: calls.Call, now: float) -> bool:
+        resume_elsewhere_at = call.stream.resume_elsewhere_at
+        return resume_elsewhere_at is not None and now >= resume_elsewhere_at
+
+    def _response_timeout_s(self, call: calls.Call) -> float | None:
         route = call.admitted.route
-        if not route.retryable or not self._may_retry(call):
-            return deadline
+        if not route.retryable:
+            return None
         share = (
             STREAM_RESPONSE_TIMEOUT_SHARE
             if route.retry_safety is records.RetrySafety.STREAM
             else PLAIN_RESPONSE_TIMEOUT_SHARE
         )
-        return min(deadline, sent_at + share * route.target_s)
-
-    def _should_keep_waiting(self, call: calls.Call) -> bool:
-        """Whether to wait until the deadline, as no retry is possible.
-
-        The exchange is aborted only if another backend server has capacity
-        for the request now. Otherwise a response that may still arrive
-        would be lost.
-        """
-        return clock.now() < call.admitted.deadline and not (
-            call.admitted.route.retryable
-            and self._may_retry(call)
-            and self._has_alternative(call)
-        )
+        return share * route.target_s
 
-    def _timeout_result(self, call: calls.Call, what: str) -> ExchangeResult:
-        if clock.now() >= call.admitted.deadline:
-            return ExchangeResult(
-                calls.Result.DEADLINE_EXCEEDED,
-                f'{what} before the deadline',
-                False,
-                server_outcome=health.Outcome.ERROR,
-            )
-        return ExchangeResult(
-            calls.Result.FAILED,
-            f'{what} in time to try elsewhere',
-            False,
-            server_outcome=health.Outcome.ERROR,
+    def _stall_timeout_s(self, call: calls.Call) -> float | None:
+        route = call.admitted.route
+        if not route.resumable:
+            return None
+        return (
+            route.gap_target_s * STALL_TIMEOUT_SHARE or DEFAULT_STALL_TIMEOUT_S
         )
 
     async def _handle_head(
         self,
         call: calls.Call,
-        placement: server_registry.Placement,
-        connection: http_client.ServerConnection,
-        exchange: http_client.Exchange,
+        attempt: calls.Attempt,
         head: http_client.Head,
-        sent_at: float,
     ) -> ExchangeResult:
         metadata = self._translation.decode_response(head.status, head.headers)
-        connection.keep_alive_s = metadata.keep_alive_s
+        attempt.connection.keep_alive_s = metadata.keep_alive_s
         if metadata.not_executed:
-            return await self._handle_not_executed(
-                placement, connection, exchange, metadata
-            )
+            return await self._handle_not_executed(attempt, metadata)
         if not metadata.sealed and head.status < 300:
-            connection.abort()
+            attempt.connection.abort()
             return ExchangeResult(
                 calls.Result.FAILED,
                 f'status {head.status} without a receipt',
@@ -227,31 +202,24 @@
             content_type.startswith(_EVENT_STREAM)
             or call.admitted.route.retry_safety is records.RetrySafety.STREAM
         ):
-            return await self._relay_stream(
-                call, placement, connection, exchange, head, sent_at
-            )
-        return await self._relay_response(
-            call, placement, connection, exchange, head
-        )
+            return await self._relay_stream(call, attempt, head)
+        return await self._relay_response(call, attempt, head)
 
     async def _handle_not_executed(
         self,
-        placement: server_registry.Placement,
-        connection: http_client.ServerConnection,
-        exchange: http_client.Exchange,
+        attempt: calls.Attempt,
         metadata: messages.ResponseMetadata,
     ) -> ExchangeResult:
         until = clock.now() + NOT_EXECUTED_BODY_TIMEOUT_S
         event: http_client.Event = http_client.TimedOut()
         while True:
-            event = await exchange.next_event(until)
+            event = await attempt.exchange.next_event(until)
             if not isinstance(event, http_client.Body):
                 break
         if isinstance(event, http_client.End):
-            connection.release()
-            placement.record.keep_connection(connection)
+            _keep_connection(attempt)
         else:
-            connection.abort()
+            attempt.connection.abort()
         if metadata.wrong_server:
             return ExchangeResult(
                 calls.Result.NOT_EXECUTED,
@@ -267,36 +235,33 @@
     async def _relay_response(
         self,
         call: calls.Call,
-        placement: server_registry.Placement,
-        connection: http_client.ServerConnection,
-        exchange: http_client.Exchange,
+        attempt: calls.Attempt,
         head: http_client.Head,
     ) -> ExchangeResult:
-        self._mark_started(call, placement)
+        self._mark_started(call, attempt.placement)
         parts: list[bytes] = []
-        until = self._response_timeout_at(call, clock.now())
+        wait_s = self._response_timeout_s(call)
+        until = self._retry_at(call, clock.now(), wait_s)
         while True:
-            match await exchange.next_event(until):
+            match await self._next_event(call, attempt, until, wait_s):
                 case http_client.Body(data):
                     parts.append(data)
                 case http_client.End():
                     break
                 case http_client.ConnectionBroken(detail, _):
-                    connection.abort()
+                    attempt.connection.abort()
                     return ExchangeResult(
                         calls.Result.FAILED,
                         f'answer is not whole: {detail}',
                         ended_early=True,
                         server_outcome=health.Outcome.ERROR,
                     )
+                case failover.FailedOver():
+                    return _failed_over_result('no whole answer')
                 case _:
-                    if self._should_keep_waiting(call):
-                        until = call.admitted.deadline
-                        continue
-                    connection.abort()
-                    return self._timeout_result(call, 'no whole answer')
-        connection.release()
-        placement.record.keep_connection(connection)
+                    attempt.connection.abort()
+                    return _deadline_result('no whole answer')
+        _keep_connection(attempt)
         failed = head.status >= 500
         if failed and (
             call.stream.started
@@ -341,72 +306,57 @@
     async def _relay_stream(
         self,
         call: calls.Call,
-        placement: server_registry.Placement,
-        connection: http_client.ServerConnection,
-        exchange: http_client.Exchange,
+        attempt: calls.Attempt,
         head: http_client.Head,
-        sent_at: float,
     ) -> ExchangeResult:
         stream = call.stream
-        until = self._response_timeout_at(call, sent_at)
+        wait_s = self._stall_timeout_s(call)
+        until = self._retry_at(
+            call, attempt.sent_at, self._response_timeout_s(call)
+        )
         first = True
         while True:
-            if (
-                stream.resume_elsewhere_at is not None
-                and call.admitted.route.resumable
-                and self._may_retry(call)
-            ):
+            if stream.resume_elsewhere_at is not None and wait_s is not None:
                 until = min(
                     until, max(stream.resume_elsewhere_at, clock.now())
                 )
-            match await exchange.next_event(until):
+            match await self._next_event(call, attempt, until, wait_s):
                 case http_client.Body(data):
                     event_bytes = stream.splitter.feed(data)
                     if event_bytes:
                         if first:
                             first = False
-                            self._record_first_event(call, placement, sent_at)
+                            self._record_first_event(call, attempt)
                         self._forward_events(call, head, event_bytes)
                         await call.reply.drain()
                     if not first:
-                        until = self._stall_timeout_at(call)
+                        until = self._retry_at(call, clock.now(), wait_s)
                 case http_client.End():
-                    connection.release()
-                    placement.record.keep_connection(connection)
+                    _keep_connection(attempt)
                     self._finish_stream(call, head)
                     return ExchangeResult(
                         calls.Result.DONE,
                         server_outcome=health.Outcome.SUCCESS,
                     )
                 case http_client.ConnectionBroken(detail, _):
-                    connection.abort()
+                    attempt.connection.abort()
                     return await self._handle_broken_stream(call, detail)
+                case failover.FailedOver():
+                    if self._is_leaving(call, clock.now()):
+                        return ExchangeResult(
+                            calls.Result.FAILED_OVER,
+                            'backend server is about to end',
+                        )
+                    return _failed_over_result('no event')
                 case _:
-                    if (
-                        call.stream.moving is None
-                        and self._should_keep_waiting(call)
-                    ):
-                        stream.resume_elsewhere_at = None
-                        until = call.admitted.deadline
-                        continue
-                    return await self._handle_stream_timeout(call, connection)
-
-    def _stall_timeout_at(self, call: calls.Call) -> float:
-        route = call.admitted.route
-        if not route.resumable or not self._may_retry(call):
-            return call.admitted.deadline
-        pause_s = (
-            route.gap_target_s * STALL_TIMEOUT_SHARE or DEFAULT_STALL_TIMEOUT_S
-        )
-        return min(call.admitted.deadline, clock.now() + pause_s)
+                    attempt.connection.abort()
+                    return _deadline_result('no event')
 
     def _record_first_event(
-        self,
-        call: calls.Call,
-        placement: server_registry.Placement,
-        sent_at: float,
+        self, call: calls.Call, attempt: calls.Attempt
     ) -> None:
         now = clock.now()
+        placement = attempt.placement
         if call.first_at is None:
             call.first_at = now
         only_prompt = (
@@ -418,7 +368,9 @@
             placement.uncached_tokens > MIN_PREFILL_SAMPLE_TOKENS
             and only_prompt
         ):
-            prefill_ms = (now - sent_at) * 1e3 - FIRST_EVENT_OVERHEAD_MS
+            prefill_ms = (
+                now - attempt.sent_at
+            ) * 1e3 - FIRST_EVENT_OVERHEAD_MS
             self._state.record_prefill_rate(
                 call.service.name,
                 placement.uncached_tokens / max(1.0, prefill_ms),
@@ -467,23 +419,25 @@
             server_outcome=None if leaving else health.Outcome.UNREACHABLE,
         )
 
-    async def _handle_stream_timeout(
-        self, call: calls.Call, connection: http_client.ServerConnection
-    ) -> ExchangeResult:
-        moving = call.stream.moving
-        if moving is not None and clock.now() < call.admitted.deadline:
-            # The engine has stopped the run, so no further events come.
-            return await self._handle_broken_stream(
-                call, 'stopped to be moved'
-            )
-        connection.abort()
-        resume_elsewhere_at = call.stream.resume_elsewhere_at
-        if (
-            resume_elsewhere_at is not None
-            and clock.now() >= resume_elsewhere_at
-        ):
-            call.stream.resume_elsewhere_at = None
-            return ExchangeResult(
-                calls.Result.FAILED, 'backend server is about to end'
-            )
-        return self._timeout_result(call, 'no event')
+
+def _keep_connection(attempt: calls.Attempt) -> None:
+    """Return the connection of a complete response to the idle pool."""
+    attempt.connection.release()
+    attempt.placement.record.keep_connection(attempt.connection)
+
+
+def _failed_over_result(what: str) -> ExchangeResult:
+    return ExchangeResult(
+        calls.Result.FAILED_OVER,
+        f'{what} in time',
+        server_outcome=health.Outcome.ERROR,
+    )
+
+
+def _deadline_result(what: str) -> ExchangeResult:
+    return ExchangeResult(
+        calls.Result.DEADLINE_EXCEEDED,
+        f'{what} before the deadline',
+        False,
+        server_outcome=health.Outcome.ERROR,
+    )
