Relay a server's error response if no other server accepts the request

What callers saw: 502 `backend server refused` for a request that a server had answered with 500, if the second server refused it; 500 with the server's signature if the second one failed too.

A complete error response of a request that may be sent again was dropped before the next send.

Change: it is kept with the call and sent if nothing better follows.

The scenario `The response of a failing server is kept if another server refuses` failed before (502 after 13 ms) and passes; gateway: 130 passed, 0 failed.

--- a/hornbeamrudder/gateway/calls.py
+++ b/hornbeamrudder/gateway/calls.py
@@ -60,6 +60,15 @@
         return self.placement.record.entry.id
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ErrorResponse:
+    """Complete error response of a backend server that ran the request."""
+
+    status: int
+    headers: tuple[http_client.Header, ...]
+    body: bytes
+
+
 @dataclasses.dataclass(slots=True)
 class Stream:
     """State of a streamed response.
@@ -109,6 +118,8 @@
         reported to the client as not run.
     counted : bool
         Whether it was counted as usage of its account.
+    error_response : ErrorResponse or None
+        Sent to the client if no other backend server responds.
     next_attempt : Attempt or None
         Attempt to which the request was failed over, until it is followed.
     """
@@ -128,6 +139,7 @@
     detail: str = ''
     placement: server_registry.Placement | None = None
     excluded: set[ids.WorkerId] = dataclasses.field(default_factory=set)
+    error_response: ErrorResponse | None = None
     next_attempt: Attempt | None = None
 
     def take_next_attempt(self) -> Attempt | None:
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -389,6 +389,11 @@
         if call.reply.started:
             call.reply.abort()
             return
+        error = call.error_response
+        if error is not None:
+            call.status = error.status
+            call.reply.send(error.status, error.headers, error.body)
+            return
         now = clock.now()
         if call.may_have_run:
             late = now >= call.admitted.deadline
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -262,34 +262,32 @@
                     attempt.connection.abort()
                     return _deadline_result('no whole answer')
         _keep_connection(attempt)
-        failed = head.status >= 500
-        if failed and (
-            call.stream.started
-            or (call.admitted.route.retryable and self._may_retry(call))
-        ):
+        if call.stream.started:
             return ExchangeResult(
                 calls.Result.FAILED,
-                f'backend server answered {head.status}',
-                server_outcome=health.Outcome.ERROR,
+                f'stream is not resumed: status {head.status}',
+                server_outcome=health.Outcome.ERROR
+                if head.status >= 500
+                else None,
+            )
+        headers = tuple(
+            self._translation.client_response_headers(head.headers)
+        )
+        body = b''.join(parts)
+        if head.status >= 500:
+            call.error_response = calls.ErrorResponse(
+                head.status, headers, body
             )
-        if call.stream.started:
             return ExchangeResult(
                 calls.Result.FAILED,
-                f'stream is not resumed: status {head.status}',
+                f'backend server answered {head.status}',
+                server_outcome=health.Outcome.ERROR,
             )
         call.first_at = clock.now()
         call.status = head.status
-        call.reply.send(
-            head.status,
-            self._translation.client_response_headers(head.headers),
-            b''.join(parts),
-        )
+        call.reply.send(head.status, headers, body)
         return ExchangeResult(
-            calls.Result.DONE,
-            '' if not failed else f'backend server answered {head.status}',
-            server_outcome=health.Outcome.ERROR
-            if failed
-            else health.Outcome.SUCCESS,
+            calls.Result.DONE, server_outcome=health.Outcome.SUCCESS
         )
 
     def _mark_started(
