Stop a run of a leaving engine only once another engine has its copy

What callers saw: an urgent stream that may not be repeated was cut before its engine ended, when no engine could take its memory.

Cause: the run was stopped and copied in one call. An engine stops first, so that a refused copy ends the stream even though the engine still had a second to serve it.

Change: the run is copied while it goes on; only then is it stopped and the rest copied. If the first copy fails the stream stays where it is; if the second one fails, the first copy is used and the destination computes the rest. The slot of a move that the stream does not need is given back when the request ends (it was kept for ever).

--- a/hornbeamrudder/gateway/features/failover.feature
+++ b/hornbeamrudder/gateway/features/failover.feature
@@ -24,6 +24,16 @@
     When a resumable stream is served by an engine that leaves and the other refuses
     Then the client receives the complete response of the first of 2 servers
 
+  Scenario Outline: A stream of a leaving engine goes on if it can't be moved
+    # Guards against runs that are stopped before another engine has room.
+    When a non-repeatable stream is served by an engine that leaves and moves fail "<failing>"
+    Then the client receives each event once, from <servers> servers
+
+    Examples: failing moves
+      | failing       | servers |
+      | always        | 1       |
+      | when stopping | 2       |
+
   Scenario: The response of a failing server is kept if another server refuses
     # Guards against replacing a response of a server by an error of the node.
     When a request on "look" gets "error" from one server and "full" from the other
--- a/hornbeamrudder/gateway/features/steps/failover_steps.py
+++ b/hornbeamrudder/gateway/features/steps/failover_steps.py
@@ -5,6 +5,7 @@
 
 import behave
 
+from hornbeamrudder.core import errors
 from hornbeamrudder.gateway.features import node_harness
 from hornbeamrudder.standins import platform_caller
 from hornbeamrudder.standins import platform_server
@@ -14,6 +15,7 @@
 LEAVING_EVENT_COUNT = 40
 LEAVING_EVENT_INTERVAL_S = 0.04
 LEAVES_MS = 900
+MOVED_LEAVES_MS = 1500
 POLL_S = 0.005
 CANCEL_S = 0.5
 
@@ -90,6 +92,54 @@
     )
 
 
+@behave.when(
+    'a non-repeatable stream is served by an engine that leaves and moves fail'
+    ' "{failing}"'
+)
+def leave_beside_failing_moves(context, failing):
+    async def scenario(harness):
+        async def move_run(engine, request_id, destination, timeout_s, last):
+            if last:
+                # Engines stop the run first, and close its stream.
+                for server in harness.engines:
+                    if server.address == str(engine):
+                        for writer in tuple(server.writers):
+                            writer.transport.abort()
+            if last or failing == 'always':
+                return errors.Failure(
+                    errors.FailureKind.REFUSED,
+                    errors.Step.ORDER_ENGINE,
+                    str(engine),
+                    'no room',
+                )
+            return f'{engine}/handle-1'
+
+        harness.node.mover.set_move_run(move_run)
+        for server in harness.engines:
+            server.event_interval_s = LEAVING_EVENT_INTERVAL_S
+        pending = asyncio.create_task(harness.send_request('/chat/x'))
+        await _wait_for_requests(harness, 1)
+        for server in harness.engines:
+            if server.requests:
+                harness.put_entry(
+                    server, state='draining', leaves_ms=MOVED_LEAVES_MS
+                )
+        return await pending, harness.received_requests()
+
+    context.response, context.requests = node_harness.run_scenario(
+        scenario, event_count=LEAVING_EVENT_COUNT
+    )
+
+
+@behave.then('the client receives each event once, from {count:d} servers')
+def check_each_event_once(context, count):
+    assert context.response.complete, context.response
+    assert context.response.body == node_harness.complete_stream(
+        LEAVING_EVENT_COUNT
+    )
+    assert len(context.requests) == count, context.requests
+
+
 @behave.then(
     'the client receives the complete response of the first of {count:d}'
     ' servers'
--- a/hornbeamrudder/gateway/features/steps/path_steps.py
+++ b/hornbeamrudder/gateway/features/steps/path_steps.py
@@ -487,7 +487,9 @@
     async def scenario(harness):
         moves = []
 
-        async def move_run(engine, request_id, destination, timeout_s):
+        async def move_run(engine, request_id, destination, timeout_s, last):
+            if not last:
+                return f'{engine}/handle-0'
             source = next(
                 server
                 for server in harness.engines
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -112,6 +112,7 @@
             self.calls.discard(call)
             self._clear_placement(call)
             self._abandon_next_attempt(call)
+            self._abandon_move(call)
             if decision.account is not None and not call.sends:
                 state.refund_units(decision.account, decision.units)
             self._record_end(call, outcome)
@@ -333,6 +334,19 @@
             next_attempt.connection.abort()
             self._release(next_attempt.placement)
 
+    def _abandon_move(self, call: calls.Call) -> None:
+        """Release the slot of a move that the stream did not need."""
+        self._release(call.stream.take_moved())
+        if call.stream.moving is not None:
+            call.stream.moving.add_done_callback(self._release_destination)
+
+    def _release_destination(
+        self, moving: 'asyncio.Task[calls.Moved | None]'
+    ) -> None:
+        if not moving.cancelled() and moving.exception() is None:
+            moved = moving.result()
+            self._release(moved.placement if moved else None)
+
     # Sending
 
     async def _send(
--- a/hornbeamrudder/gateway/moves.py
+++ b/hornbeamrudder/gateway/moves.py
@@ -25,10 +25,13 @@
 # Share of the drain time after which streams are moved off a server that has
 # not announced when it terminates.
 DEFAULT_MOVE_DRAIN_SHARE = 0.6
-MOVE_TIMEOUT_S = 1.0
+# Limits for copying a run that goes on meanwhile, and for stopping it and
+# copying the rest.
+COPY_TIMEOUT_S = 0.6
+STOP_TIMEOUT_S = 0.4
 
 MoveRun = Callable[
-    [types.Address, ids.RequestId, types.Address, float],
+    [types.Address, ids.RequestId, types.Address, float, bool],
     Awaitable['str | errors.Failure'],
 ]
 
@@ -111,11 +114,14 @@
         # The copied KV cache includes the whole prompt: nothing to prefill.
         forwarder.state.servers.mark_prefilled(destination)
         target = destination.record.entry
+        # Without a copy elsewhere the run is not stopped: it could go on
+        # nowhere.
         copied = await self._move_run(
             source.address,
             call.request_id,
             target.address,
-            MOVE_TIMEOUT_S,
+            COPY_TIMEOUT_S,
+            False,
         )
         if isinstance(copied, errors.Failure):
             forwarder.state.servers.release(destination)
@@ -127,11 +133,23 @@
                 failure=str(copied),
             )
             return None
+        rest = await self._move_run(
+            source.address,
+            call.request_id,
+            target.address,
+            STOP_TIMEOUT_S,
+            True,
+        )
+        # If the engine has stopped the run all the same, the destination
+        # computes again what its copy lacks.
         forwarder.state.log.info(
             'run is moved',
             request=call.request_id,
             server=source.id,
             destination=target.id,
             events=call.stream.splitter.count,
+            failure=str(rest) if isinstance(rest, errors.Failure) else None,
+        )
+        return calls.Moved(
+            copied if isinstance(rest, errors.Failure) else rest, destination
         )
-        return calls.Moved(copied, destination)
--- a/hornbeamrudder/platform/engine_calls.py
+++ b/hornbeamrudder/platform/engine_calls.py
@@ -11,8 +11,16 @@
     request_id: ids.RequestId,
     destination: types.Address,
     timeout_s: float,
+    last: bool,
 ) -> str | errors.Failure:
-    """Stop a running request and copy its KV cache to another engine.
+    """Copy the KV cache of a running request to another engine.
+
+    Parameters
+    ----------
+    last : bool
+        Whether the engine stops the request first, even if the copy fails;
+        if not, the request goes on there. A later copy contains only what an
+        earlier one lacks.
 
     Returns
     -------
@@ -23,7 +31,8 @@
     response = await caller.call(
         'POST',
         '/kv-move',
-        {'id': request_id, 'to': str(destination), 'last': True},
+        {'id': request_id, 'to': str(destination)}
+        | ({'last': True} if last else {}),
         timeout_s=timeout_s,
     )
     caller.drop_idle()
