Cut off servers that answer without end

A backend server in trouble may send bytes that are no answer, in a head or in a body, until its caller closes. The node read and held all of them for as long as the request lasted: a request that may not be repeated got 504 at its deadline, one that may be repeated went on only at its time-out, and the store, the cloud API and engine calls were read until the call's time-out.

Cause: headers, interim answers, answers to other requests, chunk extensions, trailers and bodies were read without any limit; a header without end is held inside the parser, where no callback sees it.

Now a connection counts the received bytes that no body accounts for, and the bytes of bodies, against limits that stand in one module (byte_limits). Over a limit it closes itself, and the exchange ends like one whose answer is malformed, with the outcome ERROR for the server. Counting what was received, and not what the parser reports, covers all of these places at once. Bodies are passed on in one piece a read, as chunks of one byte had cost an event each.

--- /dev/null
+++ b/hornbeamrudder/gateway/features/endless.feature
@@ -0,0 +1,58 @@
+Feature: Bytes without end from servers in trouble
+
+  Scenario Outline: An answer without end is cut off
+    # Guards against a node that reads and holds all that a server sends, for
+    # as long as the request lasts.
+    When a request on "<route>" is answered with a "<kind>" without end and then normally
+    Then the client receives <status> from <arrivals> servers
+    And the node cuts off the server within <bytes> MB and <limit> ms
+
+    Examples:
+      | route | kind                        | status | arrivals | bytes | limit |
+      | look  | blank lines before the head | 200    | 2        | 1     | 500   |
+      | look  | header line                 | 200    | 2        | 1     | 500   |
+      | look  | header lines                | 200    | 2        | 1     | 500   |
+      | look  | interim answers             | 200    | 2        | 1     | 500   |
+      | look  | answer to another request   | 200    | 2        | 4     | 500   |
+      | look  | sized body                  | 200    | 2        | 4     | 500   |
+      | look  | chunked body                | 200    | 2        | 4     | 500   |
+      | look  | body without a length       | 200    | 2        | 4     | 500   |
+      | look  | chunk extension             | 200    | 2        | 1     | 500   |
+      | look  | trailer                     | 200    | 2        | 1     | 500   |
+      | book  | header line                 | 502    | 1        | 1     | 500   |
+      | book  | header lines                | 502    | 1        | 1     | 500   |
+      | book  | interim answers             | 502    | 1        | 1     | 500   |
+      | book  | answer to another request   | 502    | 1        | 4     | 500   |
+      | book  | sized body                  | 502    | 1        | 4     | 500   |
+      | book  | chunked body                | 502    | 1        | 4     | 500   |
+      | book  | body without a length       | 502    | 1        | 4     | 500   |
+      | book  | trailer                     | 502    | 1        | 1     | 500   |
+      | chat  | header lines                | 502    | 1        | 1     | 500   |
+      | plan  | header lines                | 200    | 2        | 1     | 500   |
+
+  Scenario Outline: An answer without end to a call of the node is cut off
+    # Guards against a node that holds all that the store, the cloud API or an
+    # engine sends.
+    When a call is answered with a "<kind>" without end
+    Then the call fails with an unknown outcome
+    And the node cuts off the server within <bytes> MB and 1500 ms
+
+    Examples:
+      | kind            | bytes |
+      | header line     | 1     |
+      | header lines    | 1     |
+      | interim answers | 1     |
+      | sized body      | 12    |
+      | chunked body    | 12    |
+      | chunk extension | 1     |
+      | trailer         | 1     |
+
+  Scenario: An answer that is cut off counts as an error of its server
+    # Guards against avoiding a server that still answers other requests.
+    When a request on "book" is answered with a "header lines" without end and then normally
+    Then the outcome for the server is an error
+
+  Scenario: Large answers within the limit are delivered whole
+    # Guards against limits that cut off proper answers.
+    When a server answers with a body of 100000 bytes in chunks of 1 byte and a trailer
+    Then the client receives the whole body
--- /dev/null
+++ b/hornbeamrudder/gateway/features/steps/endless_steps.py
@@ -0,0 +1,157 @@
+"""Steps for bytes without end, with a node and platform stand-ins."""
+
+import asyncio
+import time
+
+import behave
+
+from hornbeamrudder.core import errors
+from hornbeamrudder.core import types
+from hornbeamrudder.gateway.features import node_harness
+from hornbeamrudder.gateway import json_client
+from hornbeamrudder.standins import endless
+
+EVENT_COUNT = 6
+MB = 1e6
+# Time for the stand-in to notice that the node has closed the connection.
+NOTICE_S = 2.0
+
+
+def _brief(response):
+    return (
+        f'status {response.status}, {len(response.body)} bytes from'
+        f' {response.body[:160]}, complete: {response.complete}, after'
+        f' {response.elapsed_s:.3f} s'
+    )
+
+
+async def _wait_for_cut(answer):
+    until = time.monotonic() + NOTICE_S
+    while answer.elapsed_s is None and time.monotonic() < until:
+        await asyncio.sleep(0.01)
+
+
+def _send_request(context, route, answer, remaining_ms, **options):
+    """Send a request whose first server sends `answer`, the next normally."""
+
+    async def scenario(harness):
+        shared = [answer]
+        for server in (*harness.plain_servers, *harness.engines):
+            server.behaviours = shared
+        response = await harness.send_request(
+            f'/{route}/x', remaining_ms=remaining_ms
+        )
+        await _wait_for_cut(answer)
+        return (
+            response,
+            harness.received_requests(),
+            [
+                record.health_state
+                for record in harness.node.state.servers.by_id.values()
+            ],
+        )
+
+    context.answer = answer
+    context.response, context.requests, context.health_states = (
+        node_harness.run_scenario(scenario, event_count=EVENT_COUNT, **options)
+    )
+
+
+@behave.when(
+    'a request on "{route}" is answered with a "{kind}" without end and then'
+    ' normally'
+)
+def send_with_endless_answer(context, route, kind):
+    is_stream = route in ('chat', 'plan')
+    _send_request(
+        context,
+        route,
+        endless.Answer(endless.Endless(kind), b'' if is_stream else None),
+        1500,
+    )
+
+
+@behave.then('the client receives {status:d} from {count:d} servers')
+def check_status(context, status, count):
+    assert context.response.status == status, _brief(context.response)
+    assert context.response.complete
+    assert len(context.requests) == count, context.requests
+
+
+@behave.then(
+    'the node cuts off the server within {megabytes:d} MB and'
+    ' {milliseconds:d} ms'
+)
+def check_cut_off(context, megabytes, milliseconds):
+    answer = context.answer
+    seen = (
+        f'sent {answer.byte_count / MB:.1f} MB, closed after'
+        f' {answer.elapsed_s} s'
+    )
+    assert answer.elapsed_s is not None, seen
+    assert answer.byte_count < megabytes * MB, seen
+    assert answer.elapsed_s * 1e3 < milliseconds, seen
+
+
+@behave.when('a call is answered with a "{kind}" without end')
+def call_with_endless_answer(context, kind):
+    answer = endless.Answer(endless.Endless(kind))
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        await answer.send(b'HTTP/1.1 200 OK\r\n\r\n', writer)
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(serve, node_harness.IP, 0)
+        client = json_client.JsonClient(
+            types.Address(*server.sockets[0].getsockname()),
+            errors.Step.READ_TABLE,
+        )
+        result = await client.call('GET', '/x', timeout_s=3.0)
+        await _wait_for_cut(answer)
+        server.close()
+        return result
+
+    context.answer = answer
+    context.result = asyncio.run(run())
+
+
+@behave.then('the call fails with an unknown outcome')
+def check_call_failed(context):
+    assert isinstance(context.result, errors.Failure)
+    assert context.result.outcome is types.Outcome.UNKNOWN
+
+
+@behave.then('the outcome for the server is an error')
+def check_outcome(context):
+    assert [state.unreachable for state in context.health_states] == [0] * 4
+    shares = [state.failure_share for state in context.health_states]
+    assert sum(share > 0 for share in shares) == 1, shares
+
+
+class _FinelyChunkedAnswer(endless.Answer):
+    """A proper answer with most bytes outside its body."""
+
+    async def send(self, head, writer):
+        writer.write(head.removesuffix(b'\r\n'))
+        writer.write(b'Transfer-Encoding: chunked\r\n\r\n')
+        writer.write(b'1\r\nx\r\n' * self.byte_count)
+        writer.write(b'0\r\nX-Trailer: 1\r\n\r\n')
+        await writer.drain()
+        self.elapsed_s = 0.0
+
+
+@behave.when(
+    'a server answers with a body of {size:d} bytes in chunks of 1 byte and a'
+    ' trailer'
+)
+def answer_in_fine_chunks(context, size):
+    answer = _FinelyChunkedAnswer(endless.Endless.CHUNKED, byte_count=size)
+    _send_request(context, 'book', answer, 1500)
+
+
+@behave.then('the client receives the whole body')
+def check_whole_body(context):
+    assert context.response.status == 200, _brief(context.response)
+    assert context.response.body == b'x' * context.answer.byte_count
--- a/hornbeamrudder/gateway/health.py
+++ b/hornbeamrudder/gateway/health.py
@@ -69,6 +69,17 @@
             return Health(health.unreachable, share, until)
 
 
+def broken_outcome(endless: bool) -> Outcome:
+    """Return the outcome of a request whose connection broke.
+
+    Parameters
+    ----------
+    endless : bool
+        Whether it was cut off because the response had no end.
+    """
+    return Outcome.ERROR if endless else Outcome.UNREACHABLE
+
+
 def is_avoided(health: Health, now: float) -> bool:
     """Return whether other backend servers are preferred now."""
     return now < health.avoided_until
--- a/hornbeamrudder/gateway/http_client.py
+++ b/hornbeamrudder/gateway/http_client.py
@@ -13,6 +13,7 @@
 
 import httptools
 
+from . import byte_limits
 from . import clock
 from ..core import types
 
@@ -34,6 +35,18 @@
     headers: tuple[Header, ...]
     content_length: int | None
 
+    @property
+    def content_type(self) -> bytes:
+        """Value of the Content-Type header; empty if there is none."""
+        return next(
+            (
+                value
+                for name, value in self.headers
+                if name.lower() == b'content-type'
+            ),
+            b'',
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Body:
@@ -55,10 +68,13 @@
     ----------
     answered : bool
         Whether any byte of the response had arrived.
+    endless : bool
+        Whether the response exceeded a limit on its bytes.
     """
 
     detail: str
     answered: bool = False
+    endless: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,11 +86,18 @@
 
 
 class Exchange:
-    """One request on a connection, and the events of its response."""
+    """One request on a connection, and the events of its response.
+
+    Attributes
+    ----------
+    max_body_bytes : int or None
+        Limit on the body; None for a reader that does not hold it.
+    """
 
     __slots__ = (
         'matches',
         'head_only',
+        'max_body_bytes',
         'events',
         'buffered',
         'answered',
@@ -88,9 +111,11 @@
         connection: 'ServerConnection',
         matches: Matcher | None,
         head_only: bool,
+        max_body_bytes: int,
     ) -> None:
         self.matches = matches
         self.head_only = head_only
+        self.max_body_bytes: int | None = max_body_bytes
         self.events: collections.deque[Event] = collections.deque()
         self.buffered = 0
         self.answered = False
@@ -167,6 +192,10 @@
         self._skipping = False
         self._until_close = False
         self._paused = False
+        self._head_bytes = 0
+        self._non_body_bytes = 0
+        self._body_bytes = 0
+        self._body_parts: list[bytes] = []
 
     @property
     def reusable(self) -> bool:
@@ -185,6 +214,7 @@
         data: bytes,
         matches: Matcher | None = None,
         head_only: bool = False,
+        max_body_bytes: int = byte_limits.MAX_PLAIN_BODY_BYTES,
     ) -> Exchange:
         """Send one request; its response arrives as events of the exchange.
 
@@ -196,9 +226,12 @@
         head_only : bool
             Whether the response has no body regardless of its headers, as
             for HEAD.
+        max_body_bytes : int
+            Size above which a body counts as endless.
         """
-        exchange = Exchange(self, matches, head_only)
+        exchange = Exchange(self, matches, head_only, max_body_bytes)
         self._exchange = exchange
+        self._non_body_bytes = self._body_bytes = 0
         self.requests += 1
         if self.closed or self._transport is None:
             exchange.add_event(ConnectionBroken('connection was closed'))
@@ -218,6 +251,13 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def end_endless(self, detail: str) -> None:
+        """Fail the open exchange over a limit, and read no further."""
+        self._must_close = True
+        self._end_broken(f'endless answer: {detail}', True)
+        if self._transport is not None:
+            self._transport.abort()
+
     def pause(self) -> None:
         """Stop reading until the buffered bytes are consumed."""
         if self._transport is not None and not self._paused:
@@ -252,11 +292,20 @@
             self.abort()
             return
         self._exchange.answered = True
+        body_bytes_before = self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._must_close = True
             self._end_broken(f'malformed answer: {error}')
+        self._emit_body()
+        self._non_body_bytes = byte_limits.non_body_bytes(
+            self._non_body_bytes,
+            len(data),
+            self._body_bytes - body_bytes_before,
+        )
+        if self._non_body_bytes > byte_limits.MAX_NON_BODY_BYTES:
+            self.end_endless('too many bytes outside the body')
         if self._must_close and self._exchange is not None:
             if self._exchange.ended and self._transport is not None:
                 self._transport.close()
@@ -275,10 +324,11 @@
         self.closed = True
         self._end_broken(f'connection lost: {error}' if error else 'closed')
 
-    def _end_broken(self, detail: str) -> None:
+    def _end_broken(self, detail: str, endless: bool = False) -> None:
         if self._exchange is not None:
+            self._emit_body()
             self._exchange.add_event(
-                ConnectionBroken(detail, self._exchange.answered)
+                ConnectionBroken(detail, self._exchange.answered, endless)
             )
 
     # httptools callbacks
@@ -286,6 +336,7 @@
     def on_message_begin(self) -> None:
         """Reset the state for a new response."""
         self._headers = []
+        self._head_bytes = 0
         self._in_head = True
         self._skipping = False
         self._until_close = False
@@ -295,7 +346,13 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers are ignored."""
-        if self._in_head:
+        if not self._in_head:
+            return
+        self._head_bytes += len(name) + len(value)
+        if self._head_bytes > byte_limits.MAX_NON_BODY_BYTES:
+            self.end_endless('head is too large')
+            self._skipping = True
+        else:
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -334,9 +391,24 @@
             exchange.add_event(End())
 
     def on_body(self, data: bytes) -> None:
-        """Emit a piece of the body."""
-        if not self._skipping and self._exchange is not None:
-            self._exchange.add_event(Body(data))
+        """Collect a piece of the body."""
+        exchange = self._exchange
+        if exchange is None or exchange.ended:
+            return
+        self._body_bytes += len(data)
+        if not self._skipping:
+            self._body_parts.append(data)
+        if (
+            exchange.max_body_bytes is not None
+            and self._body_bytes > exchange.max_body_bytes
+        ):
+            self.end_endless(f'body over {exchange.max_body_bytes} bytes')
+
+    def _emit_body(self) -> None:
+        """Emit the body received so far as one piece."""
+        if self._body_parts and self._exchange is not None:
+            self._exchange.add_event(Body(b''.join(self._body_parts)))
+        self._body_parts.clear()
 
     def on_message_complete(self) -> None:
         """Emit the end of the response."""
@@ -344,6 +416,7 @@
             return
         if not self._parser.should_keep_alive():
             self._must_close = True
+        self._emit_body()
         self._exchange.add_event(End())
 
 
--- a/hornbeamrudder/gateway/json_client.py
+++ b/hornbeamrudder/gateway/json_client.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from . import byte_limits
 from . import clock
 from ..core import errors
 from ..core import types
@@ -37,12 +38,24 @@
 
 
 class JsonClient:
-    """Sends requests to one address over persistent connections."""
+    """Sends requests to one address over persistent connections.
 
-    def __init__(self, address: types.Address, step: errors.Step) -> None:
+    Parameters
+    ----------
+    max_body_bytes : int
+        Size above which the body of a response counts as endless.
+    """
+
+    def __init__(
+        self,
+        address: types.Address,
+        step: errors.Step,
+        max_body_bytes: int = byte_limits.MAX_JSON_BODY_BYTES,
+    ) -> None:
         self.address = address
         self.calls = 0
         self._step = step
+        self._max_body_bytes = max_body_bytes
         self._idle: list[http_client.ServerConnection] = []
 
     async def call(
@@ -79,7 +92,8 @@
         sent_at = clock.now()
         try:
             exchange = connection.send(
-                '\r\n'.join(lines).encode() + b'\r\n\r\n' + payload
+                '\r\n'.join(lines).encode() + b'\r\n\r\n' + payload,
+                max_body_bytes=self._max_body_bytes,
             )
             read = await _read_response(exchange, until)
         except asyncio.CancelledError:
@@ -163,15 +177,15 @@
     exchange: http_client.Exchange, until: float
 ) -> tuple[int, bytes] | http_client.ConnectionBroken | http_client.TimedOut:
     status = 0
-    parts: list[bytes] = []
+    body = bytearray()
     while True:
         match await exchange.next_event(until):
             case http_client.Head() as head:
                 status = head.status
             case http_client.Body(data):
-                parts.append(data)
+                body += data
             case http_client.End():
-                return status, b''.join(parts)
+                return status, bytes(body)
             case (
                 http_client.ConnectionBroken() | http_client.TimedOut()
             ) as ended:
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -97,14 +97,14 @@
                 return await self._handle_head(
                     call, placement, connection, exchange, head, sent_at
                 )
-            case http_client.ConnectionBroken(detail, answered):
+            case http_client.ConnectionBroken(detail, answered, endless):
                 connection.abort()
                 return ExchangeResult(
                     calls.Result.FAILED,
                     detail,
                     answered,
                     True,
-                    health.Outcome.UNREACHABLE,
+                    health.broken_outcome(endless),
                 )
             case _:
                 connection.abort()
@@ -215,16 +215,8 @@
                 f'status {head.status} without a receipt',
                 server_outcome=health.Outcome.ERROR,
             )
-        content_type = next(
-            (
-                value
-                for name, value in head.headers
-                if name.lower() == b'content-type'
-            ),
-            b'',
-        )
         if head.status == 200 and (
-            content_type.startswith(_EVENT_STREAM)
+            head.content_type.startswith(_EVENT_STREAM)
             or call.admitted.route.retry_safety is records.RetrySafety.STREAM
         ):
             return await self._relay_stream(
@@ -273,15 +265,15 @@
         head: http_client.Head,
     ) -> ExchangeResult:
         self._mark_started(call, placement)
-        parts: list[bytes] = []
+        body = bytearray()
         until = self._response_timeout_at(call, clock.now())
         while True:
             match await exchange.next_event(until):
                 case http_client.Body(data):
-                    parts.append(data)
+                    body += data
                 case http_client.End():
                     break
-                case http_client.ConnectionBroken(detail, _):
+                case http_client.ConnectionBroken(detail):
                     connection.abort()
                     return ExchangeResult(
                         calls.Result.FAILED,
@@ -317,7 +309,7 @@
         call.reply.send(
             head.status,
             self._translation.client_response_headers(head.headers),
-            b''.join(parts),
+            bytes(body),
         )
         return ExchangeResult(
             calls.Result.DONE,
@@ -348,6 +340,7 @@
         sent_at: float,
     ) -> ExchangeResult:
         stream = call.stream
+        exchange.max_body_bytes = None
         until = self._response_timeout_at(call, sent_at)
         first = True
         while True:
@@ -378,9 +371,9 @@
                         calls.Result.DONE,
                         server_outcome=health.Outcome.SUCCESS,
                     )
-                case http_client.ConnectionBroken(detail, _):
+                case http_client.ConnectionBroken() as broken:
                     connection.abort()
-                    return await self._handle_broken_stream(call, detail)
+                    return await self._handle_broken_stream(call, broken)
                 case _:
                     if (
                         call.stream.moving is None
@@ -445,7 +438,7 @@
         call.reply.end()
 
     async def _handle_broken_stream(
-        self, call: calls.Call, detail: str
+        self, call: calls.Call, broken: http_client.ConnectionBroken
     ) -> ExchangeResult:
         moving = call.stream.moving
         if moving is not None:
@@ -461,9 +454,11 @@
         )
         return ExchangeResult(
             calls.Result.FAILED,
-            f'stream broke: {detail}',
+            f'stream broke: {broken.detail}',
             ended_early=True,
-            server_outcome=None if leaving else health.Outcome.UNREACHABLE,
+            server_outcome=None
+            if leaving
+            else health.broken_outcome(broken.endless),
         )
 
     async def _handle_stream_timeout(
@@ -473,7 +468,7 @@
         if moving is not None and clock.now() < call.admitted.deadline:
             # The engine has stopped the run, so no further events come.
             return await self._handle_broken_stream(
-                call, 'stopped to be moved'
+                call, http_client.ConnectionBroken('stopped to be moved')
             )
         connection.abort()
         resume_elsewhere_at = call.stream.resume_elsewhere_at
--- a/hornbeamrudder/platform/cloud_api.py
+++ b/hornbeamrudder/platform/cloud_api.py
@@ -6,6 +6,7 @@
 from ..core import errors
 from ..core import ids
 from ..core import types
+from ..gateway import byte_limits
 from ..gateway import json_client
 
 CALL_TIMEOUT_S = 2.0
@@ -25,7 +26,9 @@
     """Cloud API client; errors are returned as values."""
 
     def __init__(self, address: types.Address) -> None:
-        self.caller = json_client.JsonClient(address, errors.Step.CALL_CLOUD)
+        self.caller = json_client.JsonClient(
+            address, errors.Step.CALL_CLOUD, byte_limits.MAX_ACK_BODY_BYTES
+        )
 
     async def report_usage(
         self,
--- a/hornbeamrudder/platform/engine_calls.py
+++ b/hornbeamrudder/platform/engine_calls.py
@@ -3,6 +3,7 @@
 from ..core import errors
 from ..core import ids
 from ..core import types
+from ..gateway import byte_limits
 from ..gateway import json_client
 
 
@@ -19,7 +20,9 @@
     str or Failure
         Reference to the copy, with which the destination resumes the request.
     """
-    caller = json_client.JsonClient(engine, errors.Step.ORDER_ENGINE)
+    caller = json_client.JsonClient(
+        engine, errors.Step.ORDER_ENGINE, byte_limits.MAX_ACK_BODY_BYTES
+    )
     response = await caller.call(
         'POST',
         '/kv-move',
--- a/hornbeamrudder/standins/platform_server.py
+++ b/hornbeamrudder/standins/platform_server.py
@@ -8,6 +8,7 @@
 import time
 from typing import Any
 
+from . import endless
 
 _HEADER_PREFIX = 'X-Hornbeamrudder-'
 # Longer than `gapTargetMs` of the routes in `configuration`.
@@ -74,7 +75,7 @@
     ----------
     events : int
         Number of events of each stream; 0 for a plain service.
-    behaviours : list of Behaviour
+    behaviours : list of Behaviour or Answer
         Behaviour for each of the next requests, in order; `NORMAL` after
         the last one.
     """
@@ -85,7 +86,7 @@
         self.events = events
         self.event_interval_s = 0.01
         self.response_delay_s = 0.0
-        self.behaviours: list[Behaviour] = []
+        self.behaviours: list[Behaviour | endless.Answer] = []
         self.requests: list[ReceivedRequest] = []
         self.connections = 0
         self.address = ''
@@ -196,6 +197,11 @@
         content_length = f'Content-Length: {len(body)}'
         await asyncio.sleep(self.response_delay_s)
         match behaviour:
+            case endless.Answer():
+                await behaviour.send(
+                    self._head(request, '200 OK', seal), writer
+                )
+                return False
             case Behaviour.HANG:
                 await self._wait_for_disconnect(request, reader)
                 return False
