Bound an incomplete event, and count events as progress

An engine in trouble may send bytes without the end of an event, in the framing of a stream. The node held them until the deadline, and as each piece of bytes started the stall time-out anew, a resumable stream never went on at another engine: its client got the events before and a cut at the deadline. Blank lines alone counted as events and were passed on.

Cause: EventSplitter held an incomplete event of any size, and searched all of it for each piece; the relay took any bytes as progress.

Now an incomplete event is limited, over it the connection closes itself like for any other answer without end; only a completed event is progress; blank lines belong to the event after them, so they are none by themselves and no byte is lost; and only new bytes are searched. A stream that no other engine can continue still goes on until its deadline.

--- a/hornbeamrudder/gateway/byte_limits.py
+++ b/hornbeamrudder/gateway/byte_limits.py
@@ -7,6 +7,8 @@
 MAX_NON_BODY_BYTES = 64 * 1024
 # Body of a plain answer.
 MAX_PLAIN_BODY_BYTES = 2 * 1024 * 1024
+# Incomplete event of a stream.
+MAX_EVENT_BYTES = 64 * 1024
 # Body of an answer of the store.
 MAX_JSON_BODY_BYTES = 8 * 1024 * 1024
 # Body of an answer to a call that returns no rows.
--- a/hornbeamrudder/gateway/events.py
+++ b/hornbeamrudder/gateway/events.py
@@ -2,8 +2,13 @@
 
 import re
 
-# A blank line ends an event; lines end with LF or CRLF.
-_END = re.compile(rb'\r?\n\r?\n')
+from . import byte_limits
+
+# A blank line ends an event; lines end with LF or CRLF. Further blank lines
+# belong to the next event, as they are none by themselves.
+_END = re.compile(rb'(?<=[^\r\n])\r?\n\r?\n')
+# Longest end of an event, in bytes.
+_MAX_END_BYTES = 4
 _ID = re.compile(rb'(?:^|\n)id:[ ]?([^\r\n]*)')
 
 
@@ -21,17 +26,22 @@
     def __init__(self, last_id: str | None = None) -> None:
         self.last_id = last_id
         self.count = 0
-        self._buffer = b''
+        self._buffer = bytearray()
         self._skip_to: int | None = None
 
     @property
     def partial(self) -> bytes:
         """Bytes of an incomplete event."""
-        return self._buffer
+        return bytes(self._buffer)
+
+    @property
+    def endless(self) -> bool:
+        """Whether the incomplete event is too large to be held."""
+        return len(self._buffer) > byte_limits.MAX_EVENT_BYTES
 
     def restart(self) -> None:
         """Discard the incomplete event; the stream resumes after `last_id`."""
-        self._buffer = b''
+        self._buffer.clear()
         self._skip_to = _event_number(self.last_id)
 
     def feed(self, data: bytes) -> bytes:
@@ -39,16 +49,16 @@
 
         After a restart, events that the client already has are dropped.
         """
+        scan_from = max(0, len(self._buffer) - _MAX_END_BYTES)
         self._buffer += data
-        end = None
-        for end in _END.finditer(self._buffer):
-            pass
-        if end is None:
-            return b''
-        complete, self._buffer = (
-            self._buffer[: end.end()],
-            self._buffer[end.end() :],
+        complete_bytes = max(
+            (end.end() for end in _END.finditer(self._buffer, scan_from)),
+            default=0,
         )
+        if not complete_bytes:
+            return b''
+        complete = bytes(self._buffer[:complete_bytes])
+        del self._buffer[:complete_bytes]
         if self._skip_to is not None:
             complete = self._drop_known_events(complete)
         found = _ID.findall(complete)
--- a/hornbeamrudder/gateway/features/endless.feature
+++ b/hornbeamrudder/gateway/features/endless.feature
@@ -28,7 +28,53 @@
       | book  | body without a length       | 502    | 1        | 4     | 500   |
       | book  | trailer                     | 502    | 1        | 1     | 500   |
       | chat  | header lines                | 502    | 1        | 1     | 500   |
+      | chat  | event                       | 502    | 1        | 1     | 500   |
+      | chat  | blank lines                 | 502    | 1        | 1     | 500   |
       | plan  | header lines                | 200    | 2        | 1     | 500   |
+      | plan  | event                       | 200    | 2        | 1     | 500   |
+      | plan  | blank lines                 | 200    | 2        | 1     | 500   |
+
+  Scenario Outline: An event without end breaks a stream
+    # Guards against a node that holds an event without end, and never goes on
+    # elsewhere because bytes still arrive.
+    When a "<route>" stream goes on with a "<kind>" without end after 3 events
+    Then the client receives <events> events once, <end>
+    And the node cuts off the server within 1 MB and <limit> ms
+
+    Examples:
+      | route | kind            | events | end        | limit |
+      | plan  | event           | 6      | complete   | 500   |
+      | plan  | blank lines     | 6      | complete   | 500   |
+      | plan  | chunk extension | 6      | complete   | 500   |
+      | plan  | trailer         | 6      | complete   | 500   |
+      | plan  | drip            | 6      | complete   | 1000  |
+      | chat  | event           | 3      | incomplete | 500   |
+      | chat  | chunk extension | 3      | incomplete | 500   |
+
+  Scenario Outline: Blank lines are no events
+    # Guards against blank lines that count as events, and so as progress of a
+    # stream, and against a change of the bytes that the client receives.
+    When a stream of 5 events with <blanks> blank lines between them, ended by "<end>", arrives in pieces of <size> bytes
+    Then 5 events are counted and no byte is lost
+
+    Examples:
+      | blanks | end  | size |
+      | 1      | LF   | 1    |
+      | 4      | LF   | 1    |
+      | 4      | LF   | 7    |
+      | 4      | CRLF | 1    |
+      | 4      | CRLF | 1000 |
+
+  Scenario: A large event in small pieces takes little time
+    # Guards against a search of the whole event for each of its pieces.
+    When an event of 60000 bytes arrives in pieces of 1 byte
+    Then it takes less than a second of processor time
+
+  Scenario: A stream whose server drips bytes goes on where it is if it can't go elsewhere
+    # Guards against a cut of a stream that no other server can continue.
+    When the only engine drips bytes within an event after 3 events
+    Then the client receives 3 events once, incomplete
+    And the stream has lasted until its deadline
 
   Scenario Outline: An answer without end to a call of the node is cut off
     # Guards against a node that holds all that the store, the cloud API or an
--- a/hornbeamrudder/gateway/features/steps/endless_steps.py
+++ b/hornbeamrudder/gateway/features/steps/endless_steps.py
@@ -7,6 +7,7 @@
 
 from hornbeamrudder.core import errors
 from hornbeamrudder.core import types
+from hornbeamrudder.gateway import events
 from hornbeamrudder.gateway.features import node_harness
 from hornbeamrudder.gateway import json_client
 from hornbeamrudder.standins import endless
@@ -17,6 +18,13 @@
 NOTICE_S = 2.0
 
 
+def _events(last, first=1):
+    return b''.join(
+        b'id: %d\ndata: piece %d\n\n' % (number, number)
+        for number in range(first, last + 1)
+    )
+
+
 def _brief(response):
     return (
         f'status {response.status}, {len(response.body)} bytes from'
@@ -93,6 +101,86 @@
     assert answer.elapsed_s * 1e3 < milliseconds, seen
 
 
+@behave.when(
+    'a "{route}" stream goes on with a "{kind}" without end after {count:d}'
+    ' events'
+)
+def break_stream_without_end(context, route, kind, count):
+    _send_request(
+        context,
+        route,
+        endless.Answer(endless.Endless(kind), _events(count)),
+        3000,
+    )
+
+
+@behave.then('the client receives {count:d} events once, {end}')
+def check_events(context, count, end):
+    assert context.response.status == 200, _brief(context.response)
+    assert context.response.body == _events(count), _brief(context.response)
+    assert context.response.complete == (end == 'complete')
+
+
+@behave.when(
+    'the only engine drips bytes within an event after {count:d} events'
+)
+def drip_from_only_engine(context, count):
+    _send_request(
+        context,
+        'plan',
+        endless.Answer(endless.Endless.DRIP, _events(count)),
+        1500,
+        engine_count=1,
+    )
+
+
+@behave.when(
+    'a stream of 5 events with {count:d} blank lines between them, ended by'
+    ' "{end}", arrives in pieces of {size:d} bytes'
+)
+def split_blank_lines(context, count, end, size):
+    line_end = {'LF': b'\n', 'CRLF': b'\r\n'}[end]
+    context.data = b''.join(
+        line_end.join([b'id: %d' % number, b'data: x', *[b''] * count, b''])
+        for number in range(1, 6)
+    )
+    context.splitter = events.EventSplitter()
+    context.received = b''.join(
+        context.splitter.feed(context.data[at : at + size])
+        for at in range(0, len(context.data), size)
+    )
+
+
+@behave.then('5 events are counted and no byte is lost')
+def check_blank_lines(context):
+    splitter = context.splitter
+    assert splitter.count == 5, splitter.count
+    assert context.received + splitter.partial == context.data
+    assert not splitter.partial.strip()
+    last = context.received[context.received.index(b'id: 5') :].split()
+    assert last == [b'id:', b'5', b'data:', b'x'], last
+
+
+@behave.when('an event of {size:d} bytes arrives in pieces of 1 byte')
+def feed_small_pieces(context, size):
+    splitter = events.EventSplitter()
+    started_at = time.process_time()
+    pieces = [splitter.feed(b'x') for _ in range(size)]
+    event = splitter.feed(b'\n\n')
+    context.processor_s = time.process_time() - started_at
+    assert not any(pieces) and len(event) == size + 2
+
+
+@behave.then('it takes less than a second of processor time')
+def check_processor_time(context):
+    assert context.processor_s < 1.0, context.processor_s
+
+
+@behave.then('the stream has lasted until its deadline')
+def check_lasted(context):
+    assert 1.4 < context.response.elapsed_s < 2.5, context.response
+
+
 @behave.when('a call is answered with a "{kind}" without end')
 def call_with_endless_answer(context, kind):
     answer = endless.Answer(endless.Endless(kind))
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -361,8 +361,9 @@
                             self._record_first_event(call, placement, sent_at)
                         self._forward_events(call, head, event_bytes)
                         await call.reply.drain()
-                    if not first:
                         until = self._stall_timeout_at(call)
+                    if stream.splitter.endless:
+                        connection.end_endless('event is too large')
                 case http_client.End():
                     connection.release()
                     placement.record.keep_connection(connection)
