Bound what clients send outside a body

A client could make the node read and hold bytes without end: one header line without end until the time-out of heads, a trailer or a chunk extension for as long as it sent, and blank lines before a request, for which no time-out applied at all.

Cause: the limit on a head counts complete headers, and a header without end is held inside the parser; trailers, chunk extensions and blank lines were not counted, and each piece started the idle time-out anew.

Now a connection counts what it receives and no body accounts for, by the same function as connections to servers, and refuses a request with 431 in its head and 400 after it above twice the limit on a head: that limit does not count the method and space between fields. A body is held in one buffer, as chunks of a few bytes took many times their size.

The tests before the fix printed: - header line: status 408 at the time-out, 431 demanded - blank lines: no answer after 1380.2 MB - chunk extension: no answer after 1465.0 MB - trailer: no answer after 26.2 MB (each ended by the test after 5 s). The row of a target without end passed before as well.

--- a/hornbeamrudder/gateway/features/endless.feature
+++ b/hornbeamrudder/gateway/features/endless.feature
@@ -102,3 +102,17 @@
     # Guards against limits that cut off proper answers.
     When a server answers with a body of 100000 bytes in chunks of 1 byte and a trailer
     Then the client receives the whole body
+
+  Scenario Outline: A request without end is cut off
+    # Guards against a node that reads and holds what a client sends outside a
+    # body, for as long as the client sends.
+    When a client sends "<input>" without end
+    Then the client receives <status> and can send at most 1 MB
+
+    Examples:
+      | input           | status |
+      | a target        | 431    |
+      | a header line   | 431    |
+      | blank lines     | 431    |
+      | chunk extension | 400    |
+      | a trailer       | 400    |
--- a/hornbeamrudder/gateway/features/steps/endless_steps.py
+++ b/hornbeamrudder/gateway/features/steps/endless_steps.py
@@ -11,11 +11,14 @@
 from hornbeamrudder.gateway.features import node_harness
 from hornbeamrudder.gateway import json_client
 from hornbeamrudder.standins import endless
+from hornbeamrudder.standins import platform_caller
 
 EVENT_COUNT = 6
 MB = 1e6
 # Time for the stand-in to notice that the node has closed the connection.
 NOTICE_S = 2.0
+MAX_SEND_S = 5.0
+PIECE = b'x' * 16384
 
 
 def _events(last, first=1):
@@ -243,3 +246,47 @@
 def check_whole_body(context):
     assert context.response.status == 200, _brief(context.response)
     assert context.response.body == b'x' * context.answer.byte_count
+
+
+_HEAD = platform_caller.request_bytes('/book/x').removesuffix(b'\r\n')
+_CHUNKED = (
+    _HEAD.replace(b'Content-Length: 0\r\n', b'')
+    + b'Transfer-Encoding: chunked\r\n\r\n'
+)
+_INPUT_BY_NAME = {
+    'a target': (b'POST /', PIECE),
+    'a header line': (_HEAD + b'X: ', PIECE),
+    'blank lines': (b'', b'\r\n' * 8192),
+    'chunk extension': (_CHUNKED + b'5;', PIECE),
+    'a trailer': (_CHUNKED + b'2\r\nab\r\n0\r\nX: ', PIECE),
+}
+
+
+@behave.when('a client sends "{name}" without end')
+def send_without_end(context, name):
+    start, piece = _INPUT_BY_NAME[name]
+
+    async def scenario(harness):
+        reader, writer = await harness.connect()
+        response = asyncio.create_task(platform_caller.read_response(reader))
+        writer.write(start)
+        sent = 0
+        until = time.monotonic() + MAX_SEND_S
+        while not response.done() and time.monotonic() < until:
+            writer.write(piece)
+            sent += len(piece)
+            await writer.drain()
+            await asyncio.sleep(0)
+        assert response.done(), f'no answer after {sent / MB:.1f} MB'
+        writer.close()
+        return await response, sent
+
+    context.response, context.sent = node_harness.run_scenario(scenario)
+
+
+@behave.then(
+    'the client receives {status:d} and can send at most {megabytes:d} MB'
+)
+def check_client_cut_off(context, status, megabytes):
+    assert context.response.status == status, context.response
+    assert context.sent < megabytes * MB, f'{context.sent / MB:.1f} MB'
--- a/hornbeamrudder/gateway/http_server.py
+++ b/hornbeamrudder/gateway/http_server.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from . import byte_limits
 from . import clock
 from . import records
 
@@ -19,6 +20,9 @@
 
 # Pipelined requests that may be pending on one connection.
 MAX_PIPELINED = 16
+# Received bytes outside a body, as a multiple of the limit on a head, which
+# counts neither the method nor blank lines and space between fields.
+NON_BODY_FACTOR = 2
 # Time between half-close and close, for the client to read the response.
 LINGER_S = 1.0
 TIMEOUT_CHECK_INTERVAL_S = 0.5
@@ -172,6 +176,7 @@
         self._writable: asyncio.Future[None] | None = None
         self._closing = False
         self._refused_status: int | None = None
+        self._completed = 0
         self._reset_request()
 
     def _reset_request(self) -> None:
@@ -181,8 +186,9 @@
         self._target = b''
         self._headers: list[Header] = []
         self._head_bytes = 0
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
+        self._non_body_bytes = 0
 
     @property
     def is_busy(self) -> bool:
@@ -264,6 +270,7 @@
         if self._closing or self._refused_status is not None:
             return
         self._last_activity_at = clock.now()
+        completed, body_bytes = self._completed, self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -271,6 +278,19 @@
         except httptools.HttpParserError:
             if not self._closing:
                 self._refuse(400)
+        if completed == self._completed and not self._closing:
+            self._check_non_body_bytes(
+                len(data), self._body_bytes - body_bytes
+            )
+
+    def _check_non_body_bytes(self, received: int, body: int) -> None:
+        """Refuse a head, chunk framing or trailers without end."""
+        self._non_body_bytes = byte_limits.non_body_bytes(
+            self._non_body_bytes, received, body
+        )
+        limit = NON_BODY_FACTOR * self.server.limits.max_header_bytes
+        if self._non_body_bytes > limit and self._refused_status is None:
+            self._refuse(431 if self._in_head else 400)
 
     # httptools callbacks
 
@@ -319,7 +339,7 @@
             if not self._closing:
                 self._refuse(413)
             return
-        self._body.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Queue the request for the handler, in order of arrival."""
@@ -329,11 +349,12 @@
             method=self._parser.get_method(),
             target=self._target,
             headers=tuple(self._headers),
-            body=b''.join(self._body),
+            body=bytes(self._body),
             arrived_at=self._started_at,
             keep_alive=self._parser.should_keep_alive(),
             chunked_allowed=self._parser.get_http_version() == '1.1',
         )
+        self._completed += 1
         self._reset_request()
         self._pending.append(request)
         if len(self._pending) > MAX_PIPELINED:
