Bound how far a datagram of another node expands

A datagram on the internal port was expanded whatever its rows amounted to: 64 kB can hold some 60 MB. Nodes send at most 1300 bytes, which can't exceed 2 MB, the new limit; above it, or when the rows are cut short, the datagram is dropped like other malformed ones.

--- a/hornbeamrudder/gateway/byte_limits.py
+++ b/hornbeamrudder/gateway/byte_limits.py
@@ -13,6 +13,8 @@
 MAX_JSON_BODY_BYTES = 8 * 1024 * 1024
 # Body of an answer to a call that returns no rows.
 MAX_ACK_BODY_BYTES = 64 * 1024
+# Rows of a datagram from another node, expanded.
+MAX_EXPANDED_BYTES = 2 * 1024 * 1024
 # Bytes of chunk framing that one byte of a body accounts for.
 FRAMING_BYTES_PER_BODY_BYTE = 8
 
--- a/hornbeamrudder/gateway/features/endless.feature
+++ b/hornbeamrudder/gateway/features/endless.feature
@@ -116,3 +116,8 @@
       | blank lines     | 431    |
       | chunk extension | 400    |
       | a trailer       | 400    |
+
+  Scenario: A datagram that expands without measure is dropped
+    # Guards against a node that expands a small datagram into all its memory.
+    When a node receives a datagram that expands to 50 MB
+    Then it is dropped and takes less than 8 MB
--- a/hornbeamrudder/gateway/features/steps/endless_steps.py
+++ b/hornbeamrudder/gateway/features/steps/endless_steps.py
@@ -2,14 +2,19 @@
 
 import asyncio
 import time
+import tracemalloc
+import zlib
 
 import behave
+import msgpack
 
 from hornbeamrudder.core import errors
+from hornbeamrudder.core import ids
 from hornbeamrudder.core import types
 from hornbeamrudder.gateway import events
 from hornbeamrudder.gateway.features import node_harness
 from hornbeamrudder.gateway import json_client
+from hornbeamrudder.gateway import table_relay
 from hornbeamrudder.standins import endless
 from hornbeamrudder.standins import platform_caller
 
@@ -290,3 +295,37 @@
 def check_client_cut_off(context, status, megabytes):
     assert context.response.status == status, context.response
     assert context.sent < megabytes * MB, f'{context.sent / MB:.1f} MB'
+
+
+@behave.when('a node receives a datagram that expands to {megabytes:d} MB')
+def receive_expanding_datagram(context, megabytes):
+    class Table:
+        table = 'servers'
+
+        def apply_changes(self, *changes):
+            context.applied.append(changes)
+
+    context.applied = []
+    relay = table_relay.TableRelay(
+        ids.NodeId('node-1'),
+        {'servers': Table()},
+        lambda node, data: None,
+        lambda: (),
+        lambda: False,
+        lambda: (),
+    )
+    rows = msgpack.packb([('key', b'\0' * megabytes * 10**6, 1, False)])
+    fields = [2, 'servers', 1, 2, 0.0, zlib.compress(rows)]
+    assert len(msgpack.packb(fields)) < 65507
+    del rows
+    tracemalloc.start()
+    context.handled = relay.handle_datagram(fields)
+    context.peak_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+
+
+@behave.then('it is dropped and takes less than {megabytes:d} MB')
+def check_datagram_dropped(context, megabytes):
+    assert context.peak_bytes < megabytes * MB, context.peak_bytes
+    assert not context.handled
+    assert not context.applied
--- a/hornbeamrudder/gateway/table_relay.py
+++ b/hornbeamrudder/gateway/table_relay.py
@@ -15,6 +15,7 @@
 
 import msgpack
 
+from . import byte_limits
 from . import clock
 from ..core import ids
 from . import reports
@@ -216,5 +217,20 @@
         int(before),
         int(after),
         float(recovered_s),
-        tuple(Row(*row) for row in msgpack.unpackb(zlib.decompress(packed))),
+        tuple(Row(*row) for row in msgpack.unpackb(_expand(packed))),
     )
+
+
+def _expand(packed: bytes) -> bytes:
+    """Decompress the rows of a datagram.
+
+    Raises
+    ------
+    ValueError, zlib.error
+        The rows exceed the limit or are incomplete or malformed.
+    """
+    expander = zlib.decompressobj()
+    data = expander.decompress(packed, byte_limits.MAX_EXPANDED_BYTES)
+    if not expander.eof:
+        raise ValueError('rows are too large or incomplete')
+    return data
