--- a/hornbeamrudder/gateway/failover.py
+++ b/hornbeamrudder/gateway/failover.py
@@ -175,11 +175,11 @@
                 return attempt
             case http_client.Head() as head if self._is_accepting(call, head):
                 return attempt
-            case http_client.ConnectionBroken(detail, answered):
+            case http_client.ConnectionBroken(detail, answered, endless):
                 # The server may have closed an idle connection at any time.
                 if answered or not attempt.reused:
                     self._sender.record_outcome(
-                        record, health.Outcome.UNREACHABLE, detail
+                        record, health.broken_outcome(endless), detail
                     )
             case _:
                 self._sender.record_outcome(
