Answer requests that reach a stopping node late

Seen by callers: a connection to a stopping node was closed without an answer to the request that the client had just sent on it.

Cause: from 2.6 s after SIGTERM, each connection with no request in progress was half-closed every 50 ms: also new ones whose request had not arrived, kept ones right after a response, and those whose request was in the socket but had not been read. Input after the half-close was dropped. The listener was closed only after the last writes to the store, which take up to 1.6 s if it is silent; requests accepted meanwhile were cut at the exit, and connections in the queue were reset.

Change: a connection is closed once it has been idle for 1 s and no input waits in its socket. The close reads nothing further, so that a request that crosses it was not read and may be sent elsewhere. The front listener is closed before the last writes, at the latest 1 s before the end of the drain; its queue is accepted, and the node goes on until no connection is open, at most to grace time less reserve as before. A request that is incomplete then gets 503: it has not been passed on.

--- /dev/null
+++ b/hornbeamrudder/gateway/features/steps/stop_steps.py
@@ -0,0 +1,264 @@
+"""Steps for the graceful stop of a node."""
+
+import asyncio
+import os
+import signal
+import socket
+import time
+
+import behave
+
+from hornbeamrudder.gateway.features import node_harness
+from hornbeamrudder.gateway import http_server
+from hornbeamrudder.gateway import listener
+from hornbeamrudder.gateway import records
+from hornbeamrudder.standins import platform_caller
+from hornbeamrudder.standins import platform_server
+
+# Events of a stream that lasts 4 seconds or a little longer.
+LONG_STREAM_EVENTS = 400
+# Time for which a node takes streams after SIGTERM, and a little more.
+LAST_STREAM_S = 2.8
+
+
+def _stop():
+    os.kill(os.getpid(), signal.SIGTERM)
+
+
+def _raw_connection(port):
+    """Connect without the event loop, which does not run meanwhile."""
+    client = socket.create_connection((node_harness.IP, port), timeout=2)
+    client.setblocking(False)
+    return client
+
+
+async def _read_response(client):
+    reader, writer = await asyncio.open_connection(sock=client)
+    response = await platform_caller.read_response(reader)
+    writer.close()
+    return response
+
+
+@behave.when(
+    'a client connects {connect_s:g} seconds after SIGTERM and sends a'
+    ' "{route}" request {delay_s:g} seconds later'
+)
+def send_late_request(context, connect_s, route, delay_s):
+    async def scenario(harness):
+        active_stream = asyncio.create_task(
+            harness.send_request('/chat/x', remaining_ms=6000)
+        )
+        await asyncio.sleep(0.1)
+        _stop()
+        await asyncio.sleep(connect_s)
+        connection = await harness.connect()
+        await asyncio.sleep(delay_s)
+        response = await harness.send_request(f'/{route}/x', connection)
+        rest = await connection[0].read()
+        assert (await active_stream).complete
+        return response, rest
+
+    context.response, context.rest = node_harness.run_scenario(
+        scenario, event_count=LONG_STREAM_EVENTS
+    )
+
+
+@behave.then('the client receives {status:d} and the connection is closed')
+def check_closed(context, status):
+    assert context.response.status == status, context.response
+    assert context.response.complete
+    assert context.response.headers['connection'] == 'close'
+    assert context.rest == b''
+
+
+@behave.when(
+    'requests arrive on new and kept connections as a stopping node closes'
+    ' idle ones'
+)
+def send_while_closing(context):
+    request = platform_caller.request_bytes('/look/x')
+
+    async def scenario(harness):
+        kept = await harness.connect()
+        assert (await harness.send_request('/look/x', kept)).status == 200
+        new = await harness.connect()
+        close_idle = harness.node.server.close_idle
+        clients = []
+
+        def send_and_close_idle(*arguments):
+            if not clients:
+                for _, writer in (kept, new):
+                    # Written at once, before the node reads again.
+                    writer.write(request)
+                clients.append(_raw_connection(harness.settings.front.port))
+                clients[0].sendall(request)
+            close_idle(*arguments)
+
+        harness.node.server.close_idle = send_and_close_idle
+        _stop()
+        await asyncio.wait([harness.task])
+        return [
+            await platform_caller.read_response(kept[0]),
+            await platform_caller.read_response(new[0]),
+            await _read_response(clients[0]),
+        ]
+
+    context.responses = node_harness.run_scenario(scenario)
+
+
+@behave.then('each of these requests is answered')
+def check_each_answered(context):
+    statuses = [response.status for response in context.responses]
+    assert statuses == [200, 200, 200], statuses
+    assert all(response.complete for response in context.responses)
+
+
+@behave.when(
+    'a stream ends late in a stop and its connection carries another request'
+    ' {delay_s:g} seconds later'
+)
+def send_after_stream(context, delay_s):
+    async def scenario(harness):
+        connection = await harness.connect()
+        pending = asyncio.create_task(
+            harness.send_request('/chat/x', connection, remaining_ms=6000)
+        )
+        await asyncio.sleep(0.1)
+        _stop()
+        started_at = time.monotonic()
+        stream = await pending
+        assert stream.complete and 'connection' not in stream.headers
+        assert time.monotonic() - started_at > LAST_STREAM_S
+        await asyncio.sleep(delay_s)
+        response = await harness.send_request('/look/x', connection)
+        return response, await connection[0].read()
+
+    context.response, context.rest = node_harness.run_scenario(
+        scenario, event_count=LONG_STREAM_EVENTS
+    )
+
+
+@behave.when('requests are sent to a stopping node until its process exits')
+def send_until_exit(context):
+    async def scenario(harness):
+        requests = []
+
+        async def send():
+            try:
+                connection = await harness.connect()
+            except ConnectionRefusedError:
+                return 'refused'
+            response = await harness.send_request('/book/x', connection)
+            return response.status
+
+        async def send_while(condition):
+            while condition():
+                requests.append(asyncio.create_task(send()))
+                await asyncio.sleep(0.05)
+
+        # The removal of the node's row then takes until its timeout.
+        harness.store.faults.unresponsive = True
+        _stop()
+        started_at = time.monotonic()
+        await send_while(lambda: time.monotonic() < started_at + 2.4)
+        await asyncio.sleep(LAST_STREAM_S - 2.4)
+        for server in harness.plain_servers:
+            server.behaviours = [platform_server.Behaviour.HANG] * 100
+        await send_while(lambda: not harness.task.done())
+        open_count = len(harness.node.server.connections)
+        return open_count, [
+            request.result() if request.done() else 'unanswered'
+            for request in requests
+        ]
+
+    context.open_count, context.statuses = node_harness.run_scenario(scenario)
+
+
+@behave.then(
+    'no request is in progress then and each accepted one was answered'
+)
+def check_none_in_progress(context):
+    assert set(context.statuses) == {200, 'refused'}, context.statuses
+    assert context.open_count == 0, context.open_count
+
+
+@behave.when('a listener is closed while connections wait in its queue')
+def close_listener(context):
+    async def handle(request, reply):
+        reply.send(200, (), b'')
+
+    async def scenario():
+        server = http_server.CallerServer(handle)
+        front = await asyncio.get_running_loop().create_server(
+            server.make_connection, node_harness.IP, 0
+        )
+        port = front.sockets[0].getsockname()[1]
+        clients = [_raw_connection(port) for _ in range(3)]
+        for client in clients:
+            client.sendall(platform_caller.request_bytes('/look/x'))
+        server.stopping = True
+        await listener.close_listener(front, server)
+        return [await _read_response(client) for client in clients]
+
+    context.responses = asyncio.run(scenario())
+
+
+@behave.then('the request of each of them is answered')
+def check_queue_served(context):
+    check_each_answered(context)
+
+
+@behave.when(
+    'a client sends the body of its request a byte at a time until a node with'
+    ' {grace_s:g} seconds for its stop exits'
+)
+def send_slowly(context, grace_s):
+    async def scenario(harness):
+        connection = await harness.connect()
+        body = b'0123456789' * 10
+        request = platform_caller.request_bytes('/look/x', body=body)
+        connection[1].write(request[: -len(body)])
+        _stop()
+        started_at = time.monotonic()
+        while not harness.task.done():
+            connection[1].write(b'0')
+            await asyncio.sleep(0.1)
+        elapsed_s = time.monotonic() - started_at
+        return elapsed_s, await platform_caller.read_response(connection[0])
+
+    context.elapsed_s, context.response = node_harness.run_scenario(
+        scenario, bounds=records.Bounds(grace_s=grace_s)
+    )
+
+
+@behave.then(
+    'the client receives {status:d} and the node has exited within {grace_s:g}'
+    ' seconds'
+)
+def check_exited_in_time(context, status, grace_s):
+    assert context.response.status == status, context.response
+    assert context.elapsed_s < grace_s, context.elapsed_s
+
+
+@behave.when('a node with silent and with half-closed connections is stopped')
+def stop_with_silent_connections(context):
+    async def scenario(harness):
+        port = harness.settings.front.port
+        # Raw sockets do not close when the node has closed its side.
+        clients = [_raw_connection(port) for _ in range(2)]
+        _stop()
+        started_at = time.monotonic()
+        await asyncio.sleep(0.5)
+        clients[0].sendall(platform_caller.request_bytes('/look/x'))
+        await asyncio.wait([harness.task])
+        elapsed_s = time.monotonic() - started_at
+        for client in clients:
+            client.close()
+        return elapsed_s
+
+    context.elapsed_s = node_harness.run_scenario(scenario)
+
+
+@behave.then('it exits within {maximum:g} seconds')
+def check_exit_time(context, maximum):
+    assert context.elapsed_s < maximum, context.elapsed_s
--- /dev/null
+++ b/hornbeamrudder/gateway/features/stop.feature
@@ -0,0 +1,42 @@
+Feature: Graceful stop of a node
+
+  Scenario Outline: A stopping node answers the first request of a new connection
+    # Guards against closing connections whose request has not arrived yet.
+    When a client connects 2.8 seconds after SIGTERM and sends a "<route>" request 0.4 seconds later
+    Then the client receives <status> and the connection is closed
+
+    Examples:
+      | route | status |
+      | look  | 200    |
+      | chat  | 503    |
+
+  Scenario: A request that waits in the socket is answered before the close
+    # Guards against closing connections whose request has arrived but has not
+    # been read.
+    When requests arrive on new and kept connections as a stopping node closes idle ones
+    Then each of these requests is answered
+
+  Scenario: A request right after a response of a stopping node is answered
+    # Guards against closing kept connections right after a response.
+    When a stream ends late in a stop and its connection carries another request 0.2 seconds later
+    Then the client receives 200 and the connection is closed
+
+  Scenario: A stop leaves no request unanswered when the process exits
+    # Guards against accepting requests while the last rows are written.
+    When requests are sent to a stopping node until its process exits
+    Then no request is in progress then and each accepted one was answered
+
+  Scenario: Connections in the queue of a closed listener are served
+    # Guards against resetting connections that have not been accepted yet.
+    When a listener is closed while connections wait in its queue
+    Then the request of each of them is answered
+
+  Scenario: An incomplete request at the end of a stop receives 503
+    # Guards against slow requests that hold up a stop or end unanswered.
+    When a client sends the body of its request a byte at a time until a node with 4.2 seconds for its stop exits
+    Then the client receives 503 and the node has exited within 4.2 seconds
+
+  Scenario: Silent connections do not hold up a stop
+    # Guards against waiting for clients that send nothing.
+    When a node with silent and with half-closed connections is stopped
+    Then it exits within 5 seconds
--- a/hornbeamrudder/gateway/http_server.py
+++ b/hornbeamrudder/gateway/http_server.py
@@ -8,6 +8,7 @@
 import collections
 import dataclasses
 import http
+import select
 from typing import Awaitable, Callable, Iterable
 
 import httptools
@@ -145,11 +146,15 @@
         """Connections with a request in progress."""
         return sum(1 for connection in self.connections if connection.is_busy)
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request is in progress."""
+    def close_idle(self, idle_s: float) -> None:
+        """Close the connections that have been idle for `idle_s` seconds."""
         for connection in list(self.connections):
-            if not connection.is_busy:
-                connection.close()
+            connection.close_if_idle(idle_s)
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests that have not been read completely."""
+        for connection in list(self.connections):
+            connection.refuse_incomplete()
 
     def make_connection(self) -> 'CallerConnection':
         """Protocol factory for `create_server`."""
@@ -189,6 +194,30 @@
         """Whether a request is being read or answered."""
         return self._task is not None or self._reading
 
+    # Used by CallerServer
+
+    def close_if_idle(self, idle_s: float) -> None:
+        """Close if there has been no request for `idle_s` seconds.
+
+        Closes without reading on: the process does not read a request that
+        crosses the close, so that its client may send it elsewhere.
+        """
+        if (
+            self._closing
+            or self._transport is None
+            or self.is_busy
+            or clock.now() - self._last_activity_at < idle_s
+            or _has_unread_input(self._transport)
+        ):
+            return
+        self._closing = True
+        self._transport.close()
+
+    def refuse_incomplete(self) -> None:
+        """Answer 503 if a request has been read in part only."""
+        if self._reading and self._task is None and not self._closing:
+            self._send_error(503)
+
     # Used by ResponseWriter
 
     def write(self, data: bytes) -> None:
@@ -373,6 +402,9 @@
             # the earlier request on this connection.
             self._refused_status = status
             return
+        self._send_error(status)
+
+    def _send_error(self, status: int) -> None:
         self.write(
             b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
             % (status, _REASON_BY_STATUS[status])
@@ -404,3 +436,10 @@
             self.close()
             return
         self._arm_timer()
+
+
+def _has_unread_input(transport: asyncio.Transport) -> bool:
+    """Whether input waits in the socket that the loop has not read yet."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info('socket'), select.POLLIN)
+    return bool(poll.poll(0))
--- a/hornbeamrudder/gateway/node.py
+++ b/hornbeamrudder/gateway/node.py
@@ -11,6 +11,7 @@
 from . import exchange
 from . import forward
 from . import http_server
+from . import listener
 from . import metrics
 from . import moves
 from . import node_state
@@ -49,6 +50,9 @@
 # Part of the grace period reserved for the last writes to the store.
 STOP_RESERVE_S = 0.7
 DRAIN_POLL_S = 0.05
+# Time for which a connection of a stopping node may be idle, so that a request
+# that is on its way is still answered.
+STOP_IDLE_S = 1.0
 LISTEN_BACKLOG = 512
 
 
@@ -204,9 +208,9 @@
             store=str(settings.store),
         )
         await self._stopped.wait()
-        await self._drain()
-        for listener in listeners:
-            listener.close()
+        await self._drain(listeners[0])
+        for opened in listeners:
+            opened.close()
         self._log.info('node is stopped', open=self.server.busy)
 
     def _on_task_done(self, task: 'asyncio.Task[None]') -> None:
@@ -218,7 +222,7 @@
             if self._stopped is not None:
                 self._stopped.set()
 
-    async def _drain(self) -> None:
+    async def _drain(self, front: asyncio.Server) -> None:
         """Fail the readiness checks and finish accepted requests."""
         state = self.state
         stop_started_at = clock.now()
@@ -229,13 +233,20 @@
         deadline = (
             stop_started_at + self.settings.bounds.grace_s - STOP_RESERVE_S
         )
-        while clock.now() < deadline and (
+        while clock.now() < deadline - STOP_IDLE_S and (
             clock.now() < stop_started_at + STOP_ACCEPT_S
             or self.forwarder.calls
         ):
             await asyncio.sleep(DRAIN_POLL_S)
             if clock.now() > stop_started_at + STOP_ACCEPT_S:
-                self.server.close_idle()
+                self.server.close_idle(STOP_IDLE_S)
+        await listener.close_listener(front, self.server)
+        # Connections that were just accepted are registered by the loop.
+        await asyncio.sleep(DRAIN_POLL_S)
+        while clock.now() < deadline and self.server.connections:
+            self.server.close_idle(STOP_IDLE_S)
+            await asyncio.sleep(DRAIN_POLL_S)
+        self.server.refuse_incomplete()
         await self._write_usage()
         await self._registration.deregister()
 
