Answer pipelined requests on a connection of a stopping node

Seen by callers: of three pipelined requests to a node that had received SIGTERM, only the first was answered, with "Connection: close"; the other two had been read and were dropped.

Cause: while the node stopped, each response announced the close and ended the connection, whatever followed on it.

Change: the close is announced with the last response, that is when no further request has been read or is being read.

--- a/hornbeamrudder/gateway/features/steps/stop_steps.py
+++ b/hornbeamrudder/gateway/features/steps/stop_steps.py
@@ -138,6 +138,30 @@
     )
 
 
+@behave.when(
+    'three pipelined requests arrive on one connection of a stopping node'
+)
+def send_pipelined(context):
+    async def scenario(harness):
+        reader, writer = await harness.connect()
+        _stop()
+        await asyncio.sleep(0.1)
+        writer.write(platform_caller.request_bytes('/look/x') * 3)
+        return [await platform_caller.read_response(reader) for _ in range(3)]
+
+    context.responses = node_harness.run_scenario(scenario)
+
+
+@behave.then(
+    'all three are answered and only the last response announces the close'
+)
+def check_pipelined(context):
+    check_each_answered(context)
+    assert [
+        response.headers.get('connection') for response in context.responses
+    ] == [None, None, 'close']
+
+
 @behave.when('requests are sent to a stopping node until its process exits')
 def send_until_exit(context):
     async def scenario(harness):
--- a/hornbeamrudder/gateway/features/stop.feature
+++ b/hornbeamrudder/gateway/features/stop.feature
@@ -21,6 +21,11 @@
     When a stream ends late in a stop and its connection carries another request 0.2 seconds later
     Then the client receives 200 and the connection is closed
 
+  Scenario: A stopping node answers all requests on a connection
+    # Guards against dropping requests that were read but not yet handled.
+    When three pipelined requests arrive on one connection of a stopping node
+    Then all three are answered and only the last response announces the close
+
   Scenario: A stop leaves no request unanswered when the process exits
     # Guards against accepting requests while the last rows are written.
     When requests are sent to a stopping node until its process exits
--- a/hornbeamrudder/gateway/http_server.py
+++ b/hornbeamrudder/gateway/http_server.py
@@ -82,7 +82,10 @@
             Body length in bytes; None for a chunked body.
         """
         self.started = True
-        closing = not self._keep_alive or self._connection.server.stopping
+        closing = not self._keep_alive or (
+            self._connection.server.stopping
+            and not self._connection.has_next_request
+        )
         lines = [
             b'HTTP/1.1 %d %s'
             % (status, _REASON_BY_STATUS.get(status, b'Unknown'))
@@ -194,6 +197,11 @@
         """Whether a request is being read or answered."""
         return self._task is not None or self._reading
 
+    @property
+    def has_next_request(self) -> bool:
+        """Whether a request follows the one that is being answered."""
+        return bool(self._pending) or self._reading
+
     # Used by CallerServer
 
     def close_if_idle(self, idle_s: float) -> None:
