Answer a request that arrives as its kept connection times out

Seen by callers: a request on a kept connection that had been idle for idleTimeoutMs could be closed without an answer although it had arrived.

Cause: the check of idle connections looked only at what the event loop had read, not at the socket, and dropped what it read after its half-close.

Change: the check closes idle connections as a stopping node does: not if input waits in the socket, and without reading further.

--- a/hornbeamrudder/gateway/features/steps/stop_steps.py
+++ b/hornbeamrudder/gateway/features/steps/stop_steps.py
@@ -5,9 +5,11 @@
 import signal
 import socket
 import time
+from unittest import mock
 
 import behave
 
+from hornbeamrudder.gateway import clock
 from hornbeamrudder.gateway.features import node_harness
 from hornbeamrudder.gateway import http_server
 from hornbeamrudder.gateway import listener
@@ -286,3 +288,27 @@
 @behave.then('it exits within {maximum:g} seconds')
 def check_exit_time(context, maximum):
     assert context.elapsed_s < maximum, context.elapsed_s
+
+
+@behave.when('a request arrives as its kept connection reaches the idle time')
+def send_at_idle_time(context):
+    async def scenario(harness):
+        kept = await harness.connect()
+        assert (await harness.send_request('/look/x', kept)).status == 200
+        (connection,) = harness.node.server.connections
+        idle_s = harness.node.server.limits.idle_timeout_s
+        with mock.patch.object(
+            http_server.clock, 'now', return_value=clock.now() + idle_s + 1
+        ):
+            # Written at once, before the node reads again.
+            kept[1].write(platform_caller.request_bytes('/look/x'))
+            connection._check_timeouts()
+        return [await platform_caller.read_response(kept[0])]
+
+    context.responses = node_harness.run_scenario(scenario)
+
+
+@behave.then('the request on it is answered')
+def check_answered_at_idle_time(context):
+    (response,) = context.responses
+    assert response.status == 200 and response.complete, response
--- a/hornbeamrudder/gateway/features/stop.feature
+++ b/hornbeamrudder/gateway/features/stop.feature
@@ -1,4 +1,4 @@
-Feature: Graceful stop of a node
+Feature: Close of client connections, and graceful stop of a node
 
   Scenario Outline: A stopping node answers the first request of a new connection
     # Guards against closing connections whose request has not arrived yet.
@@ -45,3 +45,9 @@
     # Guards against waiting for clients that send nothing.
     When a node with silent and with half-closed connections is stopped
     Then it exits within 5 seconds
+
+  Scenario: A request as its kept connection times out is answered
+    # Guards against closing kept connections whose request has arrived but
+    # has not been read.
+    When a request arrives as its kept connection reaches the idle time
+    Then the request on it is answered
--- a/hornbeamrudder/gateway/http_server.py
+++ b/hornbeamrudder/gateway/http_server.py
@@ -437,12 +437,8 @@
             if now - self._last_activity_at > limits.idle_timeout_s:
                 self._refuse(408)
                 return
-        elif (
-            self._task is None
-            and now - self._last_activity_at > limits.idle_timeout_s
-        ):
-            self.close()
-            return
+        else:
+            self.close_if_idle(limits.idle_timeout_s)
         self._arm_timer()
 
 
