Charge no units for streams that a stopping node refuses

Seen by callers: of 20 streams of a limited account that asked a node late in its stop, some got 429 for the account's limit rather than 503: the streams refused before them had been charged.

Cause: the units were taken before the check of the stop, and a stream refused by that check did not give them back.

Change: the stop is checked first.

--- a/hornbeamrudder/gateway/features/steps/stop_steps.py
+++ b/hornbeamrudder/gateway/features/steps/stop_steps.py
@@ -312,3 +312,32 @@
 def check_answered_at_idle_time(context):
     (response,) = context.responses
     assert response.status == 200 and response.complete, response
+
+
+@behave.when(
+    '{count:d} streams of a limited account are requested late in a stop'
+)
+def request_limited_streams(context, count):
+    async def scenario(harness):
+        active_stream = asyncio.create_task(
+            harness.send_request('/chat/x', remaining_ms=6000)
+        )
+        await asyncio.sleep(0.1)
+        _stop()
+        await asyncio.sleep(LAST_STREAM_S)
+        responses = [
+            await harness.send_request('/chat/x', key='key-south')
+            for _ in range(count)
+        ]
+        await active_stream
+        return responses
+
+    context.responses = node_harness.run_scenario(
+        scenario, event_count=LONG_STREAM_EVENTS
+    )
+
+
+@behave.then('each of them is refused with {status:d}')
+def check_each_refused(context, status):
+    statuses = {response.status for response in context.responses}
+    assert statuses == {status}, statuses
--- a/hornbeamrudder/gateway/features/stop.feature
+++ b/hornbeamrudder/gateway/features/stop.feature
@@ -51,3 +51,8 @@
     # has not been read.
     When a request arrives as its kept connection reaches the idle time
     Then the request on it is answered
+
+  Scenario: Streams that a stopping node refuses use no units of their account
+    # Guards against charging an account for requests that were not run.
+    When 20 streams of a limited account are requested late in a stop
+    Then each of them is refused with 503
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -70,8 +70,6 @@
             request.arrived_at,
             clock.now(),
         )
-        if isinstance(decision, admit.Admitted):
-            decision = self._apply_quota(decision)
         if (
             isinstance(decision, admit.Admitted)
             and decision.route.retry_safety is records.RetrySafety.STREAM
@@ -80,6 +78,8 @@
             decision = admit.Refusal(
                 503, 'node is stopping', admit.OTHER_NODE_RETRY_S
             )
+        if isinstance(decision, admit.Admitted):
+            decision = self._apply_quota(decision)
         if isinstance(decision, admit.Refusal):
             self._send_refusal(reply, metadata, decision)
             return
