Take no request late in a stop that may outlast it

Would be seen by callers: a request that is not a stream, sent on an open connection late in a stop, was passed on whatever its deadline, and cut if its server still worked at the end of the stop. Found by reading the code after streams had been cut so; no such cut was recorded.

Cause: only streams were refused from 2.6 s after SIGTERM on.

Change: from then on a request whose deadline is later than the end of the drain gets 503 too, before it is passed on; others are served. The decision is in admit.check_stop, over the two times of the stop.

--- a/hornbeamrudder/gateway/admit.py
+++ b/hornbeamrudder/gateway/admit.py
@@ -65,6 +65,23 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopTimes:
+    """Times of a graceful stop, on `clock.now`.
+
+    Attributes
+    ----------
+    last_stream_at : float
+        Time after which the node starts no streams, because it could not
+        complete them.
+    ends_at : float
+        Time at which the node ends the requests that are in progress.
+    """
+
+    last_stream_at: float = float('inf')
+    ends_at: float = float('inf')
+
+
 # Number of route ranks within one account rank: requests are ordered by the
 # account's rank, then by the route's.
 ROUTE_RANKS = 3
@@ -137,6 +154,18 @@
     )
 
 
+def check_stop(
+    admitted: Admitted, stop_times: StopTimes, now: float
+) -> Union[Admitted, Refusal]:
+    """Refuse a request that a stopping node may not be able to complete."""
+    is_stream = admitted.route.retry_safety is records.RetrySafety.STREAM
+    if now > stop_times.last_stream_at and (
+        is_stream or admitted.deadline > stop_times.ends_at
+    ):
+        return Refusal(503, 'node is stopping', OTHER_NODE_RETRY_S)
+    return admitted
+
+
 def _rank(route: records.Route, account: records.ClientAccount | None) -> int:
     route_rank = min(route.rank, ROUTE_RANKS - 1)
     if account is None or account.rank is None:
--- a/hornbeamrudder/gateway/features/steps/stop_steps.py
+++ b/hornbeamrudder/gateway/features/steps/stop_steps.py
@@ -314,6 +314,33 @@
     assert response.status == 200 and response.complete, response
 
 
+@behave.when(
+    'a "{route}" request with {remaining_ms:d} ms to its deadline is sent'
+    ' {sent_s:g} seconds after SIGTERM to a node with {grace_s:g} seconds for'
+    ' its stop'
+)
+def send_before_end(context, route, remaining_ms, sent_s, grace_s):
+    async def scenario(harness):
+        _stop()
+        await asyncio.sleep(sent_s - 0.6)
+        connection = await harness.connect()
+        await asyncio.sleep(0.6)
+        response = await harness.send_request(
+            f'/{route}/x', connection, remaining_ms=remaining_ms
+        )
+        return response, harness.received_requests()
+
+    context.response, context.requests = node_harness.run_scenario(
+        scenario, bounds=records.Bounds(grace_s=grace_s)
+    )
+
+
+@behave.then('the client receives {status:d} and {count:d} servers receive it')
+def check_received(context, status, count):
+    assert context.response.status == status, context.response
+    assert len(context.requests) == count, context.requests
+
+
 @behave.when(
     '{count:d} streams of a limited account are requested late in a stop'
 )
--- a/hornbeamrudder/gateway/features/stop.feature
+++ b/hornbeamrudder/gateway/features/stop.feature
@@ -52,6 +52,17 @@
     When a request arrives as its kept connection reaches the idle time
     Then the request on it is answered
 
+  Scenario Outline: A stopping node takes no request that may outlast the stop
+    # Guards against accepting requests that are cut at the end of the stop.
+    When a "<route>" request with <remaining> ms to its deadline is sent 3 seconds after SIGTERM to a node with 4.5 seconds for its stop
+    Then the client receives <status> and <count> servers receive it
+
+    Examples:
+      | route | remaining | status | count |
+      | book  | 3000      | 503    | 0     |
+      | look  | 3000      | 503    | 0     |
+      | book  | 400       | 200    | 1     |
+
   Scenario: Streams that a stopping node refuses use no units of their account
     # Guards against charging an account for requests that were not run.
     When 20 streams of a limited account are requested late in a stop
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -70,13 +70,9 @@
             request.arrived_at,
             clock.now(),
         )
-        if (
-            isinstance(decision, admit.Admitted)
-            and decision.route.retry_safety is records.RetrySafety.STREAM
-            and clock.now() > state.last_stream_at
-        ):
-            decision = admit.Refusal(
-                503, 'node is stopping', admit.OTHER_NODE_RETRY_S
+        if isinstance(decision, admit.Admitted):
+            decision = admit.check_stop(
+                decision, state.stop_times, clock.now()
             )
         if isinstance(decision, admit.Admitted):
             decision = self._apply_quota(decision)
--- a/hornbeamrudder/gateway/node.py
+++ b/hornbeamrudder/gateway/node.py
@@ -5,6 +5,7 @@
 import signal
 from typing import Any
 
+from . import admit
 from . import clock
 from ..core import errors
 from . import duties
@@ -226,13 +227,15 @@
         """Fail the readiness checks and finish accepted requests."""
         state = self.state
         stop_started_at = clock.now()
-        state.stopping = True
-        state.last_stream_at = stop_started_at + STOP_ACCEPT_S
-        self.server.stopping = True
-        self._log.info('node is stopping', requests=len(self.forwarder.calls))
         deadline = (
             stop_started_at + self.settings.bounds.grace_s - STOP_RESERVE_S
         )
+        state.stopping = True
+        state.stop_times = admit.StopTimes(
+            last_stream_at=stop_started_at + STOP_ACCEPT_S, ends_at=deadline
+        )
+        self.server.stopping = True
+        self._log.info('node is stopping', requests=len(self.forwarder.calls))
         while clock.now() < deadline - STOP_IDLE_S and (
             clock.now() < stop_started_at + STOP_ACCEPT_S
             or self.forwarder.calls
--- a/hornbeamrudder/gateway/node_state.py
+++ b/hornbeamrudder/gateway/node_state.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any, Mapping
 
+from . import admit
 from . import clock
 from ..core import ids
 from . import metrics
@@ -35,9 +36,6 @@
     confirmed_at : float
         Time on `clock.now` at which the latest call to the store was sent
         whose response confirmed `configuration` as current.
-    last_stream_at : float
-        Time after which a stopping node starts no streams, because it could
-        not complete them.
     prefill_rate_by_service : dict
         Prompt tokens per millisecond that one engine processes.
     """
@@ -54,7 +52,7 @@
     configuration: records.Configuration | None = None
     confirmed_at: float = float('-inf')
     stopping: bool = False
-    last_stream_at: float = float('inf')
+    stop_times: admit.StopTimes = admit.StopTimes()
     bucket_by_account: dict[ids.AccountId, quota.Bucket] = dataclasses.field(
         default_factory=dict
     )
