Send requests until one reaches the reassigned server

Cause: the test. It sent 6 requests, and each goes to one of two equal servers by a random term, so that with a chance of 1 in 64 all went to the other server.

Change: the step sends 6 requests as before, and goes on until one has reached that server, to 100 at most (all to the other one: 1 in 2^100). The checks are as before: one arrives, none is executed there, every request is answered with 200, those after the sixth too.

--- a/hornbeamrudder/gateway/features/steps/path_steps.py
+++ b/hornbeamrudder/gateway/features/steps/path_steps.py
@@ -151,9 +151,13 @@
     async def scenario(harness):
         reassigned_server = harness.plain_servers[0]
         reassigned_server.id = 'other-server'
-        return [
-            await harness.send_request('/look/x') for _ in range(6)
-        ], reassigned_server.requests
+        responses = []
+        # Which of the two servers is chosen for a request is random.
+        while len(responses) < 6 or (
+            not reassigned_server.requests and len(responses) < 100
+        ):
+            responses.append(await harness.send_request('/look/x'))
+        return responses, reassigned_server.requests
 
     context.responses, context.reassigned_requests = node_harness.run_scenario(
         scenario
