--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -73,15 +73,11 @@
             clock.now(),
         )
         if isinstance(decision, admit.Admitted):
-            decision = self._apply_quota(decision)
-        if (
-            isinstance(decision, admit.Admitted)
-            and decision.route.retry_safety is records.RetrySafety.STREAM
-            and clock.now() > state.last_stream_at
-        ):
-            decision = admit.Refusal(
-                503, 'node is stopping', admit.OTHER_NODE_RETRY_S
+            decision = admit.check_stop(
+                decision, state.stop_times, clock.now()
             )
+        if isinstance(decision, admit.Admitted):
+            decision = self._apply_quota(decision)
         if isinstance(decision, admit.Refusal):
             self._send_refusal(reply, metadata, decision)
             return
@@ -112,6 +108,7 @@
             self.calls.discard(call)
             self._clear_placement(call)
             self._abandon_next_attempt(call)
+            self._abandon_move(call)
             if decision.account is not None and not call.sends:
                 state.refund_units(decision.account, decision.units)
             self._record_end(call, outcome)
@@ -333,6 +330,19 @@
             next_attempt.connection.abort()
             self._release(next_attempt.placement)
 
+    def _abandon_move(self, call: calls.Call) -> None:
+        """Release the slot of a move that the stream did not need."""
+        self._release(call.stream.take_moved())
+        if call.stream.moving is not None:
+            call.stream.moving.add_done_callback(self._release_destination)
+
+    def _release_destination(
+        self, moving: 'asyncio.Task[calls.Moved | None]'
+    ) -> None:
+        if not moving.cancelled() and moving.exception() is None:
+            moved = moving.result()
+            self._release(moved.placement if moved else None)
+
     # Sending
 
     async def _send(
--- a/hornbeamrudder/gateway/http_server.py
+++ b/hornbeamrudder/gateway/http_server.py
@@ -8,10 +8,12 @@
 import collections
 import dataclasses
 import http
+import select
 from typing import Awaitable, Callable, Iterable
 
 import httptools
 
+from . import byte_limits
 from . import clock
 from . import records
 
@@ -19,6 +21,9 @@
 
 # Pipelined requests that may be pending on one connection.
 MAX_PIPELINED = 16
+# Received bytes outside a body, as a multiple of the limit on a head, which
+# counts neither the method nor blank lines and space between fields.
+NON_BODY_FACTOR = 2
 # Time between half-close and close, for the client to read the response.
 LINGER_S = 1.0
 TIMEOUT_CHECK_INTERVAL_S = 0.5
@@ -89,7 +94,10 @@
             Body length in bytes; None for a chunked body.
         """
         self.started = True
-        closing = not self._keep_alive or self._connection.server.stopping
+        closing = not self._keep_alive or (
+            self._connection.server.stopping
+            and not self._connection.has_next_request
+        )
         lines = [
             b'HTTP/1.1 %d %s'
             % (status, _REASON_BY_STATUS.get(status, b'Unknown'))
@@ -154,11 +162,15 @@
         """Connections with a request in progress."""
         return sum(1 for connection in self.connections if connection.is_busy)
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request is in progress."""
+    def close_idle(self, idle_s: float) -> None:
+        """Close the connections that have been idle for `idle_s` seconds."""
+        for connection in list(self.connections):
+            connection.close_if_idle(idle_s)
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests that have not been read completely."""
         for connection in list(self.connections):
-            if not connection.is_busy:
-                connection.close()
+            connection.refuse_incomplete()
 
     def make_connection(self) -> 'CallerConnection':
         """Protocol factory for `create_server`."""
@@ -181,6 +193,7 @@
         self._writable: asyncio.Future[None] | None = None
         self._closing = False
         self._refused_status: int | None = None
+        self._completed = 0
         self._reset_request()
 
     def _reset_request(self) -> None:
@@ -190,14 +203,44 @@
         self._target = b''
         self._headers: list[Header] = []
         self._head_bytes = 0
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
+        self._non_body_bytes = 0
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is being read or answered."""
         return self._task is not None or self._reading
 
+    @property
+    def has_next_request(self) -> bool:
+        """Whether a request follows the one that is being answered."""
+        return bool(self._pending) or self._reading
+
+    # Used by CallerServer
+
+    def close_if_idle(self, idle_s: float) -> None:
+        """Close if there has been no request for `idle_s` seconds.
+
+        Closes without reading on: the process does not read a request that
+        crosses the close, so that its client may send it elsewhere.
+        """
+        if (
+            self._closing
+            or self._transport is None
+            or self.is_busy
+            or clock.now() - self._last_activity_at < idle_s
+            or _has_unread_input(self._transport)
+        ):
+            return
+        self._closing = True
+        self._transport.close()
+
+    def refuse_incomplete(self) -> None:
+        """Answer 503 if a request has been read in part only."""
+        if self._reading and self._task is None and not self._closing:
+            self._send_error(503)
+
     # Used by ResponseWriter
 
     def write(self, data: bytes) -> None:
@@ -273,6 +316,7 @@
         if self._closing or self._refused_status is not None:
             return
         self._last_activity_at = clock.now()
+        completed, body_bytes = self._completed, self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -280,6 +324,19 @@
         except httptools.HttpParserError:
             if not self._closing:
                 self._refuse(400)
+        if completed == self._completed and not self._closing:
+            self._check_non_body_bytes(
+                len(data), self._body_bytes - body_bytes
+            )
+
+    def _check_non_body_bytes(self, received: int, body: int) -> None:
+        """Refuse a head, chunk framing or trailers without end."""
+        self._non_body_bytes = byte_limits.non_body_bytes(
+            self._non_body_bytes, received, body
+        )
+        limit = NON_BODY_FACTOR * self.server.limits.max_header_bytes
+        if self._non_body_bytes > limit and self._refused_status is None:
+            self._refuse(431 if self._in_head else 400)
 
     # httptools callbacks
 
@@ -328,7 +385,7 @@
             if not self._closing:
                 self._refuse(413)
             return
-        self._body.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Queue the request for the handler, in order of arrival."""
@@ -338,11 +395,12 @@
             method=self._parser.get_method(),
             target=self._target,
             headers=tuple(self._headers),
-            body=b''.join(self._body),
+            body=bytes(self._body),
             arrived_at=self._started_at,
             keep_alive=self._parser.should_keep_alive(),
             chunked_allowed=self._parser.get_http_version() == '1.1',
         )
+        self._completed += 1
         self._reset_request()
         self._pending.append(request)
         if len(self._pending) > MAX_PIPELINED:
@@ -382,6 +440,9 @@
             # the earlier request on this connection.
             self._refused_status = status
             return
+        self._send_error(status)
+
+    def _send_error(self, status: int) -> None:
         self.write(
             b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
             % (status, _REASON_BY_STATUS[status])
@@ -406,10 +467,13 @@
             if now - self._last_activity_at > limits.idle_timeout_s:
                 self._refuse(408)
                 return
-        elif (
-            self._task is None
-            and now - self._last_activity_at > limits.idle_timeout_s
-        ):
-            self.close()
-            return
+        else:
+            self.close_if_idle(limits.idle_timeout_s)
         self._arm_timer()
+
+
+def _has_unread_input(transport: asyncio.Transport) -> bool:
+    """Whether input waits in the socket that the loop has not read yet."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info('socket'), select.POLLIN)
+    return bool(poll.poll(0))
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -86,14 +86,14 @@
         match event:
             case http_client.Head() as head:
                 return await self._handle_head(call, attempt, head)
-            case http_client.ConnectionBroken(detail, answered):
+            case http_client.ConnectionBroken(detail, answered, endless):
                 attempt.connection.abort()
                 return ExchangeResult(
                     calls.Result.FAILED,
                     detail,
                     answered,
                     True,
-                    health.Outcome.UNREACHABLE,
+                    health.broken_outcome(endless),
                 )
             case failover.FailedOver():
                 return _failed_over_result('no answer')
@@ -190,16 +190,8 @@
                 f'status {head.status} without a receipt',
                 server_outcome=health.Outcome.ERROR,
             )
-        content_type = next(
-            (
-                value
-                for name, value in head.headers
-                if name.lower() == b'content-type'
-            ),
-            b'',
-        )
         if head.status == 200 and (
-            content_type.startswith(_EVENT_STREAM)
+            head.content_type.startswith(_EVENT_STREAM)
             or call.admitted.route.retry_safety is records.RetrySafety.STREAM
         ):
             return await self._relay_stream(call, attempt, head)
@@ -239,16 +231,16 @@
         head: http_client.Head,
     ) -> ExchangeResult:
         self._mark_started(call, attempt.placement)
-        parts: list[bytes] = []
+        parts = bytearray()
         wait_s = self._response_timeout_s(call)
         until = self._retry_at(call, clock.now(), wait_s)
         while True:
             match await self._next_event(call, attempt, until, wait_s):
                 case http_client.Body(data):
-                    parts.append(data)
+                    parts += data
                 case http_client.End():
                     break
-                case http_client.ConnectionBroken(detail, _):
+                case http_client.ConnectionBroken(detail):
                     attempt.connection.abort()
                     return ExchangeResult(
                         calls.Result.FAILED,
@@ -273,7 +265,7 @@
         headers = tuple(
             self._translation.client_response_headers(head.headers)
         )
-        body = b''.join(parts)
+        body = bytes(parts)
         if head.status >= 500:
             call.error_response = calls.ErrorResponse(
                 head.status, headers, body
@@ -308,6 +300,7 @@
         head: http_client.Head,
     ) -> ExchangeResult:
         stream = call.stream
+        attempt.exchange.max_body_bytes = None
         wait_s = self._stall_timeout_s(call)
         until = self._retry_at(
             call, attempt.sent_at, self._response_timeout_s(call)
@@ -327,8 +320,9 @@
                             self._record_first_event(call, attempt)
                         self._forward_events(call, head, event_bytes)
                         await call.reply.drain()
-                    if not first:
                         until = self._retry_at(call, clock.now(), wait_s)
+                    if stream.splitter.endless:
+                        attempt.connection.end_endless('event is too large')
                 case http_client.End():
                     _keep_connection(attempt)
                     self._finish_stream(call, head)
@@ -336,9 +330,9 @@
                         calls.Result.DONE,
                         server_outcome=health.Outcome.SUCCESS,
                     )
-                case http_client.ConnectionBroken(detail, _):
+                case http_client.ConnectionBroken() as broken:
                     attempt.connection.abort()
-                    return await self._handle_broken_stream(call, detail)
+                    return await self._handle_broken_stream(call, broken)
                 case failover.FailedOver():
                     if self._is_leaving(call, clock.now()):
                         return ExchangeResult(
@@ -396,7 +390,7 @@
         call.reply.end()
 
     async def _handle_broken_stream(
-        self, call: calls.Call, detail: str
+        self, call: calls.Call, broken: http_client.ConnectionBroken
     ) -> ExchangeResult:
         moving = call.stream.moving
         if moving is not None:
@@ -412,9 +406,11 @@
         )
         return ExchangeResult(
             calls.Result.FAILED,
-            f'stream broke: {detail}',
+            f'stream broke: {broken.detail}',
             ended_early=True,
-            server_outcome=None if leaving else health.Outcome.UNREACHABLE,
+            server_outcome=None
+            if leaving
+            else health.broken_outcome(broken.endless),
         )
 
 
--- a/hornbeamrudder/platform/engine_calls.py
+++ b/hornbeamrudder/platform/engine_calls.py
@@ -3,6 +3,7 @@
 from ..core import errors
 from ..core import ids
 from ..core import types
+from ..gateway import byte_limits
 from ..gateway import json_client
 
 
@@ -11,19 +12,30 @@
     request_id: ids.RequestId,
     destination: types.Address,
     timeout_s: float,
+    last: bool,
 ) -> str | errors.Failure:
-    """Stop a running request and copy its KV cache to another engine.
+    """Copy the KV cache of a running request to another engine.
+
+    Parameters
+    ----------
+    last : bool
+        Whether the engine stops the request first, even if the copy fails;
+        if not, the request goes on there. A later copy contains only what an
+        earlier one lacks.
 
     Returns
     -------
     str or Failure
         Reference to the copy, with which the destination resumes the request.
     """
-    caller = json_client.JsonClient(engine, errors.Step.ORDER_ENGINE)
+    caller = json_client.JsonClient(
+        engine, errors.Step.ORDER_ENGINE, byte_limits.MAX_ACK_BODY_BYTES
+    )
     response = await caller.call(
         'POST',
         '/kv-move',
-        {'id': request_id, 'to': str(destination), 'last': True},
+        {'id': request_id, 'to': str(destination)}
+        | ({'last': True} if last else {}),
         timeout_s=timeout_s,
     )
     caller.drop_idle()
