--- a/hornbeamrudder/gateway/calls.py
+++ b/hornbeamrudder/gateway/calls.py
@@ -7,6 +7,7 @@
 from . import admit
 from ..core import ids
 from . import events
+from . import http_client
 from . import http_server
 from . import records
 from . import server_registry
@@ -23,6 +24,8 @@
     DEADLINE_EXCEEDED = 'out of time'
     # The run continues at another backend server from a copy of its KV cache.
     MOVED = 'moved'
+    # Another backend server has accepted the request.
+    FAILED_OVER = 'failed over'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,6 +36,39 @@
     placement: server_registry.Placement
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """A request that was sent to one backend server.
+
+    Attributes
+    ----------
+    sent_at : float
+        Time on `clock.now`, in seconds.
+    reused : bool
+        Whether the connection was used before.
+    """
+
+    placement: server_registry.Placement
+    connection: http_client.ServerConnection
+    exchange: http_client.Exchange
+    sent_at: float
+    reused: bool = False
+
+    @property
+    def server(self) -> ids.WorkerId:
+        """Id of the backend server."""
+        return self.placement.record.entry.id
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ErrorResponse:
+    """Complete error response of a backend server that ran the request."""
+
+    status: int
+    headers: tuple[http_client.Header, ...]
+    body: bytes
+
+
 @dataclasses.dataclass(slots=True)
 class Stream:
     """State of a streamed response.
@@ -41,6 +77,8 @@
     ----------
     started : bool
         Whether any event has been sent to the client.
+    last_event_at : float or None
+        Time at which the latest event was sent to the client.
     resume_elsewhere_at : float or None
         Time at which the stream should continue elsewhere, because its
         backend server is about to terminate.
@@ -50,6 +88,7 @@
 
     splitter: events.EventSplitter
     started: bool = False
+    last_event_at: float | None = None
     resume_elsewhere_at: float | None = None
     moving: 'asyncio.Task[Moved | None] | None' = None
     moved: Moved | None = None
@@ -79,6 +118,10 @@
         reported to the client as not run.
     counted : bool
         Whether it was counted as usage of its account.
+    error_response : ErrorResponse or None
+        Sent to the client if no other backend server responds.
+    next_attempt : Attempt or None
+        Attempt to which the request was failed over, until it is followed.
     """
 
     request: http_server.CallerRequest
@@ -96,6 +139,26 @@
     detail: str = ''
     placement: server_registry.Placement | None = None
     excluded: set[ids.WorkerId] = dataclasses.field(default_factory=set)
+    error_response: ErrorResponse | None = None
+    next_attempt: Attempt | None = None
+
+    def take_next_attempt(self) -> Attempt | None:
+        """Take the attempt to which the request was failed over."""
+        next_attempt, self.next_attempt = self.next_attempt, None
+        return next_attempt
+
+    def progress(self, now: float) -> dict[str, int | bool | None]:
+        """Return log fields that tell how much of the response was sent."""
+        last_event_at = self.stream.last_event_at
+        return {
+            'sends': self.sends,
+            'max_servers': self.admitted.route.max_servers,
+            'events': self.stream.splitter.count,
+            'silent_ms': int((now - last_event_at) * 1e3)
+            if last_event_at is not None
+            else None,
+            'left_ms': int((self.admitted.deadline - now) * 1e3),
+        }
 
     @property
     def request_id(self) -> ids.RequestId:
--- a/hornbeamrudder/gateway/http_client.py
+++ b/hornbeamrudder/gateway/http_client.py
@@ -38,14 +38,10 @@
     @property
     def content_type(self) -> bytes:
         """Value of the Content-Type header; empty if there is none."""
-        return next(
-            (
-                value
-                for name, value in self.headers
-                if name.lower() == b'content-type'
-            ),
-            b'',
-        )
+        value_by_name = {
+            name.lower(): value for name, value in reversed(self.headers)
+        }
+        return value_by_name.get(b'content-type', b'')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,8 +131,30 @@
                     self._connection.pause()
             case End() | ConnectionBroken():
                 self.ended = True
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake the reader without an event."""
+        if self._waiter is not None:
+            _wake(self._waiter)
+
+    async def wait(self, until: float) -> None:
+        """Return at the next event, at `wake`, or at the time `until`.
+
+        Parameters
+        ----------
+        until : float
+            Time on `clock.now`, in seconds.
+        """
+        loop = asyncio.get_running_loop()
+        waiter = loop.create_future()
+        self._waiter = waiter
+        timer = loop.call_later(until - clock.now(), _wake, waiter)
+        try:
+            await waiter
+        finally:
+            timer.cancel()
+            self._waiter = None
 
     async def next_event(self, until: float) -> Event:
         """Return the next event, or `TimedOut` at the time `until`.
@@ -146,21 +164,10 @@
         until : float
             Time on `clock.now`, in seconds.
         """
+        if not self.events and clock.now() < until:
+            await self.wait(until)
         if not self.events:
-            wait_s = until - clock.now()
-            if wait_s <= 0:
-                return TimedOut()
-            loop = asyncio.get_running_loop()
-            waiter = loop.create_future()
-            self._waiter = waiter
-            timer = loop.call_later(wait_s, _wake, waiter)
-            try:
-                await waiter
-            finally:
-                timer.cancel()
-                self._waiter = None
-            if not self.events:
-                return TimedOut()
+            return TimedOut()
         event = self.events.popleft()
         if isinstance(event, Body):
             self.buffered -= len(event.data)
@@ -292,7 +299,7 @@
             self.abort()
             return
         self._exchange.answered = True
-        body_bytes_before = self._body_bytes
+        before = self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -300,9 +307,7 @@
             self._end_broken(f'malformed answer: {error}')
         self._emit_body()
         self._non_body_bytes = byte_limits.non_body_bytes(
-            self._non_body_bytes,
-            len(data),
-            self._body_bytes - body_bytes_before,
+            self._non_body_bytes, len(data), self._body_bytes - before
         )
         if self._non_body_bytes > byte_limits.MAX_NON_BODY_BYTES:
             self.end_endless('too many bytes outside the body')
