--- a/hornbeamrudder/gateway/events.py
+++ b/hornbeamrudder/gateway/events.py
@@ -46,7 +46,7 @@
 
     def completes_event(self, data: bytes) -> bool:
         """Return whether more bytes would complete an event."""
-        return _END.search(self._buffer + data) is not None
+        return _END.search(bytes(self._buffer) + data) is not None
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the events completed by them.
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -231,13 +231,13 @@
         head: http_client.Head,
     ) -> ExchangeResult:
         self._mark_started(call, attempt.placement)
-        received = bytearray()
+        parts = bytearray()
         wait_s = self._response_timeout_s(call)
         until = self._retry_at(call, clock.now(), wait_s)
         while True:
             match await self._next_event(call, attempt, until, wait_s):
                 case http_client.Body(data):
-                    received += data
+                    parts += data
                 case http_client.End():
                     break
                 case http_client.ConnectionBroken(detail):
@@ -265,7 +265,7 @@
         headers = tuple(
             self._translation.client_response_headers(head.headers)
         )
-        body = bytes(received)
+        body = bytes(parts)
         if head.status >= 500:
             call.error_response = calls.ErrorResponse(
                 head.status, headers, body
@@ -320,7 +320,6 @@
                             self._record_first_event(call, attempt)
                         self._forward_events(call, head, event_bytes)
                         await call.reply.drain()
-                    if event_bytes or (not first and until <= clock.now()):
                         until = self._retry_at(call, clock.now(), wait_s)
                     if stream.splitter.endless:
                         attempt.connection.end_endless('event is too large')
--- a/hornbeamrudder/standins/platform_server.py
+++ b/hornbeamrudder/standins/platform_server.py
@@ -202,13 +202,13 @@
         content_length = f'Content-Length: {len(body)}'
         await asyncio.sleep(self.response_delay_s)
         match behaviour:
+            case Behaviour.LATE:
+                await asyncio.sleep(LATE_RESPONSE_DELAY_S)
             case endless.Answer():
                 await behaviour.send(
                     self._head(request, '200 OK', seal), writer
                 )
                 return False
-            case Behaviour.LATE:
-                await asyncio.sleep(LATE_RESPONSE_DELAY_S)
             case Behaviour.HANG:
                 await self._wait_for_disconnect(request, reader)
                 return False
