Keep the time between tries while bytes of an event arrive

A stream whose engine sends bytes that complete no event was tried elsewhere at each piece of them, once its stall time-out had passed and no other engine had a place: 21 tries in a second.

Cause: after a try in vain, the time of the next try was known only within one wait for an event, and the piece of bytes ended that wait.

Now the request keeps the time of the last try in vain, and the next one comes a stall time-out later, or when the engine is about to end.

--- a/hornbeamrudder/gateway/calls.py
+++ b/hornbeamrudder/gateway/calls.py
@@ -122,6 +122,8 @@
         Sent to the client if no other backend server responds.
     next_attempt : Attempt or None
         Attempt to which the request was failed over, until it is followed.
+    tried_at : float
+        Time at which another server was last tried in vain.
     """
 
     request: http_server.CallerRequest
@@ -141,6 +143,7 @@
     excluded: set[ids.WorkerId] = dataclasses.field(default_factory=set)
     error_response: ErrorResponse | None = None
     next_attempt: Attempt | None = None
+    tried_at: float = float('-inf')
 
     def take_next_attempt(self) -> Attempt | None:
         """Take the attempt to which the request was failed over."""
--- a/hornbeamrudder/gateway/features/endless.feature
+++ b/hornbeamrudder/gateway/features/endless.feature
@@ -75,6 +75,7 @@
     When the only engine drips bytes within an event after 3 events
     Then the client receives 3 events once, incomplete
     And the stream has lasted until its deadline
+    And it was tried elsewhere at most 4 times
 
   Scenario Outline: An answer without end to a call of the node is cut off
     # Guards against a node that holds all that the store, the cloud API or an
--- a/hornbeamrudder/gateway/features/steps/endless_steps.py
+++ b/hornbeamrudder/gateway/features/steps/endless_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import tracemalloc
+from unittest import mock
 import zlib
 
 import behave
@@ -12,6 +13,7 @@
 from hornbeamrudder.core import ids
 from hornbeamrudder.core import types
 from hornbeamrudder.gateway import events
+from hornbeamrudder.gateway import failover
 from hornbeamrudder.gateway.features import node_harness
 from hornbeamrudder.gateway import json_client
 from hornbeamrudder.gateway import table_relay
@@ -133,12 +135,25 @@
     'the only engine drips bytes within an event after {count:d} events'
 )
 def drip_from_only_engine(context, count):
-    _send_request(
-        context,
-        'plan',
-        endless.Answer(endless.Endless.DRIP, _events(count)),
-        1500,
-        engine_count=1,
+    with mock.patch.object(
+        failover.Failover,
+        'try_elsewhere',
+        autospec=True,
+        side_effect=failover.Failover.try_elsewhere,
+    ) as context.try_elsewhere:
+        _send_request(
+            context,
+            'plan',
+            endless.Answer(endless.Endless.DRIP, _events(count)),
+            1500,
+            engine_count=1,
+        )
+
+
+@behave.then('it was tried elsewhere at most {count:d} times')
+def check_tries(context, count):
+    assert 1 <= context.try_elsewhere.call_count <= count, (
+        context.try_elsewhere.call_count
     )
 
 
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -124,6 +124,11 @@
             `TimedOut` only at the deadline.
         """
         deadline = call.admitted.deadline
+        # Pieces of an incomplete event do not change `until`.
+        next_try_at = self._retry_at(call, call.tried_at, wait_s)
+        if call.stream.resume_elsewhere_at is not None:
+            next_try_at = min(next_try_at, call.stream.resume_elsewhere_at)
+        until = max(until, next_try_at)
         while True:
             event = await attempt.exchange.next_event(until)
             if not isinstance(event, http_client.TimedOut):
@@ -140,6 +145,7 @@
                     return failed_over
                 if leaving:
                     call.stream.resume_elsewhere_at = None
+                call.tried_at = clock.now()
             until = self._retry_at(call, clock.now(), wait_s)
 
     def _retry_at(
