Leave a server that drips a body once another accepts the request

A safe request whose server sends a few bytes of a body at a time got 504 at its deadline, although another server had accepted it.

Cause: while the other server was tried, any byte of a plain body kept the first attempt.

Now only a response's head, a completed event or its end keeps the first attempt. A body in progress is given up only for a server that accepts the request; a server that refuses still leaves it in place. The stand-in drips every 2 ms, so that some bytes arrive during each try.

The row "look | drip" of "An answer without end is cut off" printed before: status 504, 11 bytes from b'out of time', after 1.005 s.

--- a/hornbeamrudder/gateway/failover.py
+++ b/hornbeamrudder/gateway/failover.py
@@ -134,14 +134,17 @@
             return False
         if events and isinstance(events[0], http_client.Head):
             return self._is_accepting(call, events[0])
-        body = b''.join(
-            event.data
-            for event in events
-            if isinstance(event, http_client.Body)
+        # Bytes that complete neither an event nor a body may be no answer.
+        return (
+            call.admitted.route.retry_safety is records.RetrySafety.STREAM
+            and call.stream.splitter.completes_event(
+                b''.join(
+                    event.data
+                    for event in events
+                    if isinstance(event, http_client.Body)
+                )
+            )
         )
-        if call.admitted.route.retry_safety is records.RetrySafety.STREAM:
-            return call.stream.splitter.completes_event(body)
-        return bool(body)
 
     def _is_accepting(self, call: calls.Call, head: http_client.Head) -> bool:
         """Whether a response has begun that can be relayed to the client."""
--- a/hornbeamrudder/gateway/features/endless.feature
+++ b/hornbeamrudder/gateway/features/endless.feature
@@ -19,6 +19,7 @@
       | look  | body without a length       | 200    | 2        | 4     | 500   |
       | look  | chunk extension             | 200    | 2        | 1     | 500   |
       | look  | trailer                     | 200    | 2        | 1     | 500   |
+      | look  | drip                        | 200    | 2        | 1     | 500   |
       | book  | header line                 | 502    | 1        | 1     | 500   |
       | book  | header lines                | 502    | 1        | 1     | 500   |
       | book  | interim answers             | 502    | 1        | 1     | 500   |
--- a/hornbeamrudder/standins/endless.py
+++ b/hornbeamrudder/standins/endless.py
@@ -7,7 +7,7 @@
 
 PIECE_BYTES = 16 * 1024
 # Pause between the pieces of `Endless.DRIP`.
-DRIP_INTERVAL_S = 0.05
+DRIP_INTERVAL_S = 0.002
 _FILLER = b'x' * PIECE_BYTES
 
 
