--- a/hornbeamrudder/gateway/features/endless.feature
+++ b/hornbeamrudder/gateway/features/endless.feature
@@ -19,6 +19,7 @@
       | look  | body without a length       | 200    | 2        | 4     | 500   |
       | look  | chunk extension             | 200    | 2        | 1     | 500   |
       | look  | trailer                     | 200    | 2        | 1     | 500   |
+      | look  | drip                        | 200    | 2        | 1     | 500   |
       | book  | header line                 | 502    | 1        | 1     | 500   |
       | book  | header lines                | 502    | 1        | 1     | 500   |
       | book  | interim answers             | 502    | 1        | 1     | 500   |
@@ -75,6 +76,7 @@
     When the only engine drips bytes within an event after 3 events
     Then the client receives 3 events once, incomplete
     And the stream has lasted until its deadline
+    And it was tried elsewhere at most 4 times
 
   Scenario Outline: An answer without end to a call of the node is cut off
     # Guards against a node that holds all that the store, the cloud API or an
