Show faults of requests with two attempts or a moving run

Callers of the gateway saw errors although another server was working on their request, a first event joined from two runs, and streams cut with time left.

--- a/hornbeamrudder/gateway/features/failover.feature
+++ b/hornbeamrudder/gateway/features/failover.feature
@@ -38,3 +38,65 @@
     # Guards against work for nobody at the server that was tried second.
     When a client disconnects while its request is tried at a second server
     Then the request is cancelled at both servers within half a second
+
+  Scenario Outline: A second server is not given up for a late refusal
+    # Guards against errors sent although another server works on the request.
+    When a request on "<route>" gets "<first>" after <late> s and then "normal" after 0.15 s
+    Then the client receives the complete response of the second server
+
+    Examples: late responses that are no answer
+      | route | first | late |
+      | plan  | full  | 0.83 |
+      | plan  | error | 0.83 |
+      | look  | full  | 0.28 |
+      | look  | error | 0.28 |
+
+  Scenario: A late refusal promises nothing about the server tried meanwhile
+    # Guards against 503 for requests that another server may have run.
+    When a request on "plan" gets "full" after 0.85 s and then "reset" after 0.05 s
+    Then its status does not promise that it was not run
+
+  Scenario: A first event that is cut off is not joined with another run
+    # Guards against a corrupt first event in a response that seems complete.
+    When a stream is cut off within its first event
+    Then the client receives the complete response of the second server
+
+  Scenario: The first engine stops once the second one has begun to generate
+    # Guards against two engines that generate the same stream.
+    When both engines of a resumable stream send an event at the same time
+    Then the first one is disconnected within 0.4 seconds of the second request
+
+  Scenario: A stream that goes on is not tried elsewhere again at once
+    # Guards against sends that an abandoned attempt causes.
+    When a resumable stream goes on while a third attempt is allowed
+    Then the client receives the complete response of the first of 2 servers
+
+  Scenario Outline: A refusal does not use up an attempt
+    # Guards against streams cut though a server is left that accepts them.
+    When a resumable stream with <attempts> attempts gets "cut", "full" and "normal" from <engines> engines
+    Then the client receives the complete stream
+
+    Examples: servers left
+      | attempts | engines |
+      | 2        | 3       |
+      | 3        | 2       |
+
+  Scenario: A server that has another one's address is avoided
+    # Guards against further sends to addresses that were reused.
+    When a request on "plan" is tried at a server with another id
+    Then that server is avoided
+
+  Scenario Outline: No slot stays reserved for a run that ends while it is moved
+    # Guards against slots lost until the node is restarted.
+    When <event> while its run is moved
+    Then no slot is reserved
+
+    Examples: ends
+      | event                   |
+      | a client disconnects    |
+      | a stream ends           |
+
+  Scenario: A run that was stopped but not moved goes on
+    # Guards against streams cut though their engine keeps the memory.
+    When an engine stops a run and answers that there is no room elsewhere
+    Then the client receives the complete stream
