Show that refusals end a migrating answer that has begun

A caller whose worker left saw its answer end after about half a second of refusals, though an answer in progress may be resumed for 60 s. Refusals count towards MAX_ATTEMPTS like attempts that ran.

--- a/hornbeamrudder/answers/features/answers.feature
+++ b/hornbeamrudder/answers/features/answers.feature
@@ -53,3 +53,9 @@
       | use          | counted |
       | exported     | no      |
       | not exported | some    |
+
+  Scenario: A stream of a leaving worker outlasts refusals of the other one
+    # Guards against streams cut while there is time to resume them.
+    Given two model engines that generate 100 tokens and the second one refuses for 1 s
+    When the first one leaves for good after some tokens
+    Then the answer is complete and some tokens are counted as recomputed
--- a/hornbeamrudder/answers/features/steps/generation_steps.py
+++ b/hornbeamrudder/answers/features/steps/generation_steps.py
@@ -213,6 +213,39 @@
     make_generation(context, applications, BODY | {'max_tokens': tokens})
 
 
+@behave.given(
+    'two model engines that generate {tokens:d} tokens and the second one'
+    ' refuses for {seconds:g} s'
+)
+def refusing_engine(context, tokens, seconds):
+    accepting = model_engine()
+    context.accepts_at = time.monotonic() + seconds
+
+    def application(environ, start_response):
+        if (
+            environ['PATH_INFO'] == '/v1/chat/completions'
+            and time.monotonic() < context.accepts_at
+        ):
+            return werkzeug.Response('full', 503)(environ, start_response)
+        return accepting(environ, start_response)
+
+    make_generation(
+        context,
+        (model_engine(0.01), application),
+        BODY | {'max_tokens': tokens},
+    )
+
+
+@behave.when('the first one leaves for good after some tokens')
+def leave_for_good(context):
+    item = context.generation
+    item.run_first_attempt()
+    item.buffer.wait(5, 10)
+    del context.pool._workers[0]
+    item.migrate(False)
+    assert context.ended.wait(20)
+
+
 @behave.when(
     'the first one leaves after some tokens and the KV cache is {use}'
 )
