Show that a slot is lost if a client leaves during a move

A client that disconnects after the engine has stopped its run, and before the copy is answered, leaves a slot of the destination reserved: awaiting the move cancels it, and a cancelled move releases nothing.

--- a/hornbeamrudder/gateway/features/failover.feature
+++ b/hornbeamrudder/gateway/features/failover.feature
@@ -92,9 +92,10 @@
     Then no slot is reserved
 
     Examples: ends
-      | event                   |
-      | a client disconnects    |
-      | a stream ends           |
+      | event                                   |
+      | a client disconnects                    |
+      | a client disconnects from a stopped run |
+      | a stream ends                           |
 
   Scenario: A run that was stopped but not moved goes on
     # Guards against streams cut though their engine keeps the memory.
--- a/hornbeamrudder/gateway/features/steps/overlap_steps.py
+++ b/hornbeamrudder/gateway/features/steps/overlap_steps.py
@@ -256,17 +256,23 @@
     return reader, writer
 
 
-def _run_while_moved(event_count, disconnects):
+def _run_while_moved(event_count, disconnects, stops_run=False):
     async def scenario(harness):
         moving = asyncio.Event()
 
-        async def move_run(engine, request_id, destination, timeout_s):
-            moving.set()
-            await asyncio.sleep(MOVE_S)
+        async def move_run(
+            engine, request_id, destination, timeout_s, last=True
+        ):
+            if stops_run and last:
+                _close_streams(harness, engine)
+            if last:
+                moving.set()
+                await asyncio.sleep(MOVE_S)
             return f'{engine}/handle-1'
 
         _, writer = await _start_moved_stream(harness, move_run)
         await moving.wait()
+        await asyncio.sleep(MOVE_S / 3)
         if disconnects:
             writer.close()
         await asyncio.sleep(MOVE_S + 0.5)
@@ -279,11 +285,23 @@
     return node_harness.run_scenario(scenario, event_count=event_count)
 
 
+def _close_streams(harness, engine):
+    for server in harness.engines:
+        if server.address == str(engine):
+            for writer in tuple(server.writers):
+                writer.transport.abort()
+
+
 @behave.when('a client disconnects while its run is moved')
 def disconnect_while_moved(context):
     context.running_by_server = _run_while_moved(100, True)
 
 
+@behave.when('a client disconnects from a stopped run while its run is moved')
+def disconnect_after_stop(context):
+    context.running_by_server = _run_while_moved(100, True, stops_run=True)
+
+
 @behave.when('a stream ends while its run is moved')
 def end_while_moved(context):
     context.running_by_server = _run_while_moved(18, False)
@@ -301,11 +319,11 @@
 )
 def stop_run_without_move(context):
     async def scenario(harness):
-        async def move_run(engine, request_id, destination, timeout_s):
-            for server in harness.engines:
-                if server.address == str(engine):
-                    for writer in tuple(server.writers):
-                        writer.transport.abort()
+        async def move_run(
+            engine, request_id, destination, timeout_s, last=True
+        ):
+            if last:
+                _close_streams(harness, engine)
             return errors.Failure(
                 errors.FailureKind.REFUSED,
                 errors.Step.ORDER_ENGINE,
