Don't time out a wait for events that was woken without one

What callers saw: nothing; a request was sent to a server again 26 ms after its first server had gone on, which used up an attempt.

Cause: a try at a second server that was abandoned woke the reader of the first one when its task had ended, and `next_event` returned `TimedOut`.

`A stream that goes on is not tried elsewhere again at once` failed before (three sends) and passes.

--- a/hornbeamrudder/gateway/http_client.py
+++ b/hornbeamrudder/gateway/http_client.py
@@ -164,7 +164,7 @@
         until : float
             Time on `clock.now`, in seconds.
         """
-        if not self.events and clock.now() < until:
+        while not self.events and clock.now() < until:
             await self.wait(until)
         if not self.events:
             return TimedOut()
