Discard a first event that is cut off before a stream is sent again

What callers saw: a complete 200 with a corrupt first event, `id: 1\ndataid: 1\ndata: piece 1\n\n`, if a server broke within its first event. Found in review, older than the failover.

Cause: the incomplete event was discarded only once the stream had started.

`A first event that is cut off is not joined with another run` failed before and passes.

--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -74,8 +74,7 @@
         record = attempt.placement.record
         call.stream.last_record = record
         call.stream.resume_elsewhere_at = record.leaves_at
-        if call.stream.started:
-            call.stream.splitter.restart()
+        call.stream.splitter.restart()
         wait_s = self._response_timeout_s(call)
         event = await self._next_event(
             call,
