Give back the slot of a move whose client leaves

What operators saw: a slot at an engine that stayed reserved until the node was restarted, if a client left while its stopped run was moved.

Cause: the wait for the move cancelled its task, and nothing released the destination.

`a client disconnects from a stopped run` of `No slot stays reserved for a run that ends while it is moved` failed before and passes.

--- a/hornbeamrudder/gateway/moves.py
+++ b/hornbeamrudder/gateway/moves.py
@@ -113,9 +113,33 @@
             return None
         # The copied KV cache includes the whole prompt: nothing to prefill.
         forwarder.state.servers.mark_prefilled(destination)
-        target = destination.record.entry
-        # Without a copy elsewhere the run is not stopped: it could go on
-        # nowhere.
+        copy = None
+        try:
+            copy = await self._copy_and_stop(
+                call, source, destination.record.entry
+            )
+        finally:
+            if copy is None:
+                forwarder.state.servers.release(destination)
+        return None if copy is None else calls.Moved(copy, destination)
+
+    async def _copy_and_stop(
+        self,
+        call: calls.Call,
+        source: records.BackendServer,
+        target: records.BackendServer,
+    ) -> str | None:
+        """Copy a run, then stop it; None if it goes on, without a copy.
+
+        Without a copy elsewhere the run is not stopped, as it could go on
+        nowhere.
+        """
+        fields = {
+            'request': call.request_id,
+            'server': source.id,
+            'destination': target.id,
+        }
+        log = self._forwarder.state.log
         copied = await self._move_run(
             source.address,
             call.request_id,
@@ -124,14 +148,7 @@
             False,
         )
         if isinstance(copied, errors.Failure):
-            forwarder.state.servers.release(destination)
-            forwarder.state.log.info(
-                'run is not moved',
-                request=call.request_id,
-                server=source.id,
-                destination=target.id,
-                failure=str(copied),
-            )
+            log.info('run is not moved', **fields, failure=str(copied))
             return None
         rest = await self._move_run(
             source.address,
@@ -142,14 +159,11 @@
         )
         # If the engine has stopped the run all the same, the destination
         # computes again what its copy lacks.
-        forwarder.state.log.info(
+        failure = str(rest) if isinstance(rest, errors.Failure) else None
+        log.info(
             'run is moved',
-            request=call.request_id,
-            server=source.id,
-            destination=target.id,
+            **fields,
             events=call.stream.splitter.count,
-            failure=str(rest) if isinstance(rest, errors.Failure) else None,
-        )
-        return calls.Moved(
-            copied if isinstance(rest, errors.Failure) else rest, destination
+            failure=failure,
         )
+        return copied if isinstance(rest, errors.Failure) else rest
