Keep a second server that works on a request if the first one fails late

What callers saw: 503 or 500 with up to 2.1 s left, although a second server had the request and would have answered; 503 (not run) for a request that the second server may have run; two engines generating the same stream for over a second. Found in review of the failover, the first two caused by it.

Cause: a complete refusal or error of the first server counted as its answer, so that the second one was given up; `may_have_run` was one flag for both; and a first server that went on was kept even if the second had begun to answer.

Change: only an accepting response counts. Once the request has been sent to the second server, what the first one sends is held back until the second has answered or been silent for 0.3 s; an accepting second server wins, unless the first response is complete. The servers that may have run a request are kept by id. A server with another id is avoided at once, as on the normal path; slots are given back on any error, and wake waiting requests.

Eight examples of failover.feature failed before (`A second server is not given up for a late refusal`, `A late refusal promises nothing ...`, `The first engine stops once ...`, `A server that has another one's address is avoided`) and pass.

--- a/hornbeamrudder/gateway/calls.py
+++ b/hornbeamrudder/gateway/calls.py
@@ -112,10 +112,16 @@
     Attributes
     ----------
     sends : int
-        Number of backend servers that the request was sent to.
-    may_have_run : bool
-        Whether one of them may have run it, so that it can no longer be
+        Number of times that the request was sent to a backend server.
+    refusals : int
+        Number of these to which a server answered that it did not run it.
+    tried : set of WorkerId
+        Backend servers that the request was sent to.
+    may_have_run_at : set of WorkerId
+        Those of them that may have run it. Unless there are none, it can't be
         reported to the client as not run.
+    excluded : set of WorkerId
+        Servers that failed it, refused it or were not reached.
     counted : bool
         Whether it was counted as usage of its account.
     error_response : ErrorResponse or None
@@ -133,7 +139,9 @@
     stream: Stream
     sends: int = 0
     unreachable: int = 0
-    may_have_run: bool = False
+    refusals: int = 0
+    tried: set[ids.WorkerId] = dataclasses.field(default_factory=set)
+    may_have_run_at: set[ids.WorkerId] = dataclasses.field(default_factory=set)
     counted: bool = False
     waited_s: float = 0.0
     first_at: float | None = None
@@ -145,6 +153,17 @@
     next_attempt: Attempt | None = None
     tried_at: float = float('-inf')
 
+    def record_send(self, server: ids.WorkerId) -> None:
+        """Count one more send."""
+        self.sends += 1
+        self.tried.add(server)
+        self.may_have_run_at.add(server)
+
+    def record_refusal(self, server: ids.WorkerId) -> None:
+        """Record that a server has not run the request that it was sent."""
+        self.refusals += 1
+        self.may_have_run_at.discard(server)
+
     def take_next_attempt(self) -> Attempt | None:
         """Take the attempt to which the request was failed over."""
         next_attempt, self.next_attempt = self.next_attempt, None
--- a/hornbeamrudder/gateway/failover.py
+++ b/hornbeamrudder/gateway/failover.py
@@ -11,7 +11,6 @@
 
 from . import calls
 from . import clock
-from ..core import ids
 from . import health
 from . import http_client
 from . import node_state
@@ -23,9 +22,8 @@
 # that refuses does so at once.
 MAX_OVERLAP_S = 0.3
 
-Reserve = Callable[
-    [calls.Call, set[ids.WorkerId]], server_registry.Placement | None
-]
+Reserve = Callable[[calls.Call], server_registry.Placement | None]
+Release = Callable[[server_registry.Placement], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,6 +31,21 @@
     """The request goes on in `Call.next_attempt`; the last one has ended."""
 
 
+@dataclasses.dataclass(slots=True)
+class _Trial:
+    """State of a try at a second server.
+
+    Attributes
+    ----------
+    accepted : bool
+        Whether it has begun a response.
+    """
+
+    placement: server_registry.Placement
+    sent: bool = False
+    accepted: bool = False
+
+
 class Failover:
     """Tries requests of one node at a second backend server."""
 
@@ -42,11 +55,13 @@
         translation: Any,
         sender: sending.Sender,
         reserve: Reserve,
+        release: Release,
     ) -> None:
         self._state = state
         self._translation = translation
         self._sender = sender
         self._reserve = reserve
+        self._release = release
 
     async def try_elsewhere(
         self, call: calls.Call, attempt: calls.Attempt, leaving: bool
@@ -64,20 +79,22 @@
         FailedOver or None
             None if `attempt` goes on.
         """
-        placement = self._reserve(call, {*call.excluded, attempt.server})
+        placement = self._reserve(call)
         if placement is None:
             return None
-        task = asyncio.create_task(self._try(call, placement))
+        trial = _Trial(placement)
+        task = asyncio.create_task(self._try(call, trial))
         task.add_done_callback(lambda _: attempt.exchange.wake())
         try:
             while not task.done() and not self._is_kept(
-                call, attempt, leaving
+                call, attempt, leaving or trial.sent
             ):
                 await attempt.exchange.wait(call.admitted.deadline)
         except asyncio.CancelledError:
             self._abandon(task, placement)
             raise
-        if self._is_kept(call, attempt, leaving):
+        has_accepted = task.done() and trial.accepted
+        if self._is_kept(call, attempt, leaving or has_accepted):
             self._abandon(task, placement)
             next_attempt = None
         else:
@@ -101,7 +118,7 @@
             unused = task.result()
             if unused is not None:
                 unused.connection.abort()
-        self._state.servers.release(placement)
+        self._release(placement)
 
     def _log(
         self,
@@ -119,21 +136,33 @@
         )
 
     def _is_kept(
-        self, call: calls.Call, attempt: calls.Attempt, leaving: bool
+        self, call: calls.Call, attempt: calls.Attempt, only_if_complete: bool
     ) -> bool:
-        """Whether to go on with `attempt`, as it has got a response since."""
+        """Whether to go on with `attempt`, as it has got a response since.
+
+        Parameters
+        ----------
+        only_if_complete : bool
+            Whether a response in progress does not count. Once both servers
+            may be generating, one of them has to stop, and only the second
+            one can still refuse.
+        """
         if clock.now() >= call.admitted.deadline:
             return True
         events = attempt.exchange.events
+        head = events[0] if events else None
+        if isinstance(head, http_client.Head) and not self._is_accepting(
+            call, head
+        ):
+            return False
         if any(isinstance(event, http_client.End) for event in events):
             return True
-        # What a leaving server sends is read only if it is not left.
-        if leaving or any(
+        if only_if_complete or any(
             isinstance(event, http_client.ConnectionBroken) for event in events
         ):
             return False
-        if events and isinstance(events[0], http_client.Head):
-            return self._is_accepting(call, events[0])
+        if isinstance(head, http_client.Head):
+            return True
         # Bytes that complete neither an event nor a body may be no answer.
         return (
             call.admitted.route.retry_safety is records.RetrySafety.STREAM
@@ -154,46 +183,71 @@
         return head.status == 200 if call.stream.started else head.status < 500
 
     async def _try(
-        self, call: calls.Call, placement: server_registry.Placement
+        self, call: calls.Call, trial: _Trial
     ) -> calls.Attempt | None:
         """Send a request to a second server; None if it does not accept it.
 
         A server without a response after `MAX_OVERLAP_S` counts as accepting,
         since it has not refused.
         """
-        record = placement.record
-        opened = await self._sender.open(call, record)
+        try:
+            attempt = await self._send(call, trial)
+        except BaseException:
+            self._release(trial.placement)
+            raise
+        if attempt is not None and self._is_refused(call, attempt, trial):
+            attempt.connection.abort()
+            attempt = None
+        if attempt is None:
+            call.excluded.add(trial.placement.record.entry.id)
+            self._release(trial.placement)
+        return attempt
+
+    async def _send(
+        self, call: calls.Call, trial: _Trial
+    ) -> calls.Attempt | None:
+        """Send a request and wait for a response; None if it is not sent."""
+        opened = await self._sender.open(call, trial.placement.record)
         if isinstance(opened, http_client.ConnectionBroken):
-            self._decline(call, placement)
             return None
-        attempt = self._sender.send(call, placement, opened)
+        attempt = self._sender.send(call, trial.placement, opened)
+        trial.sent = True
         try:
             if not attempt.exchange.events:
                 await attempt.exchange.wait(clock.now() + MAX_OVERLAP_S)
-        except asyncio.CancelledError:
+        except BaseException:
             attempt.connection.abort()
             raise
+        return attempt
+
+    def _is_refused(
+        self, call: calls.Call, attempt: calls.Attempt, trial: _Trial
+    ) -> bool:
+        """Whether the second server has not accepted the request."""
+        record = trial.placement.record
         match next(iter(attempt.exchange.events), None):
             case None:
-                return attempt
+                return False
             case http_client.Head() as head if self._is_accepting(call, head):
-                return attempt
+                trial.accepted = True
+                return False
+            case http_client.Head() as head:
+                metadata = self._translation.decode_response(
+                    head.status, head.headers
+                )
+                if metadata.not_executed:
+                    call.record_refusal(attempt.server)
+                self._sender.record_outcome(
+                    record,
+                    health.Outcome.UNREACHABLE
+                    if metadata.wrong_server
+                    else health.Outcome.ERROR,
+                    f'not accepted: status {head.status}',
+                )
             case http_client.ConnectionBroken(detail, answered, endless):
                 # The server may have closed an idle connection at any time.
                 if answered or not attempt.reused:
                     self._sender.record_outcome(
                         record, health.broken_outcome(endless), detail
                     )
-            case _:
-                self._sender.record_outcome(
-                    record, health.Outcome.ERROR, 'request is not accepted'
-                )
-        attempt.connection.abort()
-        self._decline(call, placement)
-        return None
-
-    def _decline(
-        self, call: calls.Call, placement: server_registry.Placement
-    ) -> None:
-        call.excluded.add(placement.record.entry.id)
-        self._state.servers.release(placement)
+        return True
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -51,7 +51,13 @@
             state,
             translation,
             self.may_retry,
-            failover.Failover(state, translation, self._sender, self.reserve),
+            failover.Failover(
+                state,
+                translation,
+                self._sender,
+                self._reserve_another,
+                self._release,
+            ),
         )
 
     async def handle(
@@ -178,8 +184,11 @@
                     continue
                 case calls.Result.NOT_SENT:
                     call.unreachable += 1
+                    # No other server has the copy of the run.
+                    call.stream.copy = None
                     retry = call.unreachable < MAX_CONNECT_FAILURES
                 case calls.Result.NOT_EXECUTED:
+                    call.record_refusal(placement.record.entry.id)
                     retry = self.may_retry(call)
                 case calls.Result.FAILED:
                     retry = call.admitted.route.retryable and self.may_retry(
@@ -223,6 +232,15 @@
             clock.now(),
         )
 
+    def _reserve_another(
+        self, call: calls.Call
+    ) -> server_registry.Placement | None:
+        """Reserve a slot at a server other than that of the attempt."""
+        excluded = call.excluded
+        if call.placement is not None:
+            excluded = {*excluded, call.placement.record.entry.id}
+        return self.reserve(call, excluded)
+
     def _requirements(self, call: calls.Call) -> server_selection.Requirements:
         if call.service.engine is None:
             return server_selection.Requirements(slot_share=2.0)
@@ -256,7 +274,7 @@
         queue = self.state.queue_by_service[call.service.name]
         rank = call.admitted.rank
         if not any(ticket.rank <= rank for ticket in queue.waiting()):
-            placement = self.reserve(call, call.excluded)
+            placement = self._reserve_another(call)
             if placement is not None:
                 return placement
         if not any(
@@ -273,7 +291,7 @@
                 rank,
                 call.request.arrived_at,
                 call.admitted.deadline,
-                lambda: self.reserve(call, call.excluded),
+                lambda: self._reserve_another(call),
                 reservation,
                 None if call.excluded else call.admitted.route.name,
             )
@@ -355,15 +373,9 @@
         if clock.now() >= call.admitted.deadline:
             opened.connection.abort()
             return calls.Result.DEADLINE_EXCEEDED
-        before = call.may_have_run
-        call.may_have_run = True
-        result = await self._follow(
-            call,
-            self._sender.send(call, placement, opened),
+        return await self._follow(
+            call, self._sender.send(call, placement, opened)
         )
-        if result is calls.Result.NOT_EXECUTED:
-            call.may_have_run = before
-        return result
 
     async def _follow(
         self, call: calls.Call, attempt: calls.Attempt
@@ -405,7 +417,7 @@
             call.reply.send(error.status, error.headers, error.body)
             return
         now = clock.now()
-        if call.may_have_run:
+        if call.may_have_run_at:
             late = now >= call.admitted.deadline
             self._send_error(call.reply, call, 504 if late else 502, None)
             return
--- a/hornbeamrudder/gateway/sending.py
+++ b/hornbeamrudder/gateway/sending.py
@@ -5,6 +5,7 @@
 
 from . import calls
 from . import clock
+from ..core import ids
 from . import health
 from . import http_client
 from . import messages
@@ -72,7 +73,7 @@
         opened: OpenedConnection,
     ) -> calls.Attempt:
         """Send a request, or what remains of its stream."""
-        self._record_send(call)
+        self._record_send(call, placement.record.entry.id)
         sent_at = clock.now()
         exchange = opened.connection.send(
             self._request_bytes(call, placement, sent_at),
@@ -124,7 +125,7 @@
         found = self._translation.decode_response(status, headers).request_id
         return found is None or found == call.request_id
 
-    def _record_send(self, call: calls.Call) -> None:
+    def _record_send(self, call: calls.Call, server: ids.WorkerId) -> None:
         now = clock.now()
         if call.sends:
             self._state.retry_budget.record_retry(call.service.name, now)
@@ -132,7 +133,7 @@
             self._state.retry_budget.record_first_attempt(
                 call.service.name, now
             )
-        call.sends += 1
+        call.record_send(server)
 
     def record_outcome(
         self,
