Let refusals use up no attempt of a stream that has started

What callers saw: a stream cut with up to 2.9 s left: its engine had broken off, the next one refused, and a free one was left, or the same ones had room again. The cause of the cut streams in another place: with nothing but a cut left, a refusal that promises nothing was run was taken for an attempt.

Change: for a stream that has started, refusals don't count against the route's attempts, and if no further server may be tried, those tried before are tried again after 0.15 s. The number of servers that a request is sent to stays within the route's, and the retry budget holds.

--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -22,6 +22,9 @@
 
 # Failed connection attempts after which a request is no longer retried.
 MAX_CONNECT_FAILURES = 4
+# Time before a stream that has started is sent to a server again that has
+# refused or failed it.
+REVISIT_S = 0.15
 # Share of a backend server's slots that is reserved for the most urgent rank.
 RESERVED_SLOT_SHARE = 0.15
 # Longest prefill backlog at an engine to which a less urgent request is sent,
@@ -198,6 +201,8 @@
                 self._fail(call, call.detail)
                 return
             call.excluded.add(placement.record.entry.id)
+            if call.stream.started and not self._has_untried_server(call):
+                await asyncio.sleep(REVISIT_S)
             self.state.log.info(
                 'request is sent again',
                 request=call.request_id,
@@ -208,8 +213,13 @@
             )
 
     def may_retry(self, call: calls.Call) -> bool:
-        """Whether attempt limit, deadline and retry budget allow a retry."""
-        if call.sends >= call.admitted.route.max_servers:
+        """Whether attempt limit, deadline and retry budget allow a retry.
+
+        Once a stream has started it can only go on or be cut, so that
+        refusals don't count as attempts then.
+        """
+        refusals = call.refusals if call.stream.started else 0
+        if call.sends - refusals >= call.admitted.route.max_servers:
             return False
         if clock.now() >= call.admitted.deadline:
             return False
@@ -237,10 +247,22 @@
     ) -> server_registry.Placement | None:
         """Reserve a slot at a server other than that of the attempt."""
         excluded = call.excluded
+        if call.stream.started and not self._has_untried_server(call):
+            # A server that has refused or failed it may accept it now.
+            excluded = {
+                record.entry.id
+                for record in self.state.servers.of_service(call.service.name)
+            } - call.tried
         if call.placement is not None:
             excluded = {*excluded, call.placement.record.entry.id}
         return self.reserve(call, excluded)
 
+    def _has_untried_server(self, call: calls.Call) -> bool:
+        return len(call.tried) < call.admitted.route.max_servers and any(
+            record.usable and record.entry.id not in call.excluded
+            for record in self.state.servers.of_service(call.service.name)
+        )
+
     def _requirements(self, call: calls.Call) -> server_selection.Requirements:
         if call.service.engine is None:
             return server_selection.Requirements(slot_share=2.0)
