--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -22,6 +22,9 @@
 
 # Failed connection attempts after which a request is no longer retried.
 MAX_CONNECT_FAILURES = 4
+# Time before a stream that has started is sent to a server again that has
+# refused or failed it.
+REVISIT_S = 0.15
 # Share of a backend server's slots that is reserved for the most urgent rank.
 RESERVED_SLOT_SHARE = 0.15
 # Longest prefill backlog at an engine to which a less urgent request is sent,
@@ -51,7 +54,13 @@
             state,
             translation,
             self.may_retry,
-            failover.Failover(state, translation, self._sender, self.reserve),
+            failover.Failover(
+                state,
+                translation,
+                self._sender,
+                self._reserve_another,
+                self._release,
+            ),
         )
 
     async def handle(
@@ -178,8 +187,11 @@
                     continue
                 case calls.Result.NOT_SENT:
                     call.unreachable += 1
+                    # No other server has the copy of the run.
+                    call.stream.copy = None
                     retry = call.unreachable < MAX_CONNECT_FAILURES
                 case calls.Result.NOT_EXECUTED:
+                    call.record_refusal(placement.record.entry.id)
                     retry = self.may_retry(call)
                 case calls.Result.FAILED:
                     retry = call.admitted.route.retryable and self.may_retry(
@@ -189,6 +201,8 @@
                 self._fail(call, call.detail)
                 return
             call.excluded.add(placement.record.entry.id)
+            if call.stream.started and not self._has_untried_server(call):
+                await asyncio.sleep(REVISIT_S)
             self.state.log.info(
                 'request is sent again',
                 request=call.request_id,
@@ -199,8 +213,13 @@
             )
 
     def may_retry(self, call: calls.Call) -> bool:
-        """Whether attempt limit, deadline and retry budget allow a retry."""
-        if call.sends >= call.admitted.route.max_servers:
+        """Whether attempt limit, deadline and retry budget allow a retry.
+
+        Once a stream has started it can only go on or be cut, so that
+        refusals don't count as attempts then.
+        """
+        refusals = call.refusals if call.stream.started else 0
+        if call.sends - refusals >= call.admitted.route.max_servers:
             return False
         if clock.now() >= call.admitted.deadline:
             return False
@@ -223,6 +242,27 @@
             clock.now(),
         )
 
+    def _reserve_another(
+        self, call: calls.Call
+    ) -> server_registry.Placement | None:
+        """Reserve a slot at a server other than that of the attempt."""
+        excluded = call.excluded
+        if call.stream.started and not self._has_untried_server(call):
+            # A server that has refused or failed it may accept it now.
+            excluded = {
+                record.entry.id
+                for record in self.state.servers.of_service(call.service.name)
+            } - call.tried
+        if call.placement is not None:
+            excluded = {*excluded, call.placement.record.entry.id}
+        return self.reserve(call, excluded)
+
+    def _has_untried_server(self, call: calls.Call) -> bool:
+        return len(call.tried) < call.admitted.route.max_servers and any(
+            record.usable and record.entry.id not in call.excluded
+            for record in self.state.servers.of_service(call.service.name)
+        )
+
     def _requirements(self, call: calls.Call) -> server_selection.Requirements:
         if call.service.engine is None:
             return server_selection.Requirements(slot_share=2.0)
@@ -256,7 +296,7 @@
         queue = self.state.queue_by_service[call.service.name]
         rank = call.admitted.rank
         if not any(ticket.rank <= rank for ticket in queue.waiting()):
-            placement = self.reserve(call, call.excluded)
+            placement = self._reserve_another(call)
             if placement is not None:
                 return placement
         if not any(
@@ -273,7 +313,7 @@
                 rank,
                 call.request.arrived_at,
                 call.admitted.deadline,
-                lambda: self.reserve(call, call.excluded),
+                lambda: self._reserve_another(call),
                 reservation,
                 None if call.excluded else call.admitted.route.name,
             )
@@ -355,15 +395,9 @@
         if clock.now() >= call.admitted.deadline:
             opened.connection.abort()
             return calls.Result.DEADLINE_EXCEEDED
-        before = call.may_have_run
-        call.may_have_run = True
-        result = await self._follow(
-            call,
-            self._sender.send(call, placement, opened),
+        return await self._follow(
+            call, self._sender.send(call, placement, opened)
         )
-        if result is calls.Result.NOT_EXECUTED:
-            call.may_have_run = before
-        return result
 
     async def _follow(
         self, call: calls.Call, attempt: calls.Attempt
@@ -405,7 +439,7 @@
             call.reply.send(error.status, error.headers, error.body)
             return
         now = clock.now()
-        if call.may_have_run:
+        if call.may_have_run_at:
             late = now >= call.admitted.deadline
             self._send_error(call.reply, call, 504 if late else 502, None)
             return
--- a/hornbeamrudder/gateway/http_client.py
+++ b/hornbeamrudder/gateway/http_client.py
@@ -38,14 +38,10 @@
     @property
     def content_type(self) -> bytes:
         """Value of the Content-Type header; empty if there is none."""
-        return next(
-            (
-                value
-                for name, value in self.headers
-                if name.lower() == b'content-type'
-            ),
-            b'',
-        )
+        value_by_name = {
+            name.lower(): value for name, value in reversed(self.headers)
+        }
+        return value_by_name.get(b'content-type', b'')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -168,7 +164,7 @@
         until : float
             Time on `clock.now`, in seconds.
         """
-        if not self.events and clock.now() < until:
+        while not self.events and clock.now() < until:
             await self.wait(until)
         if not self.events:
             return TimedOut()
@@ -303,7 +299,7 @@
             self.abort()
             return
         self._exchange.answered = True
-        body_bytes_before = self._body_bytes
+        before = self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -311,9 +307,7 @@
             self._end_broken(f'malformed answer: {error}')
         self._emit_body()
         self._non_body_bytes = byte_limits.non_body_bytes(
-            self._non_body_bytes,
-            len(data),
-            self._body_bytes - body_bytes_before,
+            self._non_body_bytes, len(data), self._body_bytes - before
         )
         if self._non_body_bytes > byte_limits.MAX_NON_BODY_BYTES:
             self.end_endless('too many bytes outside the body')
