Report all accounts, so that a new hub counts no unit twice

Seen in virtual time: after a host that was a hub had been stopped, the node that took its place reported up to 0.17 million units that nobody had admitted at that moment, and nodes refused requests below the limit for them.

Cause: a report named only accounts used in the last eight reports. The first report that a new hub gets from a node sets the totals from which it counts. An account missing from it, idle for 2.4 s at that node, counted as never used, so its next report made the node's whole total since its start new units.

Change: reports contain every account that was ever used, as digests already did, up to 40 accounts. An account that is missing from the first report has then not been used.

Evidence: the new scenario failed before (a node counted 7200 units, 3700 admitted) and passes.

--- a/hornbeamrudder/gateway/exchange.py
+++ b/hornbeamrudder/gateway/exchange.py
@@ -17,8 +17,9 @@
 
 # Consecutive reports that include a changed total, as datagrams may be lost.
 UNITS_REPEAT_REPORTS = 8
-# Up to this number of accounts, digests contain every account that was ever
-# used, so that a starting node gets all totals of a hub from its first digest.
+# Up to this number of accounts, reports and digests contain every account that
+# was ever used: the recipient's first one then has all totals, so that it does
+# not mistake an earlier total for new units.
 MAX_ALL_ACCOUNTS = 40
 # Standby hubs only have to be ready to take over, so they send one digest for
 # this many digests of the first hub.
@@ -162,7 +163,12 @@
     def _changed_units(
         self, now: float, repeat_s: float
     ) -> dict[str, tuple[float, float]]:
-        """Return totals and remaining units of recently used accounts."""
+        """Return totals and remaining units of recently used accounts.
+
+        Of all accounts that were ever used, if there are not too many.
+        """
+        if len(self._state.bucket_by_account) <= MAX_ALL_ACCOUNTS:
+            repeat_s = float('inf')
         for name, bucket in self._state.bucket_by_account.items():
             spent, _ = self._units_changed_at.get(name, (0.0, 0.0))
             if spent != bucket.spent:
--- a/hornbeamrudder/gateway/features/exchange.feature
+++ b/hornbeamrudder/gateway/features/exchange.feature
@@ -19,6 +19,15 @@
       | 40    | all hubs fail          |
       | 40    | the first hub restarts |
 
+  Scenario: A new hub does not count earlier units as new
+    # Guards against units counted twice, and so requests refused below the
+    # limit, when a node becomes a hub after an account was idle for a while.
+    Given 40 nodes that exchange reports
+    When each node reserves servers and admits units
+    And the fault is "all hubs fail"
+    And each node reserves servers and admits units
+    Then each node has counted the units of all nodes once
+
   Scenario: Nodes that cannot reach the first hub use another one
     # Guards against nodes that reduce their share of the limits as if they had
     # no reports of any other node.
