Try a second server again that was not reached

What callers saw: 504, or a stream cut, although the only other server was back after a moment. A failed connection excluded its server for the rest of the request, although nothing had been sent to it.

`A server that was not reached is tried again` failed before (504 after 3 s) and passes.

--- a/hornbeamrudder/gateway/failover.py
+++ b/hornbeamrudder/gateway/failover.py
@@ -197,9 +197,9 @@
             raise
         if attempt is not None and self._is_refused(call, attempt, trial):
             attempt.connection.abort()
+            call.excluded.add(attempt.server)
             attempt = None
         if attempt is None:
-            call.excluded.add(trial.placement.record.entry.id)
             self._release(trial.placement)
         return attempt
 
--- a/hornbeamrudder/gateway/features/failover.feature
+++ b/hornbeamrudder/gateway/features/failover.feature
@@ -34,6 +34,11 @@
       | always        | 1       |
       | when stopping | 2       |
 
+  Scenario: A server that was not reached is tried again
+    # Guards against requests that end although the only other server is back.
+    When a request on "plan" gets no response and the other server listens only later
+    Then the client receives the complete stream
+
   Scenario: The response of a failing server is kept if another server refuses
     # Guards against replacing a response of a server by an error of the node.
     When a request on "look" gets "error" from one server and "full" from the other
--- a/hornbeamrudder/gateway/features/steps/failover_steps.py
+++ b/hornbeamrudder/gateway/features/steps/failover_steps.py
@@ -16,6 +16,8 @@
 LEAVING_EVENT_INTERVAL_S = 0.04
 LEAVES_MS = 900
 MOVED_LEAVES_MS = 1500
+# After the first try at a second server, and before the next one.
+LISTENS_AFTER_S = 1.0
 POLL_S = 0.005
 CANCEL_S = 0.5
 
@@ -67,6 +69,32 @@
     )
 
 
+@behave.when(
+    'a request on "plan" gets no response and the other server listens only'
+    ' later'
+)
+def listen_later(context):
+    async def scenario(harness):
+        for server in harness.engines:
+            server.behaviours = [Behaviour.HANG]
+        pending = asyncio.create_task(harness.send_request('/plan/x'))
+        await _wait_for_requests(harness, 1)
+        (other,) = (
+            server for server in harness.engines if not server.requests
+        )
+        other.behaviours = []
+        other.listener.close()
+        await asyncio.sleep(LISTENS_AFTER_S)
+        ip, _, port = other.address.partition(':')
+        await other.start(ip, int(port))
+        return await pending
+
+    context.event_count = EVENT_COUNT
+    context.response = node_harness.run_scenario(
+        scenario, event_count=EVENT_COUNT
+    )
+
+
 @behave.when(
     'a resumable stream is served by an engine that leaves and the other'
     ' refuses'
