Compute the share of a new document before a request

Callers of a node that had just become ready, or had just taken up a document with the first workers of a service, got 429 "the estimated wait exceeds the deadline" although all workers were idle.

Cause: the admission controller starts a service with a capacity of 0, and only the refresh loop of the gate set it, every 0.1 s and later on a busy machine. A request in between found a throughput of 0 and so an infinite wait. The node also published a document before the worker pool had its workers.

Change: the gate computes the capacities before the first request that it admits under a document. A node takes up a document in one step, and callers see it only after the pool has its workers; the lock now covers the whole step, so that two versions cannot be taken up in the wrong order.

Evidence: new scenarios, in which the refresh loop does not run, failed each time before: "<Failure: admit request: overloaded: the estimated wait exceeds the deadline>" with 1 engine and with 0 and then 1 engine, and "[('quill-llm',)]" as the document that was visible when the pool received its workers. They pass now. A service without workers is still refused at once.

--- a/hornbeamrudder/entry/gate.py
+++ b/hornbeamrudder/entry/gate.py
@@ -65,6 +65,7 @@
         self._peer_small_demand = peer_small_demand
         self._small_demand_by_service: dict[ids.ServiceName, float] = {}
         self._demand_sampled_at = time.monotonic()
+        self._refreshed_document: schema.Document | None = None
         self._peak_by_service: dict[ids.ServiceName, int] = {}
         self._demand_by_service: dict[ids.ServiceName, float] = {}
         self._usage_by_account: dict[ids.AccountId, limits.Usage] = {}
@@ -122,6 +123,7 @@
             False for an order that has already been accepted: it may wait,
             but limits must not refuse it.
         """
+        self._refresh_for_document()
         refusal = self._charge_account(
             account, expected_tokens, prompt_tokens, limited
         )
@@ -186,6 +188,19 @@
         self._admission.set_capacity(service, usable.slots, usable.quiet_free)
         self._update_peak_demand(service)
 
+    def _refresh_for_document(self) -> None:
+        """Update the capacities if the document has changed.
+
+        Otherwise a service whose workers have just become known would still
+        have a capacity of 0 and refuse its requests.
+        """
+        document = self._document()
+        if document is self._refreshed_document:
+            return
+        for name in document.services_by_name:
+            self.refresh(ids.ServiceName(name))
+        self._refreshed_document = document
+
     def _update_peak_demand(self, service: ids.ServiceName) -> None:
         demand = self._admission.demand(service)
         with self._lock:
--- a/hornbeamrudder/entry/node_configuration.py
+++ b/hornbeamrudder/entry/node_configuration.py
@@ -58,8 +58,7 @@
             self._content_version = content.row.content_version
             match schema.parse_document(orjson.loads(content.document)):
                 case result.Success(document):
-                    self._document = document
-                    self._usable = True
+                    pass
                 case result.Failure(problems):
                     # Written by a node of a later release. Serving under the
                     # previous version would violate the accepted change.
@@ -70,4 +69,10 @@
                         problems=[str(item) for item in problems],
                     )
                     return
-        self._on_document(document)
+            try:
+                self._on_document(document)
+            finally:
+                # Last, so that no request finds a service without its workers;
+                # in any case, as the version is in force on this node.
+                self._document = document
+                self._usable = True
