Send an order with a slot although the share of its node fell

A caller got 503 "no worker of the service takes new work" for an order, and 503 "order was not run" for the same key at another node, while the workers were live.

Cause: an order is given its slot while a worker has a free one, its record is then written, and only then a worker is chosen, within the share of the node at that time. When the demand of a peer became known in between, the share fell below the orders and requests in progress, and the order was recorded as not run. The start of a deployment is when the shares change most. It was not due to the state `suspect`, which the pool takes as live.

Change: the choice of a worker for an order whose record is `dispatching` may exceed the share, as a retry may. Orders hold slots of the admission controller, so their number stays bounded by the capacity at the grant. "Not run" stays true: an order is still sent once, within its send window, and is refused if no worker is live.

--- a/hornbeamrudder/entry/features/capacity.feature
+++ b/hornbeamrudder/entry/features/capacity.feature
@@ -18,3 +18,9 @@
     Given a node that refreshes its capacity only when it must
     When requests follow documents with 1 engines
     Then the node had no document when it received the workers
+
+  Scenario: An order with a slot is sent although the share of its node falls
+    # Guards against an order that is refused after it was given a slot.
+    Given 4 orders at a node that has all 4 slots of a plain service
+    When the demand of a peer becomes known while their records are written
+    Then every order is sent once and answered
--- a/hornbeamrudder/entry/pool.py
+++ b/hornbeamrudder/entry/pool.py
@@ -204,6 +204,7 @@
         excluded: frozenset[ids.WorkerId],
         blocks: tuple[int, ...] = (),
         requester: Requester | None = None,
+        may_exceed_share: bool = False,
     ) -> result.Result[types.Worker, errors.Failure]:
         """Choose a worker of a service and count the request there.
 
@@ -213,6 +214,8 @@
             Hashes of the prompt's blocks; empty for calls without a prompt.
         requester : Requester or None
             None if the request may use any worker.
+        may_exceed_share : bool
+            See `routing.choose`.
         """
         now = time.monotonic()
         key = prefix.ring_key(blocks)
@@ -233,7 +236,13 @@
                 else {}
             )
             chosen = routing.choose(
-                loads, order, cached, excluded, now, self._rng
+                loads,
+                order,
+                cached,
+                excluded,
+                now,
+                self._rng,
+                may_exceed_share,
             )
             if chosen is None:
                 return result.Failure(_no_worker(service))
--- a/hornbeamrudder/entry/service_calls.py
+++ b/hornbeamrudder/entry/service_calls.py
@@ -84,9 +84,14 @@
     ) -> order_messages.SendResult:
         """Send to one worker; a failure states whether it may have run."""
         # The record is already `dispatching`, so there is no time to wait for
-        # a worker; capacity was granted when one had a free slot.
+        # a worker. Capacity was granted when one had a free slot; the share
+        # may have fallen since then, as it may under a request in progress.
         chosen = self._workers.choose_for(
-            request.service, request.request_id, CALL_TOKENS, frozenset()
+            request.service,
+            request.request_id,
+            CALL_TOKENS,
+            frozenset(),
+            may_exceed_share=True,
         )
         match chosen:
             case result.Failure(failure):
--- a/hornbeamrudder/routing/choose.py
+++ b/hornbeamrudder/routing/choose.py
@@ -207,6 +207,7 @@
     excluded: AbstractSet[ids.WorkerId],
     now: float,
     rng: random.Random,
+    may_exceed_share: bool = False,
 ) -> ids.WorkerId | None:
     """Choose a worker.
 
@@ -218,12 +219,15 @@
         Leading prompt blocks in the cache of a worker, as far as known.
     excluded : set of WorkerId
         Workers that the request must not use, such as those it tried before.
+    may_exceed_share : bool
+        Whether the share of a worker may be exceeded if this node has no free
+        slot. It may in any case if `excluded` is not empty (a retry).
 
     Returns
     -------
     WorkerId or None
-        None if this node has no free slot at any live worker. If `excluded`
-        is not empty (a retry), the share of a worker may be exceeded.
+        None if no worker is live, or this node has no free slot at any and
+        must not exceed its shares.
     """
     live = [
         load
@@ -234,8 +238,9 @@
     free = {
         load.worker: load for load in healthy if load.in_flight < load.share
     }
-    if not free and excluded:
-        # The only free slots may be at workers that the request has tried.
+    if not free and (excluded or may_exceed_share):
+        # The free slots may be at workers that the request has tried, or the
+        # shares may have fallen since the request was given a slot.
         free = {load.worker: load for load in healthy}
     if not free:
         return None
