--- a/hornbeamrudder/gateway/failover.py
+++ b/hornbeamrudder/gateway/failover.py
@@ -47,7 +47,11 @@
 
 
 class Failover:
-    """Tries requests of one node at a second backend server."""
+    """Tries requests of one node at a second backend server.
+
+    The slot at the second server is released here unless the request fails
+    over; then the call owns it, as it owns that of its first attempt.
+    """
 
     def __init__(
         self,
@@ -64,47 +68,47 @@
         self._release = release
 
     async def try_elsewhere(
-        self, call: calls.Call, attempt: calls.Attempt, leaving: bool
+        self, call: calls.Call, first: calls.Attempt, leaving: bool
     ) -> FailedOver | None:
         """Fail a request over to a server that accepts it.
 
         Parameters
         ----------
         leaving : bool
-            Whether the server of `attempt` is about to end, so that it is
+            Whether the server of `first` is about to end, so that it is
             left although it still answers.
 
         Returns
         -------
         FailedOver or None
-            None if `attempt` goes on.
+            None if `first` goes on.
         """
         placement = self._reserve(call)
         if placement is None:
             return None
         trial = _Trial(placement)
         task = asyncio.create_task(self._try(call, trial))
-        task.add_done_callback(lambda _: attempt.exchange.wake())
+        task.add_done_callback(lambda _: first.exchange.wake())
         try:
             while not task.done() and not self._is_kept(
-                call, attempt, leaving or trial.sent
+                call, first, leaving or trial.sent
             ):
-                await attempt.exchange.wait(call.admitted.deadline)
+                await first.exchange.wait(call.admitted.deadline)
         except asyncio.CancelledError:
             self._abandon(task, placement)
             raise
         has_accepted = task.done() and trial.accepted
-        if self._is_kept(call, attempt, leaving or has_accepted):
+        if self._is_kept(call, first, leaving or has_accepted):
             self._abandon(task, placement)
-            next_attempt = None
+            second = None
         else:
-            next_attempt = task.result()
-        if next_attempt is None:
-            self._log(call, 'request stays at its server', attempt, placement)
+            second = task.result()
+        if second is None:
+            self._log(call, 'request stays at its server', first, placement)
             return None
-        attempt.connection.abort()
-        call.next_attempt = next_attempt
-        self._log(call, 'request fails over', attempt, placement)
+        first.connection.abort()
+        call.next_attempt = second
+        self._log(call, 'request fails over', first, placement)
         return FailedOver()
 
     def _abandon(
@@ -124,21 +128,21 @@
         self,
         call: calls.Call,
         event: str,
-        attempt: calls.Attempt,
+        first: calls.Attempt,
         placement: server_registry.Placement,
     ) -> None:
         self._state.log.info(
             event,
             request=call.request_id,
-            server=attempt.server,
+            server=first.server,
             tried=placement.record.entry.id,
             **call.progress(clock.now()),
         )
 
     def _is_kept(
-        self, call: calls.Call, attempt: calls.Attempt, only_if_complete: bool
+        self, call: calls.Call, first: calls.Attempt, only_if_complete: bool
     ) -> bool:
-        """Whether to go on with `attempt`, as it has got a response since.
+        """Whether to go on with the first attempt, as it got a response.
 
         Parameters
         ----------
@@ -149,7 +153,7 @@
         """
         if clock.now() >= call.admitted.deadline:
             return True
-        events = attempt.exchange.events
+        events = first.exchange.events
         head = events[0] if events else None
         if isinstance(head, http_client.Head) and not self._is_accepting(
             call, head
