--- a/hornbeamrudder/admission/features/steps/limit_steps.py
+++ b/hornbeamrudder/admission/features/steps/limit_steps.py
@@ -9,6 +9,7 @@
 from hornbeamrudder.admission import controller
 from hornbeamrudder.admission import limits
 from hornbeamrudder.answers import generation
+from hornbeamrudder.answers import generation_types
 from hornbeamrudder.answers import scheduler
 from hornbeamrudder.core import errors
 from hornbeamrudder.core import types
@@ -186,7 +187,7 @@
     waits = scheduler.Scheduler(executor)
     context.add_cleanup(executor.shutdown)
     context.add_cleanup(waits.close)
-    request = generation.GenerationRequest(
+    request = generation_types.GenerationRequest(
         'n-1', 'a', SERVICE, types.Rank.URGENT, b'{}', '', 5, 5.0,
         time.monotonic() + milliseconds / 1000,
     )  # fmt: skip
--- a/hornbeamrudder/answers/attempt_traces.py
+++ b/hornbeamrudder/answers/attempt_traces.py
@@ -1,10 +1,12 @@
 """Trace spans of attempts at model engines."""
 
-from . import generation
+from . import generation_types
 from ..telemetry import traces
 
 
-def record(tracer: traces.Tracer, ended: generation.EndedAttempt) -> None:
+def record(
+    tracer: traces.Tracer, ended: generation_types.EndedAttempt
+) -> None:
     """Record the span of an attempt in the trace of its request."""
     tracer.record(
         'dispatch',
--- a/hornbeamrudder/answers/features/steps/generation_steps.py
+++ b/hornbeamrudder/answers/features/steps/generation_steps.py
@@ -12,6 +12,7 @@
 
 from hornbeamrudder.answers import buffer
 from hornbeamrudder.answers import generation
+from hornbeamrudder.answers import generation_types
 from hornbeamrudder.answers import scheduler
 from hornbeamrudder.backends import client as backends_client
 from hornbeamrudder.core import ids
@@ -146,7 +147,7 @@
     context.executor = futures.ThreadPoolExecutor(4)
     context.ended = threading.Event()
     context.generation = generation.Generation(
-        generation.GenerationRequest(
+        generation_types.GenerationRequest(
             ids.new_request_id(ids.NodeId('n1'), random.Random(7)),
             ids.AccountId('fitters'),
             ids.ServiceName('modele-atelier'),
--- a/hornbeamrudder/answers/generation.py
+++ b/hornbeamrudder/answers/generation.py
@@ -2,10 +2,9 @@
 
 from concurrent import futures
 import dataclasses
-import enum
 import threading
 import time
-from typing import Callable, Protocol
+from typing import Callable
 
 from returns import result
 import structlog
@@ -16,6 +15,7 @@
 from ..core import errors
 from ..core import ids
 from ..core import types
+from . import generation_types
 from ..infrastructure import http
 from . import reader
 from ..retries import decide
@@ -32,89 +32,6 @@
 log = structlog.get_logger()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class GenerationRequest:
-    """An accepted request for a model answer.
-
-    Attributes
-    ----------
-    expected_tokens : float
-        Expected length of the answer in tokens.
-    deadline : float
-        Monotonic time in seconds by which the first token is needed.
-    prompt_key : str
-        Prompt text that is matched with the prefixes cached by workers.
-    """
-
-    id: ids.RequestId
-    account: ids.AccountId
-    service: ids.ServiceName
-    rank: types.Rank
-    body: bytes
-    prompt_key: str
-    max_tokens: int
-    expected_tokens: float
-    deadline: float
-    traceparent: str = ''
-
-
-class EndReason(enum.Enum):
-    """How an attempt ended, as reported to the worker pool."""
-
-    COMPLETE = 'complete'
-    FAILED = 'failed'
-    MOVED = 'moved'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndedAttempt:
-    """An attempt that has ended, for traces; tokens are not traced.
-
-    Attributes
-    ----------
-    seconds : float
-        Time from sending the request to the end.
-    """
-
-    request: GenerationRequest
-    number: int
-    worker: types.Worker
-    reason: EndReason
-    seconds: float
-
-
-AttemptCallback = Callable[[EndedAttempt], None]
-
-
-def ignore_attempt(ended: EndedAttempt) -> None:
-    """Do nothing at the end of an attempt."""
-
-
-class WorkerPool(Protocol):
-    """Chooses workers and counts the requests sent to them."""
-
-    def choose(
-        self,
-        request: GenerationRequest,
-        excluded: frozenset[ids.WorkerId],
-    ) -> result.Result[types.Worker, errors.Failure]:
-        """Choose a worker and count the request as sent to it."""
-
-    def claim(self, request: GenerationRequest, worker: types.Worker) -> bool:
-        """Count the request as sent to this worker if it accepts work."""
-
-    def ended(
-        self,
-        request: GenerationRequest,
-        worker: types.Worker,
-        reason: EndReason,
-    ) -> None:
-        """Remove the request from the count of the worker."""
-
-    def may_retry(self, request: GenerationRequest) -> bool:
-        """Take a retry from the budget; return False if it is spent."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Attempt:
     number: int
@@ -132,13 +49,15 @@
 
     def __init__(
         self,
-        request: GenerationRequest,
+        request: generation_types.GenerationRequest,
         client: http.HttpClient,
-        pool: WorkerPool,
+        pool: generation_types.WorkerPool,
         executor: futures.Executor,
         retry_scheduler: scheduler.Scheduler,
         on_end: Callable[['Generation'], None],
-        on_attempt: AttemptCallback = ignore_attempt,
+        on_attempt: generation_types.AttemptCallback = (
+            generation_types.ignore_attempt
+        ),
     ) -> None:
         self.request = request
         self.buffer = buffer.AnswerBuffer(request.id)
@@ -180,7 +99,7 @@
     def cancel(self, failure: errors.Failure) -> None:
         """End the answer with `failure` and cancel the attempt."""
         self.buffer.fail(failure)
-        self._stop_attempt(EndReason.FAILED)
+        self._stop_attempt(generation_types.EndReason.FAILED)
         self._notify_end()
 
     def pause(self) -> types.Worker | None:
@@ -202,7 +121,7 @@
         if attempt is None:
             return None
         cache_blob = self._export_cache(attempt)
-        if not self._stop_attempt(EndReason.MOVED, attempt):
+        if not self._stop_attempt(generation_types.EndReason.MOVED, attempt):
             return None
         if cache_blob:
             self._import_cache(attempt.worker, cache_blob)
@@ -260,7 +179,7 @@
             return
         self._failed_workers |= {attempt.worker.id}
         cache_blob = self._export_cache(attempt) if use_cache_export else b''
-        if self._stop_attempt(EndReason.MOVED, attempt):
+        if self._stop_attempt(generation_types.EndReason.MOVED, attempt):
             self._start_attempt(cache_blob)
 
     def _start_attempt(self, cache_blob: bytes = b'') -> None:
@@ -352,10 +271,10 @@
         # was lost.
         self.buffer.complete(attempt.number)
         if self.buffer.state is buffer.AnswerState.COMPLETE:
-            self._attempt_ended(attempt, EndReason.COMPLETE)
+            self._attempt_ended(attempt, generation_types.EndReason.COMPLETE)
             self._notify_end()
             return
-        self._attempt_ended(attempt, EndReason.FAILED)
+        self._attempt_ended(attempt, generation_types.EndReason.FAILED)
         self._failed_workers |= {attempt.worker.id}
         failure = attempt_failures.from_outcome(outcome, attempt.worker)
         if self._may_retry(failure):
@@ -385,10 +304,12 @@
         if first:
             self._on_end(self)
 
-    def _attempt_ended(self, attempt: _Attempt, reason: EndReason) -> None:
+    def _attempt_ended(
+        self, attempt: _Attempt, reason: generation_types.EndReason
+    ) -> None:
         self._pool.ended(self.request, attempt.worker, reason)
         self._on_attempt(
-            EndedAttempt(
+            generation_types.EndedAttempt(
                 self.request,
                 attempt.number,
                 attempt.worker,
@@ -405,7 +326,9 @@
             return True
 
     def _stop_attempt(
-        self, reason: EndReason, expected: _Attempt | None = None
+        self,
+        reason: generation_types.EndReason,
+        expected: _Attempt | None = None,
     ) -> bool:
         with self._lock:
             attempt = self._current
--- a/hornbeamrudder/answers/handover.py
+++ b/hornbeamrudder/answers/handover.py
@@ -21,6 +21,7 @@
 from ..core import ids
 from ..core import types
 from . import generation
+from . import generation_types
 from ..infrastructure import table
 from ..peers import messages
 from . import service
@@ -92,12 +93,12 @@
 
 def from_message(
     message: messages.Handover, now: float
-) -> result.Result[generation.GenerationRequest, errors.Failure]:
+) -> result.Result[generation_types.GenerationRequest, errors.Failure]:
     """Parse the request in a handover message."""
     fields = dict(message.headers)
     try:
         return result.Success(
-            generation.GenerationRequest(
+            generation_types.GenerationRequest(
                 id=message.request,
                 account=message.account,
                 service=ids.ServiceName(fields['service']),
--- a/hornbeamrudder/answers/service.py
+++ b/hornbeamrudder/answers/service.py
@@ -9,6 +9,7 @@
 from ..core import ids
 from ..core import types
 from . import generation
+from . import generation_types
 from ..infrastructure import http
 from . import scheduler
 
@@ -30,9 +31,11 @@
     def __init__(
         self,
         client: http.HttpClient,
-        pool: generation.WorkerPool,
+        pool: generation_types.WorkerPool,
         kept_answer_s: float,
-        on_attempt: generation.AttemptCallback = generation.ignore_attempt,
+        on_attempt: generation_types.AttemptCallback = (
+            generation_types.ignore_attempt
+        ),
     ) -> None:
         self._client = client
         self._pool = pool
@@ -55,7 +58,7 @@
         self._sweeper.start()
 
     def create(
-        self, request: generation.GenerationRequest, on_end: EndCallback
+        self, request: generation_types.GenerationRequest, on_end: EndCallback
     ) -> generation.Generation:
         """Register a generation and return it; it is not started yet.
 
--- a/hornbeamrudder/entry/chat_calls.py
+++ b/hornbeamrudder/entry/chat_calls.py
@@ -10,6 +10,7 @@
 
 from ..admission import controller
 from ..answers import generation
+from ..answers import generation_types
 from ..answers import handover
 from ..answers import remote
 from ..answers import service as answers_service
@@ -103,7 +104,7 @@
             request_id=request_id,
             service=parsed.service.name,
         ) as traceparent:
-            accepted = generation.GenerationRequest(
+            accepted = generation_types.GenerationRequest(
                 id=request_id,
                 account=prepared.account,
                 service=parsed.service.name,
@@ -127,7 +128,7 @@
     def _admit(
         self,
         request: werkzeug.Request,
-        accepted: generation.GenerationRequest,
+        accepted: generation_types.GenerationRequest,
         stream: bool,
         prompt_tokens: float,
     ) -> werkzeug.Response:
@@ -157,7 +158,7 @@
     def _generate(
         self,
         request: werkzeug.Request,
-        accepted: generation.GenerationRequest,
+        accepted: generation_types.GenerationRequest,
         slot: controller.Slot,
         stream: bool,
     ) -> werkzeug.Response:
--- a/hornbeamrudder/entry/pool.py
+++ b/hornbeamrudder/entry/pool.py
@@ -9,7 +9,7 @@
 from returns import result
 
 from ..admission import isolation
-from ..answers import generation
+from ..answers import generation_types
 from ..backends import load as backend_load
 from ..backends import snapshot
 from ..backends import watch
@@ -182,7 +182,7 @@
 
     def choose(
         self,
-        request: generation.GenerationRequest,
+        request: generation_types.GenerationRequest,
         excluded: frozenset[ids.WorkerId],
     ) -> result.Result[types.Worker, errors.Failure]:
         """Choose a worker for a generation request and count it there."""
@@ -244,7 +244,7 @@
         return result.Success(self._watcher.snapshot().workers_by_id[chosen])
 
     def claim(
-        self, request: generation.GenerationRequest, worker: types.Worker
+        self, request: generation_types.GenerationRequest, worker: types.Worker
     ) -> bool:
         """Count a request at this worker, if it accepts new requests."""
         backends = self._watcher.snapshot()
@@ -260,12 +260,14 @@
 
     def ended(
         self,
-        request: generation.GenerationRequest,
+        request: generation_types.GenerationRequest,
         worker: types.Worker,
-        reason: generation.EndReason,
+        reason: generation_types.EndReason,
     ) -> None:
         """Remove a request from its worker's count."""
-        self.release(worker, request.id, reason is generation.EndReason.FAILED)
+        self.release(
+            worker, request.id, reason is generation_types.EndReason.FAILED
+        )
 
     def release(
         self, worker: types.Worker, request: ids.RequestId, failed: bool
@@ -284,7 +286,7 @@
                 self._budget(service)
             )
 
-    def may_retry(self, request: generation.GenerationRequest) -> bool:
+    def may_retry(self, request: generation_types.GenerationRequest) -> bool:
         """Withdraw one retry from the budget; False if it is empty."""
         return self.consume_retry(request.service)
 
