Stop an answer's worker only once another has begun, outlast refusals

Callers whose worker was leaving saw their answer end after about half a second of refusals, though an answer in progress may be resumed for 60 s. Cause: `migrate` stopped the attempt before any other worker had accepted, and refusals counted towards MAX_ATTEMPTS at 50 ms each.

Before, the scenarios of this commit printed: A stream of a leaving worker outlasts refusals of the other one: "interrupted: status 503, answer is not whole" A leaving worker that no other worker replaces completes its stream: "ASSERT FAILED: 12" (tokens recomputed after a needless stop) "A stream cut while another worker is asked continues there" passed before too; it guards the new path. The tests of limits and handover are new.

Now the next worker is asked while the present one goes on, and takes over with its first event; duplicates are dropped by offset. If the present one breaks first, the request already sent continues the answer. Attempts proved not run (no connection, 429, 503) do not count once the answer has begun; the wait doubles with each in a row up to MAX_REFUSED_DELAY_S, within the latest start. A handover passes their number on. Recomputed tokens are counted with the first event of an attempt, as a refused one computes none.

The step "leaves for good" is replaced: it never ended the first worker, which now goes on and completed the answer itself (0 recomputed). The new step cuts its streams, so only a resumption can complete the answer; it fails on the old code as above.

--- a/hornbeamrudder/answers/attempt_failures.py
+++ b/hornbeamrudder/answers/attempt_failures.py
@@ -8,6 +8,19 @@
 from ..core import types
 from ..infrastructure import http
 
+# An engine answers them without running the request.
+REFUSAL_STATUSES = frozenset((429, 503))
+
+
+def is_proved_not_run(outcome: http.HttpResult) -> bool:
+    """Return whether the worker certainly did not run the attempt."""
+    match outcome:
+        case result.Success(response):
+            return response.status in REFUSAL_STATUSES
+        case result.Failure(failure):
+            return failure.outcome is types.Outcome.NOT_RUN
+    raise AssertionError(outcome)
+
 
 def from_outcome(
     outcome: http.HttpResult, worker: types.Worker
--- a/hornbeamrudder/answers/features/answers.feature
+++ b/hornbeamrudder/answers/features/answers.feature
@@ -57,5 +57,42 @@
   Scenario: A stream of a leaving worker outlasts refusals of the other one
     # Guards against streams cut while there is time to resume them.
     Given two model engines that generate 100 tokens and the second one refuses for 1 s
-    When the first one leaves for good after some tokens
+    When the first one leaves after some tokens and its streams are cut
     Then the answer is complete and some tokens are counted as recomputed
+
+  Scenario: A leaving worker that no other worker replaces completes its stream
+    # Guards against a stream stopped for a worker that then refuses it.
+    Given two model engines that generate 100 tokens and the second one refuses for 60 s
+    When the first one leaves after some tokens and the KV cache is not exported
+    Then the answer is complete and no tokens are counted as recomputed
+
+  Scenario: A stream cut while another worker is asked continues there
+    # Guards against a second request for a stream that is already asked for.
+    Given two model engines that generate 100 tokens and the second one is silent for 0.5 s
+    When the first one leaves after some tokens and its streams are cut
+    Then the answer is complete and some tokens are counted as recomputed
+    And 2 attempts were made
+
+  Scenario Outline: Only attempts that may have run use up those of an answer, <count> times <end>
+    # Guards against refusals that end an answer or are repeated without pause.
+    When <count> attempts of an answer that <has> begun end with <end>
+    Then with <left> s left <expected>
+
+    Examples:
+      | count | has     | end             | left | expected                      |
+      | 7     | has     | status 500      | 60   | another is made after 0.05 s  |
+      | 8     | has     | status 500      | 60   | none is made                  |
+      | 8     | has     | connection lost | 60   | none is made                  |
+      | 1     | has     | status 503      | 60   | another is made after 0.1 s   |
+      | 3     | has     | status 429      | 60   | another is made after 0.4 s   |
+      | 40    | has     | no connection   | 60   | another is made after 1 s     |
+      | 40    | has     | status 503      | 0.25 | another is made after 0.25 s  |
+      | 40    | has     | status 503      | -0.1 | none is made                  |
+      | 7     | has not | status 503      | 60   | another is made after 0.05 s  |
+      | 8     | has not | status 503      | 60   | none is made                  |
+
+  Scenario: A node that takes an answer over does not count refused attempts
+    # Guards against an answer that its next node gives up at the first break.
+    Given an answer with 10 attempts, 9 of them refused
+    When a node takes it over from another one
+    Then the answer there has 10 attempts, 9 of them refused
--- a/hornbeamrudder/answers/features/steps/generation_steps.py
+++ b/hornbeamrudder/answers/features/steps/generation_steps.py
@@ -216,37 +216,47 @@
 
 @behave.given(
     'two model engines that generate {tokens:d} tokens and the second one'
-    ' refuses for {seconds:g} s'
+    ' {delays} for {seconds:g} s'
 )
-def refusing_engine(context, tokens, seconds):
-    accepting = model_engine()
-    context.accepts_at = time.monotonic() + seconds
-
-    def application(environ, start_response):
-        if (
-            environ['PATH_INFO'] == '/v1/chat/completions'
-            and time.monotonic() < context.accepts_at
-        ):
-            return werkzeug.Response('full', 503)(environ, start_response)
+def delaying_engine(context, tokens, delays, seconds):
+    context.is_gone = threading.Event()
+    leaving, accepting = model_engine(0.01), model_engine()
+    accepts_at = time.monotonic() + seconds
+
+    def first(environ, start_response):
+        for chunk in leaving(environ, start_response):
+            if context.is_gone.is_set():
+                raise ConnectionResetError
+            yield chunk
+
+    def second(environ, start_response):
+        if environ['PATH_INFO'] == '/v1/chat/completions':
+            left_s = accepts_at - time.monotonic()
+            if delays == 'refuses' and left_s > 0:
+                return werkzeug.Response('full', 503)(environ, start_response)
+            time.sleep(max(0.0, left_s))
         return accepting(environ, start_response)
 
-    make_generation(
-        context,
-        (model_engine(0.01), application),
-        BODY | {'max_tokens': tokens},
-    )
+    make_generation(context, (first, second), BODY | {'max_tokens': tokens})
 
 
-@behave.when('the first one leaves for good after some tokens')
-def leave_for_good(context):
+@behave.when('the first one leaves after some tokens and its streams are cut')
+def leave_and_cut(context):
     item = context.generation
     item.run_first_attempt()
     item.buffer.wait(5, 10)
     del context.pool._workers[0]
-    item.migrate(False)
+    migration = context.executor.submit(item.migrate, False)
+    futures.wait([migration], 10)
+    context.is_gone.set()
     assert context.ended.wait(20)
 
 
+@behave.then('{attempts:d} attempts were made')
+def check_attempts(context, attempts):
+    assert context.generation.attempts == attempts, context.generation.attempts
+
+
 @behave.when(
     'the first one leaves after some tokens and the KV cache is {use}'
 )
--- a/hornbeamrudder/answers/handover.py
+++ b/hornbeamrudder/answers/handover.py
@@ -83,6 +83,7 @@
             ('expected-tokens', str(request.expected_tokens)),
             ('seconds-left', str(request.deadline - now)),
             ('traceparent', request.traceparent),
+            ('refused-attempts', str(item.refused_attempts)),
         ),
         attempt=item.attempts,
         worker=worker.id if worker else ids.WorkerId(''),
@@ -122,6 +123,11 @@
         )
 
 
+def _refused_attempts(message: messages.Handover) -> int:
+    value = dict(message.headers).get('refused-attempts', '')
+    return int(value) if value.isdecimal() else 0
+
+
 class Handover:
     """Sends and receives handovers of answers for a node."""
 
@@ -219,6 +225,7 @@
                     item.resume_from(
                         list(message.pieces),
                         max(1, message.attempt),
+                        _refused_attempts(message),
                         self._find_worker(message.worker),
                     )
         return messages.HandoverAck(message.request, True)
--- a/hornbeamrudder/answers/reader.py
+++ b/hornbeamrudder/answers/reader.py
@@ -15,6 +15,8 @@
     on_mismatch : callable
         Called once with a reason if the response is malformed or belongs to
         another request or attempt; all data after that is discarded.
+    on_begin : callable
+        Called once, before the first event is passed on.
     """
 
     def __init__(
@@ -22,10 +24,13 @@
         target: buffer.AnswerBuffer,
         attempt: int,
         on_mismatch: Callable[[str], None],
+        on_begin: Callable[[], None],
     ) -> None:
         self._buffer = target
         self._attempt = attempt
         self._on_mismatch = on_mismatch
+        self._on_begin = on_begin
+        self._begun = False
         self._parser = events.EventParser(target.request_id)
         self._headers_match = False
         self._rejected = False
@@ -37,6 +42,9 @@
         for event in self._parser.feed(chunk):
             match event:
                 case events.TokenEvent():
+                    if not self._begun:
+                        self._begun = True
+                        self._on_begin()
                     self._buffer.accept(self._attempt, event)
                 case events.EndMarker():
                     self._buffer.complete(self._attempt)
