--- a/hornbeamrudder/answers/handover.py
+++ b/hornbeamrudder/answers/handover.py
@@ -21,6 +21,7 @@
 from ..core import ids
 from ..core import types
 from . import generation
+from . import generation_types
 from ..infrastructure import table
 from ..peers import messages
 from . import service
@@ -82,6 +83,7 @@
             ('expected-tokens', str(request.expected_tokens)),
             ('seconds-left', str(request.deadline - now)),
             ('traceparent', request.traceparent),
+            ('refused-attempts', str(item.refused_attempts)),
         ),
         attempt=item.attempts,
         worker=worker.id if worker else ids.WorkerId(''),
@@ -92,12 +94,12 @@
 
 def from_message(
     message: messages.Handover, now: float
-) -> result.Result[generation.GenerationRequest, errors.Failure]:
+) -> result.Result[generation_types.GenerationRequest, errors.Failure]:
     """Parse the request in a handover message."""
     fields = dict(message.headers)
     try:
         return result.Success(
-            generation.GenerationRequest(
+            generation_types.GenerationRequest(
                 id=message.request,
                 account=message.account,
                 service=ids.ServiceName(fields['service']),
@@ -121,6 +123,11 @@
         )
 
 
+def _refused_attempts(message: messages.Handover) -> int:
+    value = dict(message.headers).get('refused-attempts', '')
+    return int(value) if value.isdecimal() else 0
+
+
 class Handover:
     """Sends and receives handovers of answers for a node."""
 
@@ -218,6 +225,7 @@
                     item.resume_from(
                         list(message.pieces),
                         max(1, message.attempt),
+                        _refused_attempts(message),
                         self._find_worker(message.worker),
                     )
         return messages.HandoverAck(message.request, True)
