--- a/hornbeamrudder/entry/pool.py
+++ b/hornbeamrudder/entry/pool.py
@@ -9,7 +9,7 @@
 from returns import result
 
 from ..admission import isolation
-from ..answers import generation
+from ..answers import generation_types
 from ..backends import load as backend_load
 from ..backends import snapshot
 from ..backends import watch
@@ -182,7 +182,7 @@
 
     def choose(
         self,
-        request: generation.GenerationRequest,
+        request: generation_types.GenerationRequest,
         excluded: frozenset[ids.WorkerId],
     ) -> result.Result[types.Worker, errors.Failure]:
         """Choose a worker for a generation request and count it there."""
@@ -204,6 +204,7 @@
         excluded: frozenset[ids.WorkerId],
         blocks: tuple[int, ...] = (),
         requester: Requester | None = None,
+        may_exceed_share: bool = False,
     ) -> result.Result[types.Worker, errors.Failure]:
         """Choose a worker of a service and count the request there.
 
@@ -213,6 +214,8 @@
             Hashes of the prompt's blocks; empty for calls without a prompt.
         requester : Requester or None
             None if the request may use any worker.
+        may_exceed_share : bool
+            See `routing.choose`.
         """
         now = time.monotonic()
         key = prefix.ring_key(blocks)
@@ -233,7 +236,13 @@
                 else {}
             )
             chosen = routing.choose(
-                loads, order, cached, excluded, now, self._rng
+                loads,
+                order,
+                cached,
+                excluded,
+                now,
+                self._rng,
+                may_exceed_share,
             )
             if chosen is None:
                 return result.Failure(_no_worker(service))
@@ -244,7 +253,7 @@
         return result.Success(self._watcher.snapshot().workers_by_id[chosen])
 
     def claim(
-        self, request: generation.GenerationRequest, worker: types.Worker
+        self, request: generation_types.GenerationRequest, worker: types.Worker
     ) -> bool:
         """Count a request at this worker, if it accepts new requests."""
         backends = self._watcher.snapshot()
@@ -260,12 +269,14 @@
 
     def ended(
         self,
-        request: generation.GenerationRequest,
+        request: generation_types.GenerationRequest,
         worker: types.Worker,
-        reason: generation.EndReason,
+        reason: generation_types.EndReason,
     ) -> None:
         """Remove a request from its worker's count."""
-        self.release(worker, request.id, reason is generation.EndReason.FAILED)
+        self.release(
+            worker, request.id, reason is generation_types.EndReason.FAILED
+        )
 
     def release(
         self, worker: types.Worker, request: ids.RequestId, failed: bool
@@ -284,7 +295,7 @@
                 self._budget(service)
             )
 
-    def may_retry(self, request: generation.GenerationRequest) -> bool:
+    def may_retry(self, request: generation_types.GenerationRequest) -> bool:
         """Withdraw one retry from the budget; False if it is empty."""
         return self.consume_retry(request.service)
 
