Use the slowness of a host that responses state

Cause: a load header was taken only with exactly three figures. Services whose workers share their hosts add a fourth one, how long work takes there at that moment, and the whole header was then ignored. Change: the first three figures are the load; the fourth is averaged by backend server (gateway/host_speed.py) and forgotten within seconds, as it changes many times a second. Placing multiplies the expected wait and work by it, a backlog counts as longer, the measured prefill rate is corrected by it, and a request waits longer for a slow host before another server is tried. Nodes do not yet tell each other what they have seen of a host.

--- a/hornbeamrudder/gateway/features/decisions.feature
+++ b/hornbeamrudder/gateway/features/decisions.feature
@@ -68,6 +68,25 @@
       | 9000   | a: full; b: full                            | none     |
       | 9000   | a: backlog 90000; b: backlog 90000          | none     |
       | 0      | a: running 6; b: running 1, remote          | b        |
+      | 9000   | a: idle, slowness 1.5; b: idle, remote      | b        |
+      | 600    | a: idle, slowness 0.8; b: idle, slowness 3  | a        |
+      | 9000   | a: backlog 10000, slowness 4; b: full       | none     |
+      | 0      | a: running 5, slowness 3; b: running 5      | b        |
+
+  Scenario Outline: The slowness of a server's host is smoothed
+    # Guards against following a figure that changes many times a second, and
+    # against avoiding a server for a state of its host that is long over.
+    When responses of a server state the slowness <samples>
+    Then its slowness is between <low> and <high> at once and <later> after 20 s
+
+    Examples:
+      | samples         | low | high | later |
+      | 1 1 1           | 1.0 | 1.0  | 1.0   |
+      | 3               | 1.1 | 1.5  | 1.0   |
+      | 3 1 3 1 3 1 3 1 | 1.3 | 2.2  | 1.0   |
+      | 3 3 3 3 3 3 3 3 | 2.0 | 3.0  | 1.0   |
+      | 900 900 900     | 1.5 | 4.0  | 1.0   |
+      | 0.5 0.5 0.5     | 0.5 | 1.0  | 1.0   |
 
   Scenario: Queued requests are served by rank, and late ones after those on time
     # Guards against serving requests that are already late while others become
--- a/hornbeamrudder/gateway/features/failover.feature
+++ b/hornbeamrudder/gateway/features/failover.feature
@@ -121,3 +121,16 @@
     # Guards against streams cut though their engine keeps the memory.
     When an engine stops a run and answers that there is no room elsewhere
     Then the client receives the complete stream
+
+  Scenario Outline: A server on a slow host gets more time to respond
+    # Guards against requests sent to a second server because the host of the
+    # first one is slow at the moment and says so.
+    When the servers of "<route>" state the slowness <slowness> and the first response is late by <late> s
+    Then <count> servers receive the late request and the client receives a complete response
+
+    Examples: what servers state
+      | route | slowness | late | count |
+      | plan  | 100      | 1.1  | 2     |
+      | plan  | 300      | 1.1  | 1     |
+      | look  | 100      | 0.4  | 2     |
+      | look  | 300      | 0.4  | 1     |
--- a/hornbeamrudder/gateway/features/steps/decision_steps.py
+++ b/hornbeamrudder/gateway/features/steps/decision_steps.py
@@ -11,6 +11,7 @@
 from hornbeamrudder.gateway.features import long_prompt_simulation
 from hornbeamrudder.gateway import fleet_policy
 from hornbeamrudder.gateway import health
+from hornbeamrudder.gateway import host_speed
 from hornbeamrudder.gateway import records
 from hornbeamrudder.gateway import server_selection
 from hornbeamrudder.gateway import usage
@@ -33,6 +34,8 @@
                 fields['running'] = 64
             case 'remote':
                 fields['same_data_centre'] = False
+            case 'slowness':
+                fields['slowness'] = float(value)
             case 'avoided':
                 fields['avoided'] = True
     return server_selection.Candidate(ids.WorkerId(name), slots=64, **fields)
@@ -51,6 +54,7 @@
                 6,
                 candidate.running,
                 same_data_centre=candidate.same_data_centre,
+                slowness=candidate.slowness,
             )
             for candidate in candidates
         ]
@@ -74,6 +78,28 @@
     assert context.chosen == {expected}, context.chosen
 
 
+@behave.when('responses of a server state the slowness {samples}')
+def observe_slowness(context, samples):
+    context.host_speed = host_speed.HostSpeed()
+    context.now = 100.0
+    for sample in samples.split():
+        context.now += 0.1
+        context.host_speed = host_speed.updated(
+            context.host_speed, float(sample), context.now
+        )
+
+
+@behave.then(
+    'its slowness is between {low:g} and {high:g} at once and {later:g} after'
+    ' 20 s'
+)
+def check_slowness(context, low, high, later):
+    at_once = host_speed.slowness(context.host_speed, context.now)
+    assert low <= at_once <= high, at_once
+    afterwards = host_speed.slowness(context.host_speed, context.now + 20.0)
+    assert abs(afterwards - later) < 0.05, afterwards
+
+
 def _make_route(**fields):
     return records.Route(
         records.RouteName('r'),
--- a/hornbeamrudder/gateway/features/steps/failover_steps.py
+++ b/hornbeamrudder/gateway/features/steps/failover_steps.py
@@ -20,6 +20,9 @@
 LISTENS_AFTER_S = 1.0
 POLL_S = 0.005
 CANCEL_S = 0.5
+# Requests from which a node learns how slow two hosts are.
+SLOWNESS_SAMPLES = 24
+SLOWNESS_INTERVAL_S = 0.05
 
 
 async def _wait_for_requests(harness, count):
@@ -248,3 +251,36 @@
 def check_both_cancelled(context):
     assert len(context.requests) == 2, context.requests
     assert all(request.client_disconnected for request in context.requests)
+
+
+@behave.when(
+    'the servers of "{route}" state the slowness {slowness:d} and the first'
+    ' response is late by {late:g} s'
+)
+def send_to_slow_host(context, route, slowness, late):
+    async def scenario(harness):
+        servers = (*harness.plain_servers, *harness.engines)
+        for server in servers:
+            server.load_figures = f'1,0,6,{slowness}'
+        for _ in range(SLOWNESS_SAMPLES):
+            await harness.send_request(f'/{route}/x')
+            await asyncio.sleep(SLOWNESS_INTERVAL_S)
+        known = len(harness.received_requests())
+        delays = iter([late])
+        for server in servers:
+            server.next_delay_s = lambda: next(delays, 0.0)
+        response = await harness.send_request(f'/{route}/x')
+        return response, len(harness.received_requests()) - known
+
+    context.response, context.count = node_harness.run_scenario(
+        scenario, event_count=EVENT_COUNT
+    )
+
+
+@behave.then(
+    '{count:d} servers receive the late request and the client receives a'
+    ' complete response'
+)
+def check_late_request(context, count):
+    assert context.count == count, context.count
+    assert context.response.status == 200 and context.response.complete
--- a/hornbeamrudder/gateway/messages.py
+++ b/hornbeamrudder/gateway/messages.py
@@ -59,7 +59,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerLoad:
-    """Load that a backend server reports in a response."""
+    """Load that a backend server reports in a response.
+
+    Attributes
+    ----------
+    running, waiting, slots : int
+        Numbers of requests, and of requests that run at the same time.
+    """
 
     running: int
     waiting: int
@@ -76,6 +82,9 @@
         Whether the response carries the backend server's seal header.
     not_executed : bool
         Whether the backend server reports that it did not run the request.
+    slowness : float or None
+        Duration of work on the backend server's host at this moment,
+        relative to the usual one; None if it is not stated.
     """
 
     request_id: str | None = None
@@ -83,6 +92,7 @@
     not_executed: bool = False
     wrong_server: bool = False
     load: ServerLoad | None = None
+    slowness: float | None = None
     keep_alive_s: float | None = None
     closes: bool = False
 
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -75,7 +75,7 @@
         call.stream.last_record = record
         call.stream.resume_elsewhere_at = record.leaves_at
         call.stream.splitter.restart()
-        wait_s = self._response_timeout_s(call)
+        wait_s = self._response_timeout_s(call, record)
         event = await self._next_event(
             call,
             attempt,
@@ -159,7 +159,9 @@
         resume_elsewhere_at = call.stream.resume_elsewhere_at
         return resume_elsewhere_at is not None and now >= resume_elsewhere_at
 
-    def _response_timeout_s(self, call: calls.Call) -> float | None:
+    def _response_timeout_s(
+        self, call: calls.Call, record: server_registry.ServerRecord
+    ) -> float | None:
         route = call.admitted.route
         if not route.retryable:
             return None
@@ -168,13 +170,15 @@
             if route.retry_safety is records.RetrySafety.STREAM
             else PLAIN_RESPONSE_TIMEOUT_SHARE
         )
-        return share * route.target_s
+        return share * route.target_s * _patience(record)
 
-    def _stall_timeout_s(self, call: calls.Call) -> float | None:
+    def _stall_timeout_s(
+        self, call: calls.Call, record: server_registry.ServerRecord
+    ) -> float | None:
         route = call.admitted.route
         if not route.resumable:
             return None
-        return (
+        return _patience(record) * (
             route.gap_target_s * STALL_TIMEOUT_SHARE or DEFAULT_STALL_TIMEOUT_S
         )
 
@@ -186,6 +190,9 @@
     ) -> ExchangeResult:
         metadata = self._translation.decode_response(head.status, head.headers)
         attempt.connection.keep_alive_s = metadata.keep_alive_s
+        attempt.placement.record.record_slowness(
+            metadata.slowness, clock.now()
+        )
         if metadata.not_executed:
             return await self._handle_not_executed(attempt, metadata)
         if not metadata.sealed and head.status < 300:
@@ -237,7 +244,7 @@
     ) -> ExchangeResult:
         self._mark_started(call, attempt.placement)
         parts = bytearray()
-        wait_s = self._response_timeout_s(call)
+        wait_s = self._response_timeout_s(call, attempt.placement.record)
         until = self._retry_at(call, clock.now(), wait_s)
         while True:
             match await self._next_event(call, attempt, until, wait_s):
@@ -306,9 +313,10 @@
     ) -> ExchangeResult:
         stream = call.stream
         attempt.exchange.max_body_bytes = None
-        wait_s = self._stall_timeout_s(call)
+        record = attempt.placement.record
+        wait_s = self._stall_timeout_s(call, record)
         until = self._retry_at(
-            call, attempt.sent_at, self._response_timeout_s(call)
+            call, attempt.sent_at, self._response_timeout_s(call, record)
         )
         first = True
         while True:
@@ -370,7 +378,9 @@
             ) * 1e3 - FIRST_EVENT_OVERHEAD_MS
             self._state.record_prefill_rate(
                 call.service.name,
-                placement.uncached_tokens / max(1.0, prefill_ms),
+                placement.record.slowness(now)
+                * placement.uncached_tokens
+                / max(1.0, prefill_ms),
             )
         self._mark_started(call, placement)
 
@@ -419,6 +429,11 @@
         )
 
 
+def _patience(record: server_registry.ServerRecord) -> float:
+    """Return by how much a slow host extends the time-outs of silence."""
+    return max(1.0, record.slowness(clock.now()))
+
+
 def _keep_connection(attempt: calls.Attempt) -> None:
     """Return the connection of a complete response to the idle pool."""
     attempt.connection.release()
--- a/hornbeamrudder/gateway/server_registry.py
+++ b/hornbeamrudder/gateway/server_registry.py
@@ -8,6 +8,7 @@
 from ..core import hashing
 from ..core import ids
 from . import health
+from . import host_speed
 from . import http_client
 from . import messages
 from . import records
@@ -54,6 +55,7 @@
     id_hash: int
     key: int
     health_state: health.Health = health.Health()
+    speed: host_speed.HostSpeed = host_speed.HostSpeed()
     running: int = 0
     backlog_tokens: float = 0.0
     peer_running: int = 0
@@ -77,6 +79,15 @@
             and self.entry.state is records.ServerState.READY
         )
 
+    def slowness(self, now: float) -> float:
+        """Return the duration of work on the host relative to the usual."""
+        return host_speed.slowness(self.speed, now)
+
+    def record_slowness(self, stated: float | None, now: float) -> None:
+        """Update the speed of the host from a response, if it states one."""
+        if stated is not None:
+            self.speed = host_speed.updated(self.speed, stated, now)
+
     def pop_idle_connection(
         self, now: float
     ) -> http_client.ServerConnection | None:
@@ -295,6 +306,7 @@
                 now < record.cold_until,
                 service.engine is not None
                 and server_selection.is_long_prompt_engine(record.id_hash),
+                record.slowness(now),
             )
             for record in usable
         ]
--- a/hornbeamrudder/gateway/server_selection.py
+++ b/hornbeamrudder/gateway/server_selection.py
@@ -59,6 +59,8 @@
         Whether it is avoided because of recent failures.
     for_long_prompts : bool
         Whether it is kept for long prompts while others are not busy.
+    slowness : float
+        Duration of work on its host relative to the usual one.
     """
 
     id: ids.WorkerId
@@ -70,6 +72,7 @@
     avoided: bool = False
     cold: bool = False
     for_long_prompts: bool = False
+    slowness: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,8 +104,17 @@
     """Expected wait before the prefill of the prompt starts."""
     if not requirements.prompt_tokens:
         waiting = max(0, candidate.running - candidate.slots + 1)
-        return waiting * PLAIN_SERVICE_TIME_MS / candidate.slots
-    return candidate.backlog_tokens / requirements.tokens_per_ms
+        return (
+            candidate.slowness
+            * waiting
+            * PLAIN_SERVICE_TIME_MS
+            / candidate.slots
+        )
+    return (
+        candidate.slowness
+        * candidate.backlog_tokens
+        / requirements.tokens_per_ms
+    )
 
 
 def has_capacity(candidate: Candidate, requirements: Requirements) -> bool:
@@ -127,8 +139,10 @@
         return 0.0
     uncached = max(0, requirements.prompt_tokens - candidate.cached_tokens)
     prefill_ms = (
-        candidate.backlog_tokens + uncached
-    ) / requirements.tokens_per_ms
+        candidate.slowness
+        * (candidate.backlog_tokens + uncached)
+        / requirements.tokens_per_ms
+    )
     share = prefill_ms / requirements.gap_ms
     return min(
         1.0,
@@ -148,13 +162,18 @@
     """Expected time to the first event, with penalties."""
     uncached = max(0, requirements.prompt_tokens - candidate.cached_tokens)
     cost = wait_ms(candidate, requirements)
-    cost += uncached / requirements.tokens_per_ms
-    cost += candidate.running * (
-        RUNNING_PENALTY_MS
-        + STALL_PENALTY_MS * stalled_share(candidate, requirements)
-    )
+    work_ms = uncached / requirements.tokens_per_ms
+    work_ms += candidate.running * RUNNING_PENALTY_MS
     if not requirements.prompt_tokens:
-        cost += PLAIN_SERVICE_TIME_MS * candidate.running / candidate.slots
+        work_ms += (
+            PLAIN_SERVICE_TIME_MS * (candidate.running + 1) / candidate.slots
+        )
+    cost += candidate.slowness * work_ms
+    cost += (
+        candidate.running
+        * STALL_PENALTY_MS
+        * stalled_share(candidate, requirements)
+    )
     if (
         candidate.for_long_prompts
         and requirements.gap_ms
--- a/hornbeamrudder/platform/features/adapter.feature
+++ b/hornbeamrudder/platform/features/adapter.feature
@@ -62,3 +62,22 @@
     # other programs.
     When a valid row, rows with invalid values and a removed row are decoded
     Then only the valid row has a value
+
+  Scenario Outline: The load of a backend server is decoded from its header
+    # Guards against ignoring the load, or how slow the server's host is, if
+    # the header has a fourth figure or one that is malformed.
+    When a response has the load header "<header>"
+    Then its load is <load> and its host takes <work> times as long as usual
+
+    Examples:
+      | header      | load  | work    |
+      | 3,0,8       | 3,0,8 | unknown |
+      | 3, 1, 8     | 3,1,8 | unknown |
+      | 3,0,8,250   | 3,0,8 | 2.5     |
+      | 3,0,8,80,7  | 3,0,8 | 0.8     |
+      | 3,0,8,      | 3,0,8 | unknown |
+      | 3,0,8,fast  | 3,0,8 | unknown |
+      | 3,0,8,0     | 3,0,8 | unknown |
+      | 3,0         | none  | unknown |
+      | three,0,8   | none  | unknown |
+      | none        | none  | unknown |
--- a/hornbeamrudder/platform/features/steps/adapter_steps.py
+++ b/hornbeamrudder/platform/features/steps/adapter_steps.py
@@ -14,7 +14,9 @@
 from hornbeamrudder import cli
 from hornbeamrudder.core import errors
 from hornbeamrudder.core import ids
+from hornbeamrudder.gateway import messages
 from hornbeamrudder.gateway import records
+from hornbeamrudder.platform import headers
 from hornbeamrudder.platform import operator_config
 from hornbeamrudder.platform import server_entries
 from hornbeamrudder.platform import settings
@@ -224,3 +226,27 @@
         None,
     ]
     assert [row.removed for row in context.rows] == [False] * 4 + [True]
+
+
+@behave.when('a response has the load header "{header}"')
+def decode_load_header(context, header):
+    fields = (
+        ()
+        if header == 'none'
+        else ((b'X-Hornbeamrudder-Server-Load', header.encode()),)
+    )
+    context.metadata = headers.decode_response(200, fields)
+
+
+@behave.then(
+    'its load is {load} and its host takes {work} times as long as usual'
+)
+def check_load(context, load, work):
+    found = context.metadata.load
+    assert found == (
+        None
+        if load == 'none'
+        else messages.ServerLoad(*map(int, load.split(',')))
+    ), found
+    slowness = context.metadata.slowness
+    assert slowness == (None if work == 'unknown' else float(work)), slowness
--- a/hornbeamrudder/platform/headers.py
+++ b/hornbeamrudder/platform/headers.py
@@ -60,6 +60,8 @@
     }
 )
 _MAX_PRIORITY = 9
+# Running and waiting requests, and slots; a figure for the host may follow.
+_LOAD_FIGURES = 3
 
 
 def decode_request(headers: Iterable[Header]) -> messages.RequestMetadata:
@@ -148,8 +150,8 @@
     value_by_name = {name.lower(): value for name, value in headers}
     keep_alive = _header_text(value_by_name, b'keep-alive').lower()
     timeout = keep_alive.partition('timeout=')[2].partition(',')[0]
-    loads = [
-        _parse_count(part)
+    load_figures = [
+        part.strip()
         for part in _header_text(value_by_name, _SERVER_LOAD).split(',')
     ]
     return messages.ResponseMetadata(
@@ -159,7 +161,8 @@
         # address, so the request was not executed.
         not_executed=_NOT_EXECUTED in value_by_name or status == 421,
         wrong_server=status == 421,
-        load=messages.ServerLoad(*loads) if len(loads) == 3 else None,
+        load=_parse_load(load_figures[:_LOAD_FIGURES]),
+        slowness=_parse_slowness(load_figures[_LOAD_FIGURES:]),
         keep_alive_s=_parse_float(timeout),
         closes=b'close' in value_by_name.get(b'connection', b'').lower(),
     )
@@ -185,6 +188,18 @@
         yield messages.PromptPart(name, _parse_count(tokens))
 
 
+def _parse_load(figures: list[str]) -> messages.ServerLoad | None:
+    if len(figures) < _LOAD_FIGURES or not all(map(str.isdecimal, figures)):
+        return None
+    return messages.ServerLoad(*map(int, figures))
+
+
+def _parse_slowness(figures: list[str]) -> float | None:
+    """Parse the figures after the load; the first one is a percentage."""
+    percent = _parse_count(figures[0]) if figures else 0
+    return percent / 100 if percent else None
+
+
 def _header_text(value_by_name: dict[bytes, bytes], name: bytes) -> str:
     return value_by_name.get(name, b'').decode('latin-1').strip()
 
