Stop a holder whose fencing number was overtaken

Cause: 409 on an order was read as a shortage of reclaimable servers, and on a report as any failure. Where the platform checks fencing numbers it also means that another node has used a higher one; the holder repeated its calls under the overtaken number until it read the row of the term, which it can't while the store is out of reach. An order whose response was lost could be carried out after a later one, as both had the same number. Change: with requireFence, a holder makes no call after 409 until the row tells whether it still holds the term; if so the refusal was a shortage. After an order with an unknown outcome it takes a higher number by a conditional write first. Without requireFence numbers stay as they were: a late call with a lower number would be carried out. Conclusion: a sole holder is kept by the row, not by the meaning of 409.

--- a/hornbeamrudder/gateway/duties.py
+++ b/hornbeamrudder/gateway/duties.py
@@ -11,6 +11,7 @@
 from . import clock
 from ..core import errors
 from ..core import ids
+from ..core import types
 from . import duty_lease
 from . import fleet_policy
 from . import node_state
@@ -59,6 +60,12 @@
         self._demand: dict[ids.ServiceName, fleet_policy.Demand] = {}
         self._refused_at: dict[ids.ServiceName, float] = {}
         self._in_progress: set[object] = set()
+        # Highest number that must not be used any more: a call with it may
+        # still be carried out, after later ones.
+        self._spent = ids.FencingNumber(0)
+        # Reclaimable pools and other calls that were refused, while it is
+        # not known whether another node holds the term.
+        self._in_doubt: set[fleet_policy.ServerPool | None] = set()
         self._holder_heard_at = clock.now()
 
     @property
@@ -80,9 +87,13 @@
                 self._run_duties()
 
     def holder(self) -> Any | None:
-        """Return node and fencing number for a call; None if expired."""
+        """Return node and fencing number for a call; None if not valid."""
         term = self.term
-        if term is None or not duty_lease.may_act(term, clock.now()):
+        if (
+            term is None
+            or self._must_verify_term()
+            or not duty_lease.may_act(term, clock.now())
+        ):
             return None
         return self._platform.DutyHolder(
             self._state.settings.node, term.number
@@ -95,7 +106,11 @@
         state = self._state
         if state.stopping or now < self._next_read_at:
             return
-        if self.term is not None and now < self.term.renew_at:
+        if (
+            self.term is not None
+            and now < self.term.renew_at
+            and not self._must_verify_term()
+        ):
             return
         if (
             self.term is None
@@ -123,10 +138,15 @@
             state.settings.bounds.lease_s,
             clock.now(),
             self.term.number if self.term else None,
+            self._spent,
         )
         if proposal is None:
             self._step_down('held by another node')
             return
+        if self.term is not None and observed.version == self.term.row_version:
+            self._resolve_doubt(self.term)
+            if now < self.term.renew_at and not self._must_verify_term():
+                return
         await self._write(observed, proposal)
 
     async def _write(
@@ -163,7 +183,35 @@
                 row=observed.version,
             )
 
+    def _must_verify_term(self) -> bool:
+        """Whether calls wait until the row was read, or its number raised."""
+        return bool(self._in_doubt) or (
+            self.term is not None and self.term.number <= self._spent
+        )
+
+    def _doubt_term(self, refused: fleet_policy.ServerPool | None) -> None:
+        """Make no call until the row tells whether the term is still held.
+
+        Parameters
+        ----------
+        refused : ServerPool or None
+            Pool of an order that may have been refused because no server is
+            available; None for other calls.
+        """
+        self._in_doubt.add(refused)
+        self._next_read_at = 0.0
+
+    def _resolve_doubt(self, term: duty_lease.Term) -> None:
+        """Handle refused calls, as no other node has taken the term."""
+        for pool in self._in_doubt:
+            if pool is None:
+                self._spent = max(self._spent, term.number)
+            else:
+                self._refused_at[pool.service] = clock.now()
+        self._in_doubt.clear()
+
     def _step_down(self, reason: str) -> None:
+        self._in_doubt.clear()
         if self.term is not None:
             self._state.log.info(
                 'duties are lost', number=self.term.number, reason=reason
@@ -230,8 +278,13 @@
         )
         if failure is None:
             self._completed_windows.add(window)
-        else:
-            self._retry_at['usage', window] = clock.now() + RETRY_DELAY_S
+            return
+        self._retry_at['usage', window] = clock.now() + RETRY_DELAY_S
+        if (
+            state.settings.bounds.require_fence
+            and failure.kind is errors.FailureKind.CONFLICT
+        ):
+            self._doubt_term(None)
 
     async def _store_final_counts(
         self, window: int
@@ -381,11 +434,25 @@
             self._ordered[pool] = (count, clock.now())
         else:
             self._retry_at[pool] = clock.now() + RETRY_DELAY_S
-            if (
-                pool.reclaimable
-                and failure.kind is errors.FailureKind.CONFLICT
-            ):
+            self._handle_failed_order(pool, holder.fencing, failure)
+
+    def _handle_failed_order(
+        self,
+        pool: fleet_policy.ServerPool,
+        number: ids.FencingNumber,
+        failure: errors.Failure,
+    ) -> None:
+        checks_numbers = self._state.settings.bounds.require_fence
+        if failure.kind is errors.FailureKind.CONFLICT:
+            if checks_numbers:
+                self._doubt_term(pool if pool.reclaimable else None)
+            elif pool.reclaimable:
                 self._refused_at[pool.service] = clock.now()
+        elif checks_numbers and failure.outcome is types.Outcome.UNKNOWN:
+            # It may be carried out after the next order, unless that one
+            # has a higher number.
+            self._spent = max(self._spent, number)
+            self._next_read_at = 0.0
 
 
 def _encode_term(row: duty_lease.TermRow) -> dict[str, object]:
--- a/hornbeamrudder/gateway/duty_lease.py
+++ b/hornbeamrudder/gateway/duty_lease.py
@@ -84,6 +84,7 @@
     term_s: float,
     now: float,
     current: ids.FencingNumber | None,
+    spent: ids.FencingNumber = ids.FencingNumber(0),
 ) -> Proposal | None:
     """Return the row that acquires or renews the term.
 
@@ -91,6 +92,8 @@
     ----------
     current : FencingNumber or None
         Fencing number of the term held by this process.
+    spent : FencingNumber
+        Highest number that must not be used any more.
 
     Returns
     -------
@@ -115,7 +118,7 @@
         TermRow(
             node,
             started,
-            ids.FencingNumber(number),
+            ids.FencingNumber(max(number, spent + 1)),
             store_ms + term_s * 1e3,
         ),
         now + term_s - round_trip_s - ACTION_MARGIN_S,
--- a/hornbeamrudder/gateway/records.py
+++ b/hornbeamrudder/gateway/records.py
@@ -254,7 +254,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
-    """Time bounds in seconds and budgets, set by the users."""
+    """Time bounds in seconds and budgets, set by the users.
+
+    Attributes
+    ----------
+    require_fence : bool
+        Whether the cloud API refuses calls of the duties below the highest
+        fencing number that it has seen.
+    """
 
     revoke_s: float = 5.0
     drain_s: float = 2.0
@@ -270,6 +277,7 @@
     usage_late_s: float = 10.0
     reuse_window_s: float = 10.0
     strict_revoke: bool = True
+    require_fence: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamrudder/platform/cloud_api.py
+++ b/hornbeamrudder/platform/cloud_api.py
@@ -11,7 +11,7 @@
 
 CALL_TIMEOUT_S = 2.0
 _OK = 200
-_NO_CAPACITY = 409
+_CONFLICT = 409
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,7 +36,13 @@
         window: int,
         requests_by_account: Mapping[ids.AccountId, int],
     ) -> None | errors.Failure:
-        """Report the number of requests of each account in a usage window."""
+        """Report the number of requests of each account in a usage window.
+
+        Returns
+        -------
+        None or Failure
+            CONFLICT if the cloud has seen a higher fencing number.
+        """
         return await self._call(
             '/usage',
             holder,
@@ -56,7 +62,8 @@
         Returns
         -------
         None or Failure
-            CONFLICT if the cloud currently has no capacity of this kind.
+            CONFLICT if the cloud currently has no capacity of this kind or,
+            where it checks fencing numbers, has seen a higher one.
         """
         body: dict[str, object] = {
             'service': service,
@@ -86,7 +93,7 @@
             return None
         kind = (
             errors.FailureKind.CONFLICT
-            if response.status == _NO_CAPACITY
+            if response.status == _CONFLICT
             else errors.FailureKind.REFUSED
         )
         return errors.Failure(
--- a/hornbeamrudder/platform/features/steps/adapter_steps.py
+++ b/hornbeamrudder/platform/features/steps/adapter_steps.py
@@ -31,7 +31,12 @@
     'zones': {'a': 'r', 'b': 'r'},
     'listen': {'front': '10.1.0.14:8221', 'readiness': '10.1.0.14:8224'},
     'internalPorts': [7600, 7615],
-    'bounds': {'revokeMs': 4000, 'graceS': 6, 'strictRevoke': False},
+    'bounds': {
+        'revokeMs': 4000,
+        'graceS': 6,
+        'strictRevoke': False,
+        'requireFence': True,
+    },
     'platform': {'address': '10.200.1.7:8225', 'rowBytes': 1024},
     'cloudApi': {'address': '10.200.0.35:8225', 'duties': ['autoscale']},
     'somethingNew': {'x': 1},
@@ -73,6 +78,7 @@
     assert loaded.bounds.revoke_s == 4.0
     assert loaded.bounds.grace_s == 6.0
     assert loaded.bounds.strict_revoke is False
+    assert loaded.bounds.require_fence is True
     assert loaded.bounds.drain_s == records.Bounds().drain_s
     assert loaded.duties == {'autoscale'}
 
--- a/hornbeamrudder/platform/settings.py
+++ b/hornbeamrudder/platform/settings.py
@@ -112,6 +112,7 @@
         usage_late_s=number('usageLateS', default.usage_late_s),
         reuse_window_s=number('reuseWindowS', default.reuse_window_s),
         strict_revoke=bool(fields.get('strictRevoke', True)),
+        require_fence=bool(fields.get('requireFence', False)),
     )
 
 
