--- a/hornbeamrudder/gateway/node.py
+++ b/hornbeamrudder/gateway/node.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import signal
-from typing import Any
+from typing import Any, Coroutine
 
 from . import admit
 from . import clock
@@ -188,17 +188,7 @@
             local_addr=(settings.ip, settings.peer_port),
         )
         background = [
-            loop.create_task(job)
-            for job in (
-                self._configuration_table.run(),
-                self._server_table.run(),
-                self._node_table.run(),
-                self.duties.run(),
-                self._registration.run(
-                    lambda: bool(self.duties.fencing_number)
-                ),
-                self._run_housekeeping(),
-            )
+            loop.create_task(job) for job in self.background_jobs()
         ]
         for task in background:
             task.add_done_callback(self._on_task_done)
@@ -214,6 +204,17 @@
             opened.close()
         self._log.info('node is stopped', open=self.server.busy)
 
+    def background_jobs(self) -> tuple[Coroutine[Any, Any, None], ...]:
+        """Return what runs beside the requests, as coroutines without end."""
+        return (
+            self._configuration_table.run(),
+            self._server_table.run(),
+            self._node_table.run(),
+            self.duties.run(),
+            self._registration.run(lambda: bool(self.duties.fencing_number)),
+            self._run_housekeeping(),
+        )
+
     def _on_task_done(self, task: 'asyncio.Task[None]') -> None:
         if not task.cancelled() and task.exception() is not None:
             self._log.error(
@@ -250,6 +251,10 @@
             self.server.close_idle(STOP_IDLE_S)
             await asyncio.sleep(DRAIN_POLL_S)
         self.server.refuse_incomplete()
+        await self.leave()
+
+    async def leave(self) -> None:
+        """Make the last writes to the store, when all requests have ended."""
         await self._write_usage()
         await self._registration.deregister()
 
