Bound the calls to the store by the nodes, not by outages

Cause: with hubs, reports and digests are sent every nodes / 300 seconds while the time-outs that wait for them are fixed. From about 150 nodes on every node read the term of the duties all the time and followed the store itself. In an outage each table of each node probed the store, and each node wrote a row of usage for each window. Change: hubs confirm the tables to the nodes once for each poll, at an interval that does not depend on the nodes; the time that a confirmation states on the recipient's clock follows from its latest message, whatever its age. Two of three hubs follow the store. If the hubs are turned away, a node that is not confirms the tables to them. One call of a node probes a failing store, with a back-off that all tables share and that is longer where others tell that it is back. Only nodes that follow the store contend for the term, and the holder renews its row without reading it. The first hub writes the usage counts of all nodes; a node writes its own if no hub has stored them.

--- a/hornbeamrudder/gateway/duties.py
+++ b/hornbeamrudder/gateway/duties.py
@@ -6,7 +6,7 @@
 import asyncio
 import collections
 import dataclasses
-from typing import Any, Mapping
+from typing import Any, Callable, Mapping
 
 from . import clock
 from ..core import errors
@@ -21,9 +21,6 @@
 TABLE = 'duty'
 KEY = 'term'
 POLL_INTERVAL_S = 0.1
-# Other nodes read the row only if no report of the holder arrived for this
-# long.
-HOLDER_TIMEOUT_S = 1.0
 # Mean interval between reads of the row while another node holds the term.
 READ_INTERVAL_S = 0.8
 STORE_CALL_TIMEOUT_S = 0.8
@@ -38,7 +35,15 @@
 
 
 class Duties:
-    """Acquires the term and carries out the duties while it is valid."""
+    """Acquires the term and carries out the duties while it is valid.
+
+    Parameters
+    ----------
+    may_contend : callable
+        Whether this node may take the term from a holder that is silent.
+        With hubs only those that follow the store do, as a read of the row
+        by each node would be a call of each node.
+    """
 
     def __init__(
         self,
@@ -46,12 +51,15 @@
         store: Any,
         cloud: Any,
         platform: Any,
+        may_contend: Callable[[], bool] = lambda: True,
     ) -> None:
         self.term: duty_lease.Term | None = None
         self._state = state
         self._store = store
         self._cloud = cloud
         self._platform = platform
+        self._may_contend = may_contend
+        self._observed: duty_lease.ObservedTerm | None = None
         self._next_read_at = 0.0
         self._ordered: dict[fleet_policy.ServerPool, tuple[int, float]] = {}
         self._retry_at: dict[object, float] = {}
@@ -112,25 +120,22 @@
             and not self._must_verify_term()
         ):
             return
-        if (
-            self.term is None
-            and now - self._holder_heard_at < HOLDER_TIMEOUT_S
+        if self.term is None and (
+            now - self._holder_heard_at < state.peers.holder_timeout_s()
+            or not self._may_contend()
         ):
             return
         self._next_read_at = now + READ_INTERVAL_S * state.rng.uniform(
             0.5, 1.5
         )
-        read = await self._store.read(TABLE, timeout_s=STORE_CALL_TIMEOUT_S)
-        if isinstance(read, errors.Failure):
+        # The row that this node has written is renewed without a read; the
+        # write fails if another node has taken the term.
+        observed = (
+            None if self._must_verify_term() else self._observed
+        ) or await self._read_term()
+        self._observed = None
+        if observed is None:
             return
-        row = next((item for item in read.rows if item.key == KEY), None)
-        observed = duty_lease.ObservedTerm(
-            _decode_term(row.value) if row else None,
-            row.version if row else 0,
-            read.store_clock_ms,
-            read.sent_at,
-            read.received_at,
-        )
         proposal = duty_lease.propose(
             observed,
             state.settings.node,
@@ -149,6 +154,19 @@
                 return
         await self._write(observed, proposal)
 
+    async def _read_term(self) -> duty_lease.ObservedTerm | None:
+        read = await self._store.read(TABLE, timeout_s=STORE_CALL_TIMEOUT_S)
+        if isinstance(read, errors.Failure):
+            return None
+        row = next((item for item in read.rows if item.key == KEY), None)
+        return duty_lease.ObservedTerm(
+            _decode_term(row.value) if row else None,
+            row.version if row else 0,
+            read.store_clock_ms,
+            read.sent_at,
+            read.received_at,
+        )
+
     async def _write(
         self, observed: duty_lease.ObservedTerm, proposal: duty_lease.Proposal
     ) -> None:
@@ -172,6 +190,13 @@
             state.settings.bounds.lease_s,
             clock.now(),
         )
+        self._observed = duty_lease.ObservedTerm(
+            proposal.row,
+            written.version,
+            written.store_clock_ms,
+            written.sent_at,
+            written.received_at,
+        )
         self._next_read_at = 0.0
         if new:
             self._ordered.clear()
@@ -212,6 +237,7 @@
 
     def _step_down(self, reason: str) -> None:
         self._in_doubt.clear()
+        self._observed = None
         if self.term is not None:
             self._state.log.info(
                 'duties are lost', number=self.term.number, reason=reason
--- a/hornbeamrudder/gateway/exchange.py
+++ b/hornbeamrudder/gateway/exchange.py
@@ -14,6 +14,7 @@
 from . import quota
 from . import reports
 from . import table_relay
+from . import usage
 
 # Consecutive reports that include a changed total, as datagrams may be lost.
 UNITS_REPEAT_REPORTS = 8
@@ -24,8 +25,15 @@
 # Standby hubs only have to be ready to take over, so they send one digest for
 # this many digests of the first hub.
 STANDBY_DIGEST_ROUNDS = 2
+# Shortest time between two messages with usage counts, and the share of a
+# usage window after which its counts are sent early.
+USAGE_INTERVAL_S = 0.5
+EARLY_USAGE_SHARE = 0.4
 # Number of load digests for each members digest.
 MEMBERS_DIGEST_ROUNDS = 2
+# Longest time between the confirmations of a hub, and the shortest one.
+MAX_CONFIRMATION_INTERVAL_S = 1.2
+MIN_CONFIRMATION_INTERVAL_S = 0.3
 # Key for the summed load of all other nodes in a hub's digest.
 ALL_OTHERS = ids.NodeId('all others')
 
@@ -56,7 +64,13 @@
         self._seen_totals = quota.PeerTotals()
         self._remote_units = digests.RemoteUnits()
         self._units_changed_at: dict[str, tuple[float, float]] = {}
+        self.gatherer = usage.Gatherer()
         self._sent_at = float('-inf')
+        self._confirmed_at = float('-inf')
+        self._usage_sent_at = float('-inf')
+        # Hubs change when a node starts or one of them fails; new ones get a
+        # report at once.
+        self._reported_to: list[ids.NodeId] = []
         self._round = 0
         self._source: ids.NodeId | None = None
 
@@ -74,6 +88,90 @@
                 self._relay.apply_states(message.asked_at, message.tables)
                 if message.duty_number:
                     self._on_holder()
+            case reports.Confirmation():
+                self._handle_confirmation(message)
+            case reports.UsageCounts():
+                self.gatherer.add(
+                    usage.Source(message.node, message.started),
+                    message.rows_by_window,
+                )
+
+    def _handle_confirmation(self, message: reports.Confirmation) -> None:
+        state = self._state
+        if message.recipient_started != state.started:
+            return
+        is_news = self._relay.apply_states(message.asked_at, message.tables)
+        state.usage.mark_stored(message.stored_usage)
+        if message.duty_number:
+            self._on_holder()
+        if (
+            is_news
+            and self._relay.must_share_confirmations()
+            and clock.now() - self._confirmed_at > MIN_CONFIRMATION_INTERVAL_S
+        ):
+            self.send_confirmations()
+
+    def send_confirmations(self) -> None:
+        """Tell other nodes how current the tables are at this node.
+
+        A hub tells all nodes that report to it. Another node has read the
+        tables because no hub confirmed them, and tells the hubs.
+        """
+        state = self._state
+        peers_ = state.peers
+        if not peers_.uses_hubs:
+            return
+        now = self._confirmed_at = clock.now()
+        own = state.settings.node
+        hubs = peers_.hubs()
+        targets = set(hubs)
+        if own in hubs:
+            targets |= peers_.direct_reports().keys()
+        tables = self._relay.states()
+        number = max(self._duty_number(), peers_.reported_duty_number())
+        for node in targets - {own}:
+            bound = peers_.clock_bound(node)
+            if bound is None:
+                continue
+            confirmation = reports.Confirmation(
+                own,
+                state.started,
+                now,
+                bound.started,
+                bound.clock_s,
+                number,
+                tables,
+                self.gatherer.stored(usage.Source(node, bound.started)),
+            )
+            peers_.send_to(node, reports.encode(confirmation))
+
+    def _send_usage(self, now: float) -> None:
+        """Send the counts of ended windows to the hubs until one has them.
+
+        Those of the present window are sent a few times, so that they are
+        not lost if this node is killed.
+        """
+        state = self._state
+        if now - self._usage_sent_at < USAGE_INTERVAL_S:
+            return
+        present = state.usage.window_at(state.peers.cluster_time())
+        rows = state.usage.changed(present)
+        if not any(window < present for window in rows) and (
+            now - self._usage_sent_at
+            < EARLY_USAGE_SHARE * state.settings.bounds.usage_window_s
+        ):
+            return
+        self._usage_sent_at = now
+        own = usage.Source(state.settings.node, state.started)
+        self.gatherer.add(own, rows)
+        if not rows:
+            return
+        data = reports.encode(
+            reports.UsageCounts(state.settings.node, state.started, rows)
+        )
+        for hub in state.peers.hubs():
+            if hub != state.settings.node:
+                state.peers.send_to(hub, data)
 
     def _update_source(self) -> None:
         """Select the source of load data; clear stale data if it changed."""
@@ -129,9 +227,13 @@
         """Send a report if one is due; return whether it was sent."""
         state = self._state
         now = clock.now()
+        hubs = state.peers.hubs()
+        if hubs:
+            self._step_with_hubs(now, hubs)
         interval_s = peers.interval_s(state.peers.node_count)
-        if now - self._sent_at < interval_s:
+        if now - self._sent_at < interval_s and hubs == self._reported_to:
             return False
+        self._reported_to = hubs
         self._sent_at = now
         self._update_source()
         report = self._report(now, interval_s)
@@ -141,6 +243,15 @@
         state.servers.expire_reports(now, interval_s)
         return True
 
+    def _step_with_hubs(self, now: float, hubs: list[ids.NodeId]) -> None:
+        """Send what does not wait for the interval between reports."""
+        self._send_usage(now)
+        if (
+            self._state.settings.node in hubs
+            and now - self._confirmed_at > MAX_CONFIRMATION_INTERVAL_S
+        ):
+            self.send_confirmations()
+
     def _report(self, now: float, interval_s: float) -> reports.Report:
         state = self._state
         return reports.Report(
@@ -227,6 +338,7 @@
             *(item.report.duty_number for item in received_by_node.values()),
         )
         for node, received in received_by_node.items():
+            bound = state.peers.clock_bound(node)
             digest = reports.LoadDigest(
                 own.node,
                 own.started,
@@ -242,7 +354,7 @@
             if with_members:
                 members_digest = reports.MembersDigest(
                     own.node,
-                    received.report.sent_at,
+                    bound.clock_s if bound else received.report.sent_at,
                     state.peers.cluster_time(),
                     members,
                     number,
--- a/hornbeamrudder/gateway/features/fleet_simulation.py
+++ b/hornbeamrudder/gateway/features/fleet_simulation.py
@@ -253,10 +253,13 @@
     def run(self, scenario):
         """Run a coroutine function with this fleet; return its result."""
         loop = VirtualLoop()
-        with contextlib.closing(loop), mock.patch.multiple(
-            clock,
-            now=lambda: loop.virtual_time,
-            wall=lambda: WALL_OFFSET_S + loop.virtual_time,
+        with (
+            contextlib.closing(loop),
+            mock.patch.multiple(
+                clock,
+                now=lambda: loop.virtual_time,
+                wall=lambda: WALL_OFFSET_S + loop.virtual_time,
+            ),
         ):
             asyncio.set_event_loop(loop)
             try:
--- a/hornbeamrudder/gateway/features/node_network.py
+++ b/hornbeamrudder/gateway/features/node_network.py
@@ -18,6 +18,7 @@
 from hornbeamrudder.gateway import retry_budget
 from hornbeamrudder.gateway import server_registry
 from hornbeamrudder.gateway import server_selection
+from hornbeamrudder.gateway import store_health
 from hornbeamrudder.gateway import table_relay
 from hornbeamrudder.gateway import usage
 
@@ -114,6 +115,7 @@
             self.state.peers.hubs,
             lambda: self.state.peers.uses_hubs,
             self.state.peers.live_nodes,
+            store_health.StoreHealth(),
         )
         self.exchange = exchange.ReportExchange(
             self.state, self.relay, lambda: 0, lambda: None
--- a/hornbeamrudder/gateway/features/steps/endless_steps.py
+++ b/hornbeamrudder/gateway/features/steps/endless_steps.py
@@ -16,6 +16,7 @@
 from hornbeamrudder.gateway import failover
 from hornbeamrudder.gateway.features import node_harness
 from hornbeamrudder.gateway import json_client
+from hornbeamrudder.gateway import store_health
 from hornbeamrudder.gateway import table_relay
 from hornbeamrudder.standins import endless
 from hornbeamrudder.standins import platform_caller
@@ -328,6 +329,7 @@
         lambda: (),
         lambda: False,
         lambda: (),
+        store_health.StoreHealth(),
     )
     rows = msgpack.packb([('key', b'\0' * megabytes * 10**6, 1, False)])
     fields = [2, 'servers', 1, 2, 0.0, zlib.compress(rows)]
--- a/hornbeamrudder/gateway/features/steps/relay_steps.py
+++ b/hornbeamrudder/gateway/features/steps/relay_steps.py
@@ -15,6 +15,7 @@
 from hornbeamrudder.gateway import records
 from hornbeamrudder.gateway import server_registry
 from hornbeamrudder.gateway import server_selection
+from hornbeamrudder.gateway import store_health
 from hornbeamrudder.gateway import table_relay
 from hornbeamrudder.gateway import watch
 from hornbeamrudder.platform import store
@@ -125,6 +126,7 @@
         lambda: _HUBS,
         lambda: True,
         lambda: [ids.NodeId(f'n{number}') for number in range(12)],
+        store_health.StoreHealth(),
     )
 
 
@@ -134,6 +136,7 @@
         't',
         0.0,
         null_log.NullLog(),
+        store_health.StoreHealth(),
         lambda rows, snapshot: None,
         confirmed.append,
     )
@@ -227,7 +230,7 @@
 )
 def check_relayed(context, reads, at):
     with mock.patch.object(clock, 'now', lambda: context.now):
-        is_relayed = context.watched_table._is_relayed()
+        is_relayed = context.watched_table.is_relayed()
     assert is_relayed == (reads == 'does not read'), (
         context.watched_table.__dict__
     )
--- /dev/null
+++ b/hornbeamrudder/gateway/features/store_calls.feature
@@ -0,0 +1,46 @@
+Feature: Calls of all nodes to the platform's store
+
+  Scenario Outline: The calls to the store do not grow faster than the nodes
+    # Guards against nodes that all read the term of the duties, follow the
+    # store or write usage rows, as 195 did (34,172 calls on the day trouble-1
+    # of beaudoin-sonnette-large), and against an outage that multiplies calls.
+    Given <count> nodes with a shared store
+    When all of them start
+    Then each node makes at most 9 calls beside those of calm time
+    When 6 s pass
+    Then all nodes together make at most <calm> calls
+    And each configuration has been confirmed within 3.1 s
+    When the store is down for 5 s
+    Then each node makes at most 12 calls
+    When the store is back for 4 s
+    Then each node makes at most 5 calls beside those of calm time
+    And each configuration has been confirmed within 3.1 s
+    When a third of the nodes is turned away by the store for 5 s
+    Then all nodes together make at most <partial> calls
+    And each node that is not turned away has confirmed its configuration within 3.1 s
+    When 20 nodes at most are stopped and started in turn
+    Then each restart costs at most 18 calls
+    And the usage reports of all windows are complete
+
+    Examples: full mesh
+      | count | calm | partial |
+      | 7     | 130  | 130     |
+
+    Examples: hubs
+      | count | calm | partial |
+      | 24    | 60   | 120     |
+      | 81    | 60   | 160     |
+      | 195   | 60   | 200     |
+
+    @long
+    Examples: more nodes than a deployment has today
+      | count | calm | partial |
+      | 1000  | 60   | 500     |
+
+  Scenario: Usage counts survive the nodes that gather them
+    # Guards against counts lost with the node that counted them, or with the
+    # hub that had them.
+    Given 24 nodes with a shared store
+    When all of them start
+    And the first hub and a node that is no hub are killed 0.5 s before and 0.5 s after the end of a window
+    Then the usage reports of all windows are complete but for at most 5 %
--- a/hornbeamrudder/gateway/node.py
+++ b/hornbeamrudder/gateway/node.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import signal
-from typing import Any, Coroutine
+from typing import Any, Coroutine, Iterable, Mapping
 
 from . import admit
 from . import clock
@@ -22,6 +22,7 @@
 from . import retry_budget
 from . import server_registry
 from . import settings_file
+from . import store_health
 from . import table_relay
 from . import usage
 from . import watch
@@ -31,6 +32,8 @@
 # servers.
 SERVER_LONG_POLL_S = 1.8
 NODE_LONG_POLL_S = 8.0
+# Pause after a change of the registered nodes, as many start or stop at once.
+NODE_PAUSE_S = 0.4
 # Interval between checks that the configuration is current; counts against the
 # bounds on applying a configuration and on revoked keys.
 CONFIGURATION_POLL_S = 0.9
@@ -40,6 +43,8 @@
 # Share of a usage window after which its counts are also written early.
 EARLY_USAGE_WRITE_SHARE = 0.5
 USAGE_WRITE_TIMEOUT_S = 0.8
+# Pause after a usage write, so that late counts are gathered.
+USAGE_WRITE_PAUSE_S = 0.3
 # Delay before failed usage writes are retried.
 USAGE_WRITE_RETRY_S = 0.5
 # A node is not ready while its configuration has not been confirmed for more
@@ -91,21 +96,29 @@
             ),
             rng=random.Random(),
         )
+        self._store_health = store_health.StoreHealth(self.state.rng)
         self.forwarder = forward.Forwarder(self.state, platform.headers)
         self.mover = moves.Mover(self.forwarder, platform.move_request)
         self.server = http_server.CallerServer(self.forwarder.handle)
-        self.duties = duties.Duties(self.state, self._store, cloud, platform)
+        self.duties = duties.Duties(
+            self.state,
+            self._store,
+            cloud,
+            platform,
+            self._may_contend_for_duties,
+        )
         self._server_table = watch.TableWatch(
             self._store,
             platform.SERVER_TABLE,
             SERVER_LONG_POLL_S,
             log,
+            self._store_health,
             self._apply_server_rows,
         )
         self._servers = watch.ServerWatch(
             self.state.servers,
             platform.decode_server,
-            self._server_table.is_unstable,
+            self._store_health.is_unstable,
             log,
         )
         self._configuration_table = watch.TableWatch(
@@ -113,19 +126,22 @@
             platform.CONFIGURATION_TABLE,
             0.0,
             log,
+            self._store_health,
             self._apply_configuration_rows,
             self._confirm_configuration,
             CONFIGURATION_POLL_S,
         )
         self._registration = registration.Registration(
-            self.state, self._store, platform
+            self.state, self._store, platform, self._store_health
         )
         self._node_table = watch.TableWatch(
             self._store,
             registration.TABLE,
             NODE_LONG_POLL_S,
             log,
+            self._store_health,
             self._registration.apply_rows,
+            pause_s=NODE_PAUSE_S,
         )
         self._relay = table_relay.TableRelay(
             settings.node,
@@ -141,6 +157,7 @@
             self.state.peers.hubs,
             lambda: self.state.peers.uses_hubs,
             self.state.peers.live_nodes,
+            self._store_health,
         )
         self._exchange = exchange.ReportExchange(
             self.state,
@@ -148,9 +165,11 @@
             lambda: self.duties.fencing_number,
             self.duties.record_holder_report,
         )
+        self._configuration_table.on_polled = self._exchange.send_confirmations
         self.state.peers.on_message = self._exchange.handle_message
         self.state.peers.on_other_datagram = self._relay.handle_datagram
         self._usage_written_at = 0.0
+        self._gathered_writes = 0
         self._usage_write: asyncio.Task[None] | None = None
         self._stopped: asyncio.Event | None = None
         self._was_ready: bool | None = None
@@ -187,9 +206,7 @@
             lambda: self.state.peers,
             local_addr=(settings.ip, settings.peer_port),
         )
-        background = [
-            loop.create_task(job) for job in self.background_jobs()
-        ]
+        background = [loop.create_task(job) for job in self.background_jobs()]
         for task in background:
             task.add_done_callback(self._on_task_done)
         self._log.info(
@@ -255,8 +272,19 @@
 
     async def leave(self) -> None:
         """Make the last writes to the store, when all requests have ended."""
-        await self._write_usage()
-        await self._registration.deregister()
+        gathered = self._unsaved_gathered(float('inf'))
+        await self._registration.deregister(
+            (
+                *self._own_usage_rows(self._present_usage()),
+                *self._gathered_puts(gathered),
+            )
+        )
+
+    def _may_contend_for_duties(self) -> bool:
+        return not self._store_health.is_failing and (
+            self._relay.follows_store()
+            or not self._configuration_table.is_relayed()
+        )
 
     # Configuration
 
@@ -351,8 +379,8 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self._servers.drop_missing(
-                self._server_table.recovered_at,
-                self._server_table.failing_since is not None,
+                self._store_health.recovered_at,
+                self._store_health.is_failing,
             )
             self._poll_settings_file()
             if self._exchange.step():
@@ -362,48 +390,106 @@
     def _flush_usage(self) -> None:
         if self._usage_write is not None and not self._usage_write.done():
             return
+        if self._store_health.is_failing:
+            return
         state = self.state
         window_s = self.settings.bounds.usage_window_s
-        present = state.usage.window_at(state.peers.cluster_time())
-        changed = state.usage.changed(present)
-        if not changed:
+        cluster_time = state.peers.cluster_time()
+        present = state.usage.window_at(cluster_time)
+        own = self._present_usage()
+        gathered: list[usage.GatheredRow] = []
+        if state.peers.uses_hubs:
+            # An ended window is left to the hubs at first.
+            overdue = (cluster_time - usage.OWN_WRITE_DELAY_S) / window_s
+            if self._store_health.is_unstable():
+                overdue = float('-inf')
+            own = {
+                window: row
+                for window, row in own.items()
+                if window + 1 < overdue
+            }
+            gathered = self._unsaved_gathered(
+                (cluster_time - usage.GATHER_DELAY_S) // window_s
+            )
+        elif not any(window < present for window in own) and (
+            clock.now() - self._usage_written_at
+            <= window_s * EARLY_USAGE_WRITE_SHARE
+        ):
             return
-        ended = any(window < present for window in changed)
-        early = (
-            not state.peers.uses_hubs
-            and clock.now() - self._usage_written_at
-            > window_s * EARLY_USAGE_WRITE_SHARE
-        )
-        if ended or early:
+        if own or gathered:
             self._usage_write = asyncio.get_running_loop().create_task(
-                self._write_usage()
+                self._write_usage(own, gathered)
             )
 
-    async def _write_usage(self) -> None:
-        state = self.state
-        counts = state.usage.changed(
-            state.usage.window_at(state.peers.cluster_time())
+    def _present_usage(self) -> dict[int, dict[str, object]]:
+        """Return the rows of this node's counts that are not stored."""
+        counter = self.state.usage
+        return counter.changed(
+            counter.window_at(self.state.peers.cluster_time())
         )
-        if not counts:
-            return
+
+    def _unsaved_gathered(
+        self, ended_before: float
+    ) -> list[usage.GatheredRow]:
+        """Return the counts of other nodes that the first hub has to write."""
+        if self.state.peers.hubs()[:1] != [self.settings.node]:
+            return []
+        return self._exchange.gatherer.unsaved(ended_before)
+
+    def _own_usage_rows(
+        self, rows_by_window: Mapping[int, Mapping[str, object]]
+    ) -> list[Any]:
+        return [
+            self._platform.Put(
+                usage.TABLE,
+                usage.row_key(window, self.settings.node, self.state.started),
+                row,
+            )
+            for window, row in rows_by_window.items()
+        ]
+
+    def _gathered_puts(self, rows: Iterable[usage.GatheredRow]) -> list[Any]:
+        self._gathered_writes += 1
+        return [
+            self._platform.Put(
+                usage.TABLE,
+                usage.gathered_key(
+                    row.window,
+                    self.settings.node,
+                    self.state.started,
+                    self._gathered_writes,
+                    part,
+                ),
+                row.value,
+            )
+            for part, row in enumerate(rows)
+        ]
+
+    async def _write_usage(
+        self,
+        own: Mapping[int, Mapping[str, object]],
+        gathered: list[usage.GatheredRow],
+    ) -> None:
+        state = self.state
         self._usage_written_at = clock.now()
         written = await self._store.write(
-            tuple(
-                self._platform.Put(
-                    usage.TABLE,
-                    usage.row_key(window, self.settings.node, state.started),
-                    by_account,
-                )
-                for window, by_account in counts.items()
-            ),
+            (*self._own_usage_rows(own), *self._gathered_puts(gathered)),
             timeout_s=USAGE_WRITE_TIMEOUT_S,
         )
         if isinstance(written, errors.Failure):
             self._log.info('usage is not written', failure=str(written))
             await asyncio.sleep(USAGE_WRITE_RETRY_S)
             return
-        state.usage.mark_written(counts)
-        state.usage.discard_before(min(counts) - usage.LOOKBACK_WINDOWS)
+        state.usage.mark_written(own)
+        self._exchange.gatherer.mark_stored(gathered)
+        state.usage.mark_stored(
+            self._exchange.gatherer.stored(
+                usage.Source(self.settings.node, state.started)
+            )
+        )
+        if own:
+            state.usage.discard_before(min(own) - usage.LOOKBACK_WINDOWS)
+        await asyncio.sleep(USAGE_WRITE_PAUSE_S)
 
     # Readiness and metrics
 
--- a/hornbeamrudder/gateway/peers.py
+++ b/hornbeamrudder/gateway/peers.py
@@ -33,6 +33,11 @@
 MISSED_DIGESTS = 5
 # Each request needs the set of live nodes, so it is cached for this long.
 REFRESH_INTERVAL_S = 0.05
+# Until the holder of the duties counts as gone, in a full mesh and with hubs:
+# at least this long, and this many reports.
+HOLDER_TIMEOUT_S = 1.0
+RELAYED_HOLDER_TIMEOUT_S = 2.0
+HOLDER_MISSED_REPORTS = 2.5
 # The sums of a hub are used only if they cover at least this share of the
 # nodes that any other hub's sums cover.
 MIN_COVERAGE_SHARE = 0.9
@@ -84,6 +89,25 @@
         return len(self.members.members) if self.members else 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClockBound:
+    """A time on another node's clock that has passed.
+
+    Attributes
+    ----------
+    started : int
+        Start of that node's process.
+    clock_s : float
+        Time on that node's clock.
+    at : float
+        Time on this node's clock at or after that time.
+    """
+
+    started: int
+    clock_s: float
+    at: float
+
+
 def interval_s(nodes: int) -> float:
     """Return the interval between reports of a node."""
     if nodes <= hubs.MAX_DIRECT_NODES:
@@ -109,6 +133,7 @@
         self._received_by_node: dict[ids.NodeId, ReceivedReport] = {}
         self._view_by_hub: dict[ids.NodeId, HubView] = {}
         self._member_reported_at: dict[ids.NodeId, float] = {}
+        self._clock_by_node: dict[ids.NodeId, ClockBound] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._refreshed_at = float('-inf')
         self._direct_nodes: frozenset[ids.NodeId] = frozenset()
@@ -128,6 +153,11 @@
         self._hub_selector.set_nodes(
             {node: known.link_mbps for node, known in known_by_id.items()}
         )
+        self._clock_by_node = {
+            node: bound
+            for node, bound in self._clock_by_node.items()
+            if node in known_by_id
+        }
         self._refreshed_at = float('-inf')
 
     @property
@@ -204,7 +234,11 @@
         if (
             view is None
             or view.members is None
-            or now - view.members_at > hubs.HUB_TIMEOUT_S
+            or now - view.members_at
+            > max(
+                hubs.HUB_TIMEOUT_S,
+                MISSED_DIGESTS * interval_s(self.node_count),
+            )
         ):
             return frozenset()
         return frozenset(
@@ -264,6 +298,48 @@
         self._refresh()
         return (1 + self._fresh_count) / self.node_count
 
+    def clock_bound(self, node: ids.NodeId) -> ClockBound | None:
+        """Return a time on a node's clock that has passed by now.
+
+        Clocks of different nodes run at the same rate, so the time in its
+        latest message plus the time since then has passed there. None if
+        there was no message.
+        """
+        known = self._clock_by_node.get(node)
+        if known is None:
+            return None
+        now = clock.now()
+        return ClockBound(known.started, known.clock_s + now - known.at, now)
+
+    def _learn_clock(
+        self, node: ids.NodeId, started: int, sent_at: float
+    ) -> None:
+        known = self.clock_bound(node)
+        if known is not None and known.started == started:
+            sent_at = max(sent_at, known.clock_s)
+        self._clock_by_node[node] = ClockBound(started, sent_at, clock.now())
+
+    def holder_timeout_s(self) -> float:
+        """Return the time after which a silent holder counts as gone."""
+        if not self.uses_hubs:
+            return HOLDER_TIMEOUT_S
+        return max(
+            RELAYED_HOLDER_TIMEOUT_S,
+            HOLDER_MISSED_REPORTS * interval_s(self.node_count),
+        )
+
+    def reported_duty_number(self) -> int:
+        """Return the highest fencing number in recent reports."""
+        limit = clock.now() - self.holder_timeout_s()
+        return max(
+            (
+                received.report.duty_number
+                for received in self.direct_reports().values()
+                if received.at > limit
+            ),
+            default=0,
+        )
+
     def report_delay_s(self) -> float:
         """Return the time until units of another node are known here.
 
@@ -353,6 +429,10 @@
                 self._received_by_node[node] = ReceivedReport(
                     now, message, address, message.wall - clock.wall()
                 )
+                self._learn_clock(node, message.started, message.sent_at)
+            case reports.Confirmation(node=node):
+                self._hub_selector.record_digest(node, now)
+                self._learn_clock(node, message.started, message.sent_at)
             case reports.LoadDigest(hub=hub):
                 view = self._view_by_hub.setdefault(hub, HubView())
                 view.load, view.load_at = message, now
--- a/hornbeamrudder/gateway/registration.py
+++ b/hornbeamrudder/gateway/registration.py
@@ -9,6 +9,7 @@
 from ..core import types
 from . import node_state
 from . import peers
+from . import store_health
 
 TABLE = 'nodes'
 # Entries of nodes without a report for this long are removed.
@@ -17,7 +18,7 @@
 CHECK_INTERVAL_S = 0.2
 CALL_TIMEOUT_S = 0.5
 # Time-out for removing the entry of this node when it stops.
-DEREGISTER_TIMEOUT_S = 0.3
+DEREGISTER_TIMEOUT_S = 0.6
 # A transaction of the store is limited to 100 entries.
 MAX_REMOVALS = 90
 
@@ -26,11 +27,16 @@
     """Maintains the entry of this node and removes expired ones."""
 
     def __init__(
-        self, state: node_state.NodeState, store: Any, platform: Any
+        self,
+        state: node_state.NodeState,
+        store: Any,
+        platform: Any,
+        health: store_health.StoreHealth,
     ) -> None:
         self._state = state
         self._store = store
         self._platform = platform
+        self._health = health
         settings = state.settings
         self._own_entry = peers.KnownNode(
             types.Address(settings.ip, settings.peer_port),
@@ -70,15 +76,26 @@
         """
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
+            if self._health.is_failing:
+                continue
             if not self._is_registered and not self._state.stopping:
                 await self._register()
             if holds_duties():
                 await self._remove_expired()
 
-    async def deregister(self) -> None:
-        """Remove the entry of this node."""
+    async def deregister(self, last_rows: tuple[Any, ...]) -> None:
+        """Remove the entry of this node and write what it leaves behind.
+
+        Parameters
+        ----------
+        last_rows : tuple
+            Other changes, made in the same transaction.
+        """
         await self._store.write(
-            (self._platform.Remove(TABLE, self._state.settings.node),),
+            (
+                self._platform.Remove(TABLE, self._state.settings.node),
+                *last_rows,
+            ),
             timeout_s=DEREGISTER_TIMEOUT_S,
         )
 
--- a/hornbeamrudder/gateway/reports.py
+++ b/hornbeamrudder/gateway/reports.py
@@ -16,6 +16,8 @@
 REPORT_FORMAT = 3
 LOAD_FORMAT = 4
 MEMBERS_FORMAT = 5
+CONFIRMATION_FORMAT = 6
+USAGE_FORMAT = 7
 # Backlogs are encoded as multiples of this number of tokens.
 BACKLOG_UNIT_TOKENS = 64
 
@@ -126,7 +128,51 @@
     tables: tuple[TableState, ...] = ()
 
 
-Message = Report | LoadDigest | MembersDigest
+@dataclasses.dataclass(frozen=True, slots=True)
+class Confirmation:
+    """How current the store's tables are at a node.
+
+    Attributes
+    ----------
+    started, sent_at
+        Start of the sender's process, and time on its own clock.
+    recipient_started : int
+        Start of the recipient's process, as the sender knows it.
+    asked_at : float
+        Time on the recipient's clock that had passed when this was sent.
+    duty_number : int
+        Fencing number of the node that holds the duties; 0 if not known.
+    stored_usage : sequence
+        Windows of the recipient's usage that are stored, with the number of
+        requests counted in each.
+    """
+
+    node: ids.NodeId
+    started: int
+    sent_at: float
+    recipient_started: int
+    asked_at: float
+    duty_number: int
+    tables: tuple[TableState, ...]
+    stored_usage: Sequence[tuple[int, int]] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageCounts:
+    """Usage counts of one node that are not stored yet.
+
+    Attributes
+    ----------
+    rows_by_window : mapping
+        Rows as `usage.Counter` gives them.
+    """
+
+    node: ids.NodeId
+    started: int
+    rows_by_window: Mapping[int, Mapping[str, Any]]
+
+
+Message = Report | LoadDigest | MembersDigest | Confirmation | UsageCounts
 
 
 def encode(message: Message) -> bytes:
@@ -163,6 +209,28 @@
                 message.duty_number,
                 [dataclasses.astuple(table) for table in message.tables],
             ]
+        case Confirmation():
+            fields = [
+                CONFIRMATION_FORMAT,
+                message.node,
+                message.started,
+                message.sent_at,
+                message.recipient_started,
+                message.asked_at,
+                message.duty_number,
+                [dataclasses.astuple(table) for table in message.tables],
+                list(message.stored_usage),
+            ]
+        case UsageCounts():
+            fields = [
+                USAGE_FORMAT,
+                message.node,
+                message.started,
+                [
+                    (window, row['complete'], row['counts'])
+                    for window, row in message.rows_by_window.items()
+                ],
+            ]
     packed: bytes = msgpack.packb(fields)
     return packed
 
@@ -213,10 +281,41 @@
     )
 
 
+def _decode_confirmation(fields: Sequence[Any]) -> Confirmation:
+    node, started, sent_at, to, asked_at, number, tables, stored = fields
+    return Confirmation(
+        ids.NodeId(str(node)),
+        int(started),
+        float(sent_at),
+        int(to),
+        float(asked_at),
+        int(number),
+        tuple(TableState(*table) for table in tables),
+        tuple((int(window), int(total)) for window, total in stored),
+    )
+
+
+def _decode_usage(fields: Sequence[Any]) -> UsageCounts:
+    node, started, rows = fields
+    return UsageCounts(
+        ids.NodeId(str(node)),
+        int(started),
+        {
+            int(window): {
+                'counts': _unpack_counts(counts),
+                'complete': bool(complete),
+            }
+            for window, complete, counts in rows
+        },
+    )
+
+
 _DECODER_BY_FORMAT: dict[int, Callable[[Sequence[Any]], Message]] = {
     REPORT_FORMAT: _decode_report,
     LOAD_FORMAT: _decode_load,
     MEMBERS_FORMAT: _decode_members,
+    CONFIRMATION_FORMAT: _decode_confirmation,
+    USAGE_FORMAT: _decode_usage,
 }
 
 
--- a/hornbeamrudder/gateway/table_relay.py
+++ b/hornbeamrudder/gateway/table_relay.py
@@ -4,9 +4,10 @@
 learn from their digests whether they are up to date. This limits the load on
 the store, whose calls are priced and limited for all nodes together.
 
-A digest returns the time on the recipient's clock at which the recipient sent
-its report, so a digest that was delayed, or not read while the host was
-suspended, only confirms the state at that time.
+A confirmation states a time on the recipient's clock that had not passed when
+it was sent (see `peers.Peers.clock_bound`), so one that was delayed, or not
+read while the host was suspended, only confirms the state at that time. If the
+hubs can't reach the store, another node that can confirms the tables to them.
 """
 
 import dataclasses
@@ -19,11 +20,13 @@
 from . import clock
 from ..core import ids
 from . import reports
+from . import store_health
 from . import watch
 
 CHANGES_FORMAT = 2
-# Number of hubs that send each change; the second one covers lost datagrams.
-FORWARDING_HUBS = 2
+# Number of hubs that follow the store and send each change; the second one
+# covers lost datagrams.
+FOLLOWING_HUBS = 2
 # Larger datagrams may be fragmented.
 MAX_DATAGRAM_BYTES = 1300
 # Entries of servers are similar to each other; speed matters more than size.
@@ -62,6 +65,8 @@
         Nodes that follow the store, in order; empty if all nodes do.
     live_nodes : callable
         Other registered nodes with a current report or digest.
+    health : StoreHealth
+        Outage of the store as seen by this node.
     """
 
     def __init__(
@@ -72,8 +77,11 @@
         hubs: Callable[[], Sequence[ids.NodeId]],
         uses_hubs: Callable[[], bool],
         live_nodes: Callable[[], Iterable[ids.NodeId]],
+        health: store_health.StoreHealth,
     ) -> None:
         self.node = node
+        self._health = health
+        health.is_relayed = lambda: not self.follows_store()
         self._tables = tables
         self._send = send
         self._hubs = hubs
@@ -86,37 +94,54 @@
 
     def follows_store(self) -> bool:
         """Return whether this node follows the store itself."""
-        return not self._uses_hubs() or self.node in self._hubs()
+        return (
+            not self._uses_hubs() or self.node in self._hubs()[:FOLLOWING_HUBS]
+        )
+
+    def must_share_confirmations(self) -> bool:
+        """Return whether nodes rely on what others confirm to this hub."""
+        return self._health.is_failing and self.node in self._hubs()
 
     def states(self) -> tuple[reports.TableState, ...]:
-        """Return the state of the tables that this node follows."""
-        if not self.follows_store():
-            return ()
+        """Return the state of the tables that are current at this node."""
         now = clock.now()
         return tuple(
             reports.TableState(
                 name,
                 table.content_version,
                 now - table.confirmed_at,
-                table.seconds_since_recovery(),
+                self._health.seconds_since_recovery(),
             )
             for name, table in self._tables.items()
-            if table.version is not None and table.failing_since is None
+            if table.is_current()
         )
 
     def apply_states(
         self, asked_at: float, states: Iterable[reports.TableState]
-    ) -> None:
-        """Apply the state of the tables at a hub."""
-        for state in states:
-            table = self._tables.get(state.table)
-            if table is not None:
-                table.apply_confirmation(
-                    state.content_version,
-                    asked_at,
-                    state.age_s,
-                    state.recovered_s,
-                )
+    ) -> bool:
+        """Apply the state of the tables at another node.
+
+        Parameters
+        ----------
+        asked_at : float
+            Time on this node's clock at or before the states were sent.
+
+        Returns
+        -------
+        bool
+            Whether a table is now known to be current until later.
+        """
+        applied = [
+            self._tables[state.table].apply_confirmation(
+                state.content_version,
+                asked_at,
+                state.age_s,
+                state.recovered_s,
+            )
+            for state in states
+            if state.table in self._tables
+        ]
+        return any(applied)
 
     def handle_datagram(self, fields: Any) -> bool:
         """Apply a decoded datagram; return whether it contains changes."""
@@ -141,13 +166,13 @@
     ) -> None:
         """Send changes to the nodes that do not follow the store."""
         hubs = self._hubs()
-        if not self._uses_hubs() or self.node not in hubs[:FORWARDING_HUBS]:
+        if not self._uses_hubs() or self.node not in hubs[:FOLLOWING_HUBS]:
             return
         changes = Changes(
             table.table,
             before,
             after,
-            table.seconds_since_recovery(),
+            self._health.seconds_since_recovery(),
             tuple(
                 Row(row.key, row.value, row.version, row.removed)
                 for row in sorted(rows, key=lambda row: row.version)
--- a/hornbeamrudder/gateway/watch.py
+++ b/hornbeamrudder/gateway/watch.py
@@ -9,18 +9,18 @@
 from ..core import ids
 from . import records
 from . import server_registry
+from . import store_health
 
-# Back-off after a failed call; jitter prevents synchronised retries.
-INITIAL_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 0.8
 # Backend servers whose entries lapsed during an outage of the store register
 # again within about two seconds of its end.
 REREGISTRATION_S = 2.3
-# Time after an outage during which the store counts as unstable.
-UNSTABLE_AFTER_OUTAGE_S = 3.0
 # A node that does not follow the store reads a table itself after no hub has
-# confirmed it for this long.
-RELAY_TIMEOUT_S = 2.2
+# confirmed it for this long. It varies, since the first node to read the table
+# confirms it to the others.
+MIN_RELAY_TIMEOUT_S = 1.9
+MAX_RELAY_TIMEOUT_S = 2.4
+# Time after an outage in which hubs confirm all tables.
+RECOVERY_RELAY_S = 1.2
 # Interval between checks for this time-out.
 RELAY_POLL_S = 0.2
 
@@ -47,6 +47,8 @@
         contained all changes made before.
     wait_s : float
         Long-poll time: how long the store holds a call without changes.
+    health : StoreHealth
+        Outage of the store, shared with the other users of the store.
     pause_s : float
         Pause between two calls. For the same number of calls, short polls
         confirm the table more often than long polls do.
@@ -58,6 +60,7 @@
         table: str,
         wait_s: float,
         log: Any,
+        health: store_health.StoreHealth,
         on_rows: Callable[[tuple[Any, ...], bool], None],
         on_confirmed: Callable[[float], None] = lambda sent_at: None,
         pause_s: float = 0.0,
@@ -73,10 +76,10 @@
         self.on_changes: (
             Callable[[TableWatch, int, int, tuple[Any, ...]], None] | None
         ) = None
+        self.on_polled: Callable[[], None] = lambda: None
         self._behind = False
         self._answered_at = float('-inf')
-        self.failing_since: float | None = None
-        self.recovered_at: float = float('-inf')
+        self._health = health
         self._source = source
         self._wait_s = wait_s
         self._log = log
@@ -84,48 +87,60 @@
         self._on_confirmed = on_confirmed
         self.pause_s = pause_s
         self._rng = rng or random.Random()
-
-    def is_unstable(self) -> bool:
-        """Return whether the store is unavailable, or was so recently."""
-        return (
-            self.failing_since is not None
-            or clock.now() - self.recovered_at < UNSTABLE_AFTER_OUTAGE_S
+        self._relay_timeout_s = self._rng.uniform(
+            MIN_RELAY_TIMEOUT_S, MAX_RELAY_TIMEOUT_S
         )
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
-        pause_s = INITIAL_BACKOFF_S
         while True:
-            if self._is_relayed():
+            if self.is_relayed():
                 await asyncio.sleep(RELAY_POLL_S)
                 continue
-            failure = await self._poll_once()
-            if failure is None:
-                pause_s = INITIAL_BACKOFF_S
-                if self.pause_s and self.version is not None:
-                    await asyncio.sleep(
-                        self.pause_s * self._rng.uniform(0.9, 1.1)
-                    )
+            if not self._health.try_turn():
+                await self._health.wait(RELAY_POLL_S)
                 continue
-            await asyncio.sleep(pause_s * self._rng.uniform(0.6, 1.4))
-            pause_s = min(MAX_BACKOFF_S, pause_s * 1.6)
+            failure = await self._poll_once()
+            if failure is None and self.pause_s and self.version is not None:
+                await asyncio.sleep(self.pause_s * self._rng.uniform(0.9, 1.1))
 
-    def _is_relayed(self) -> bool:
-        """Return whether hubs keep this table up to date."""
+    def is_relayed(self) -> bool:
+        """Return whether other nodes keep this table up to date."""
+        if self._behind or self.version is None or self.follows_store():
+            return False
+        if clock.now() - self._health.answered_again_at < RECOVERY_RELAY_S:
+            # Hubs confirm all tables once they have read them again.
+            return True
         return (
-            self.version is not None
-            and not self._behind
-            and not self.follows_store()
-            and clock.now() - self._answered_at < RELAY_TIMEOUT_S
-            # A hub's long poll confirms nothing until it returns.
-            and clock.now() - self.confirmed_at
-            < RELAY_TIMEOUT_S + 2 * self._wait_s
+            clock.now() - self._answered_at < self._relay_timeout_s
+            and self._is_recent()
         )
 
-    def seconds_since_recovery(self) -> float:
-        """Return seconds since the end of the last outage."""
-        return min(
-            clock.now() - self.recovered_at, UNSTABLE_AFTER_OUTAGE_S * 10
+    def _may_wait_for_changes(self) -> bool:
+        """Return whether a poll need not be answered at once.
+
+        During an outage and right after it, the answer tells this node and
+        others whether the table is current.
+        """
+        return (
+            self.follows_store()
+            and not self._health.is_failing
+            and self.confirmed_at >= self._health.answered_again_at
+        )
+
+    def is_current(self) -> bool:
+        """Return whether other nodes may rely on the age of this table."""
+        failing_since = self._health.failing_since
+        return self._is_recent() and (
+            failing_since is None or self.confirmed_at > failing_since
+        )
+
+    def _is_recent(self) -> bool:
+        return (
+            self.version is not None
+            # A long poll confirms nothing until it returns.
+            and clock.now() - self.confirmed_at
+            < self._relay_timeout_s + 2 * self._wait_s
         )
 
     def apply_confirmation(
@@ -134,28 +149,43 @@
         asked_at: float,
         age_s: float,
         recovered_s: float,
-    ) -> None:
-        """Apply the state of the table at a node that follows the store.
+    ) -> bool:
+        """Apply the state of the table at another node.
 
         Parameters
         ----------
         content_version : int
             Version of the latest row known to that node.
         asked_at : float
-            Time on this node's clock at which its report was sent.
+            Time on this node's clock at or before the state was sent.
         age_s : float
             Time since the store had confirmed the table to that node.
+
+        Returns
+        -------
+        bool
+            Whether the table is now known to be current until later.
         """
         if self.version is None:
-            return
+            return False
         self._answered_at = max(self._answered_at, asked_at)
         confirmed_at = asked_at - age_s
-        self.recovered_at = max(self.recovered_at, clock.now() - recovered_s)
+        self._health.record_recovery_elsewhere(recovered_s)
         if content_version > self.version:
             self._behind = True
-        elif confirmed_at > self.confirmed_at:
-            self.confirmed_at = confirmed_at
-            self._on_confirmed(confirmed_at)
+            return False
+        if confirmed_at <= self.confirmed_at:
+            return False
+        self.confirmed_at = confirmed_at
+        self._on_confirmed(confirmed_at)
+        failing_since = self._health.failing_since
+        if (
+            failing_since is not None
+            and confirmed_at > failing_since
+            and not self.follows_store()
+        ):
+            self._health.record_success(confirmed_at)
+        return True
 
     def apply_changes(
         self,
@@ -170,7 +200,7 @@
         if before > self.version:
             self._behind = True
             return
-        self.recovered_at = max(self.recovered_at, clock.now() - recovered_s)
+        self._health.record_recovery_elsewhere(recovered_s)
         if after > self.version:
             self.version = after
             self._update_content_version(rows)
@@ -186,16 +216,17 @@
         # Versions are global to the store, so only the version of the latest
         # row of this table shows whether a node has missed a change.
         before = self.content_version
+        sent_at = clock.now()
         if self.version is None:
             answer = await self._source.read_all(self.table)
         else:
             answer = await self._source.changes(
                 self.table,
                 self.version,
-                self._wait_s if self.follows_store() else 0.0,
+                self._wait_s if self._may_wait_for_changes() else 0.0,
             )
         if isinstance(answer, errors.Failure):
-            self._on_failure(answer)
+            self._on_failure(answer, sent_at)
             return answer
         if not hasattr(answer, 'rows'):
             self._log.info(
@@ -205,7 +236,7 @@
             )
             self.version = None
             return None
-        self._on_recovery(answer.version)
+        self._on_recovery(answer.version, answer.sent_at)
         self.version = max(answer.version, self.version or 0)
         self._behind = False
         self._update_content_version(answer.rows)
@@ -220,11 +251,11 @@
         self.confirmed_at = max(self.confirmed_at, answer.sent_at)
         self._answered_at = max(self._answered_at, answer.sent_at)
         self._on_confirmed(answer.sent_at)
+        self.on_polled()
         return None
 
-    def _on_failure(self, failure: errors.Failure) -> None:
-        if self.failing_since is None:
-            self.failing_since = clock.now()
+    def _on_failure(self, failure: errors.Failure, sent_at: float) -> None:
+        if self._health.record_failure(sent_at):
             self._log.warning(
                 'store is lost',
                 table=self.table,
@@ -232,16 +263,15 @@
                 version=self.version,
             )
 
-    def _on_recovery(self, version: int) -> None:
-        if self.failing_since is not None:
-            self.recovered_at = clock.now()
+    def _on_recovery(self, version: int, sent_at: float) -> None:
+        outage_s = self._health.record_success(sent_at)
+        if outage_s is not None:
             self._log.info(
                 'store is back',
                 table=self.table,
-                after_s=round(clock.now() - self.failing_since, 2),
+                after_s=round(outage_s, 2),
                 version=version,
             )
-            self.failing_since = None
 
 
 class ServerWatch:
