Read less of the store at starts and for usage reports

A new node followed each table before it knew whether hubs do; a holder read the final report of a window again each time that rows were missing. After an outage only nodes on which others rely poll without waiting.

--- a/hornbeamrudder/gateway/duties.py
+++ b/hornbeamrudder/gateway/duties.py
@@ -65,6 +65,7 @@
         self._retry_at: dict[object, float] = {}
         self._final_counts: dict[int, Mapping[str, int]] = {}
         self._completed_windows: set[int] = set()
+        self._unreported_windows: set[int] = set()
         self._demand: dict[ids.ServiceName, fleet_policy.Demand] = {}
         self._refused_at: dict[ids.ServiceName, float] = {}
         self._in_progress: set[object] = set()
@@ -202,6 +203,7 @@
             self._ordered.clear()
             self._final_counts.clear()
             self._completed_windows.clear()
+            self._unreported_windows.clear()
             state.log.info(
                 'duties are taken',
                 number=self.term.number,
@@ -328,12 +330,17 @@
         platform = self._platform
         bounds = state.settings.bounds
         key = usage.report_key(window)
-        fixed = await self._store.read(usage.REPORT_TABLE, key, key + '\x00')
-        if isinstance(fixed, errors.Failure):
-            return None
-        if fixed.rows and isinstance(fixed.rows[0].value, dict):
-            counts: Mapping[str, int] = fixed.rows[0].value
-            return counts
+        if window not in self._unreported_windows:
+            fixed = await self._store.read(
+                usage.REPORT_TABLE, key, key + '\x00'
+            )
+            if isinstance(fixed, errors.Failure):
+                return None
+            if fixed.rows and isinstance(fixed.rows[0].value, dict):
+                counts: Mapping[str, int] = fixed.rows[0].value
+                return counts
+            # Only a former holder may still write the row.
+            self._unreported_windows.add(window)
         rows = await self._store.read(usage.TABLE, *usage.window_range(window))
         if isinstance(rows, errors.Failure):
             return None
@@ -365,6 +372,7 @@
         if isinstance(written, (errors.Failure, platform.Conflict)):
             # Another holder has stored them, or the outcome of the write is
             # unknown; the counts are read again.
+            self._unreported_windows.discard(window)
             return None
         return total.requests_by_account
 
--- a/hornbeamrudder/gateway/table_relay.py
+++ b/hornbeamrudder/gateway/table_relay.py
@@ -90,6 +90,7 @@
         for name, table in tables.items():
             table.on_changes = self._forward_changes
             table.follows_store = self.follows_store
+            table.is_relied_on = uses_hubs
             assert name == table.table
 
     def follows_store(self) -> bool:
--- a/hornbeamrudder/gateway/watch.py
+++ b/hornbeamrudder/gateway/watch.py
@@ -21,6 +21,9 @@
 MAX_RELAY_TIMEOUT_S = 2.4
 # Time after an outage in which hubs confirm all tables.
 RECOVERY_RELAY_S = 1.2
+# Pause after a snapshot, in which a new node learns whether it follows the
+# store.
+SNAPSHOT_PAUSE_S = 0.4
 # Interval between checks for this time-out.
 RELAY_POLL_S = 0.2
 
@@ -73,6 +76,8 @@
         self.content_version = 0
         self.confirmed_at: float = float('-inf')
         self.follows_store: Callable[[], bool] = lambda: True
+        # Whether other nodes do not follow the store themselves.
+        self.is_relied_on: Callable[[], bool] = lambda: False
         self.on_changes: (
             Callable[[TableWatch, int, int, tuple[Any, ...]], None] | None
         ) = None
@@ -100,9 +105,12 @@
             if not self._health.try_turn():
                 await self._health.wait(RELAY_POLL_S)
                 continue
+            pause_s = (
+                SNAPSHOT_PAUSE_S if self.version is None else self.pause_s
+            )
             failure = await self._poll_once()
-            if failure is None and self.pause_s and self.version is not None:
-                await asyncio.sleep(self.pause_s * self._rng.uniform(0.9, 1.1))
+            if failure is None and pause_s and self.version is not None:
+                await asyncio.sleep(pause_s * self._rng.uniform(0.9, 1.1))
 
     def is_relayed(self) -> bool:
         """Return whether other nodes keep this table up to date."""
@@ -119,13 +127,16 @@
     def _may_wait_for_changes(self) -> bool:
         """Return whether a poll need not be answered at once.
 
-        During an outage and right after it, the answer tells this node and
-        others whether the table is current.
+        During an outage the answer tells whether the store is back; right
+        after it, other nodes wait to be told that the table is current.
         """
         return (
             self.follows_store()
             and not self._health.is_failing
-            and self.confirmed_at >= self._health.answered_again_at
+            and (
+                not self.is_relied_on()
+                or self.confirmed_at >= self._health.answered_again_at
+            )
         )
 
     def is_current(self) -> bool:
