Mend three faults that other operators have reported

Cause: shown by reports_of_operators.feature against a server that misbehaves. A safe request that comes again under its id could go to the server that had refused it, on the same kept connection, where the refusal written once more had the same id, or none: the client was told 'not run' while it ran. A stream that had begun and broke off was continued with a response of status 200 that was no event stream, or with text before its first event. The entry of a silent server lapsed for half a second, and its streams were resumed or moved all the same, as the record that they referred to stayed one of a leaving server. Change: a connection takes no request with an id that it has carried, a response without an id on a connection that was used before belongs to nobody, and a connection is used for at most 200 requests. A stream goes on only with a response that may be an event stream, from its first new numbered event, and one that ends within an event is not complete. A server whose entry is back with the same start and address keeps its record and its requests.

--- a/hornbeamrudder/gateway/calls.py
+++ b/hornbeamrudder/gateway/calls.py
@@ -82,6 +82,8 @@
     resume_elsewhere_at : float or None
         Time at which the stream should continue elsewhere, because its
         backend server is about to terminate.
+    is_resumed : bool
+        Whether the present attempt goes on with a stream that has started.
     moving : Task or None
         Task that copies the run's KV cache to another backend server.
     """
@@ -94,6 +96,7 @@
     moved: Moved | None = None
     copy: str | None = None
     last_record: server_registry.ServerRecord | None = None
+    is_resumed: bool = False
 
     def take_moved(self) -> server_registry.Placement | None:
         """Take the placement of a finished move; its copy is sent next."""
--- a/hornbeamrudder/gateway/events.py
+++ b/hornbeamrudder/gateway/events.py
@@ -28,6 +28,7 @@
         self.count = 0
         self._buffer = bytearray()
         self._skip_to: int | None = None
+        self._only_numbered = False
 
     @property
     def partial(self) -> bytes:
@@ -39,10 +40,18 @@
         """Whether the incomplete event is too large to be held."""
         return len(self._buffer) > byte_limits.MAX_EVENT_BYTES
 
-    def restart(self) -> None:
-        """Discard the incomplete event; the stream resumes after `last_id`."""
+    def restart(self, only_numbered: bool = False) -> None:
+        """Discard the incomplete event; the stream resumes after `last_id`.
+
+        Parameters
+        ----------
+        only_numbered : bool
+            Whether events without an id are dropped before the first new one.
+            Within a stream, they may be text of another kind.
+        """
         self._buffer.clear()
         self._skip_to = _event_number(self.last_id)
+        self._only_numbered = only_numbered
 
     def completes_event(self, data: bytes) -> bool:
         """Return whether more bytes would complete an event."""
@@ -80,9 +89,9 @@
             found = _ID.search(event)
             number = _event_number(found.group(1).decode()) if found else None
             if (
-                number is None
-                or self._skip_to is None
-                or number > self._skip_to
+                self._skip_to is None
+                or (number is None and not self._only_numbered)
+                or (number is not None and number > self._skip_to)
             ):
                 new_events.append(event)
                 self._skip_to = None if number is not None else self._skip_to
--- a/hornbeamrudder/gateway/failover.py
+++ b/hornbeamrudder/gateway/failover.py
@@ -184,7 +184,9 @@
         metadata = self._translation.decode_response(head.status, head.headers)
         if metadata.not_executed or not metadata.sealed:
             return False
-        return head.status == 200 if call.stream.started else head.status < 500
+        if call.stream.started:
+            return head.status == 200 and head.may_be_stream
+        return head.status < 500
 
     async def _try(
         self, call: calls.Call, trial: _Trial
--- a/hornbeamrudder/gateway/features/failover.feature
+++ b/hornbeamrudder/gateway/features/failover.feature
@@ -10,6 +10,7 @@
       | plan  | pause | full   |
       | plan  | pause | reset  |
       | plan  | pause | error  |
+      | plan  | pause | page   |
       | plan  | late  | full   |
       | look  | late  | full   |
       | look  | late  | reset  |
--- /dev/null
+++ b/hornbeamrudder/gateway/features/reports_of_operators.feature
@@ -0,0 +1,70 @@
+Feature: Faults that operators of similar systems have reported
+
+  Scenario Outline: An earlier refusal that is written once more reaches nobody
+    # Guards against "not run, try again" for a request that a server runs.
+    When a request on "look" gets "<first>" and one on "<route>" with <id> id follows
+    Then the second one receives the complete response of the server that ran it once
+
+    Examples: what follows on the server's connections
+      | first            | route | id         |
+      | repeated refusal | look  | another    |
+      | repeated refusal | look  | the same   |
+      | repeated refusal | book  | another    |
+      | repeated refusal | book  | the same   |
+      | nameless refusal | look  | another    |
+      | nameless refusal | book  | another    |
+
+  Scenario Outline: An error after the start of a stream does not reach its client
+    # Guards against the text or the head of an error within a stream, and
+    # against a stream that seems complete although it broke off.
+    When a resumable stream breaks off and the next server responds with "<second>"
+    Then the client receives part of the stream, and no end
+
+    Examples: what the next server responds with
+      | second     |
+      | error text |
+      | rejection  |
+      | page       |
+      | unsealed   |
+      | garbled    |
+      | error      |
+      | full       |
+
+  Scenario: Text before the first event of a resumed stream is left out
+    # Guards against text that is no event within a stream.
+    When a resumable stream breaks off and the next server responds with "stray text"
+    Then the client receives each event of the stream once
+
+  Scenario Outline: A slow stream is not cut
+    # Guards against streams that are ended because their events are slow.
+    When the events of a stream on "<route>" arrive every <interval> s
+    Then the client receives each event of the stream once
+
+    Examples: up to and above the route's longest pause of 0.6 s
+      | route | interval |
+      | plan  | 0.4      |
+      | plan  | 0.7      |
+      | chat  | 0.7      |
+      | chat  | 1.2      |
+
+  Scenario Outline: A stream that sends a byte now and then ends
+    # Guards against streams without end, that hold a slot and their client.
+    When a server sends a byte of an event on "<route>" now and then
+    Then the client has <outcome> when its time is over and the server is disconnected
+
+    Examples: whether another server may be tried
+      | route | outcome             |
+      | plan  | the complete stream |
+      | chat  | an error            |
+
+  Scenario Outline: Work of a server that was only silent goes on there
+    # Guards against work that is started again elsewhere, or given up, as the
+    # entry of its server lapsed for a moment.
+    When the entry of the server of a stream on "<route>" is gone for <gone> s
+    Then the client receives each event of the stream once
+    And <servers> servers receive the request
+
+    Examples: how long its entry is gone
+      | route | gone | servers |
+      | plan  | 0.5  | 1       |
+      | chat  | 0.5  | 1       |
--- a/hornbeamrudder/gateway/http_client.py
+++ b/hornbeamrudder/gateway/http_client.py
@@ -24,6 +24,9 @@
 TCP_USER_TIMEOUT_MS = 3000
 # Response bytes buffered for a slow client before reading is paused.
 READ_AHEAD_BYTES = 256 * 1024
+# Requests on one connection, whose ids are remembered.
+MAX_REQUESTS = 200
+EVENT_STREAM = b'text/event-stream'
 _NO_BODY = frozenset({204, 304})
 
 
@@ -43,6 +46,13 @@
         }
         return value_by_name.get(b'content-type', b'')
 
+    @property
+    def may_be_stream(self) -> bool:
+        """Whether the body may be an event stream."""
+        return not self.content_type or self.content_type.startswith(
+            EVENT_STREAM
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Body:
@@ -188,6 +198,9 @@
         self.opened_at = clock.now()
         self.idle_since = self.opened_at
         self.requests = 0
+        # Ids of the requests sent on this connection: a response to one of
+        # them may be sent once more, so none of them is sent here again.
+        self.request_ids: set[str] = set()
         self.keep_alive_s: float | None = None
         self.closed = False
         self._must_close = False
@@ -211,6 +224,7 @@
             not self.closed
             and not self._must_close
             and self._exchange is None
+            and self.requests < MAX_REQUESTS
             and self._transport is not None
             and not self._transport.is_closing()
             and self._transport.get_write_buffer_size() == 0
--- a/hornbeamrudder/gateway/moves.py
+++ b/hornbeamrudder/gateway/moves.py
@@ -81,6 +81,12 @@
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
 
+    def returned(self, record: server_registry.ServerRecord) -> None:
+        """Leave the streams of a backend server that does not leave there."""
+        for call in self._forwarder.calls:
+            if call.placement is not None and call.placement.record is record:
+                call.stream.resume_elsewhere_at = None
+
     async def _move_at(
         self,
         call: calls.Call,
@@ -90,6 +96,7 @@
         await asyncio.sleep(max(0.0, at - clock.now()))
         if (
             call.placement is not placement
+            or placement.record.leaving_since is None
             or call.admitted.route.retry_safety
             is not records.RetrySafety.STREAM
         ):
--- a/hornbeamrudder/gateway/node.py
+++ b/hornbeamrudder/gateway/node.py
@@ -87,7 +87,9 @@
             log=log,
             metrics=metrics.Metrics(),
             servers=server_registry.ServerRegistry(
-                settings.data_centre, self._on_server_leaving
+                settings.data_centre,
+                self._on_server_leaving,
+                lambda record: self.mover.returned(record),
             ),
             peers=peers.Peers(settings.node),
             usage=usage.Counter(bounds.usage_window_s),
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -28,7 +28,6 @@
 MIN_PREFILL_SAMPLE_TOKENS = 1500
 # Part of the time to the first event that does not depend on the prompt.
 FIRST_EVENT_OVERHEAD_MS = 60.0
-_EVENT_STREAM = b'text/event-stream'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,7 +73,8 @@
         record = attempt.placement.record
         call.stream.last_record = record
         call.stream.resume_elsewhere_at = record.leaves_at
-        call.stream.splitter.restart()
+        call.stream.is_resumed = call.stream.started
+        call.stream.splitter.restart(call.stream.is_resumed)
         wait_s = self._response_timeout_s(call, record)
         event = await self._next_event(
             call,
@@ -203,8 +203,11 @@
                 server_outcome=health.Outcome.ERROR,
             )
         if head.status == 200 and (
-            head.content_type.startswith(_EVENT_STREAM)
-            or call.admitted.route.retry_safety is records.RetrySafety.STREAM
+            head.content_type.startswith(http_client.EVENT_STREAM)
+            or (
+                call.admitted.route.retry_safety is records.RetrySafety.STREAM
+                and (head.may_be_stream or not call.stream.is_resumed)
+            )
         ):
             return await self._relay_stream(call, attempt, head)
         return await self._relay_response(call, attempt, head)
@@ -338,6 +341,13 @@
                         attempt.connection.end_endless('event is too large')
                 case http_client.End():
                     _keep_connection(attempt)
+                    if stream.is_resumed and stream.splitter.partial:
+                        return ExchangeResult(
+                            calls.Result.FAILED,
+                            'resumed stream ends within an event',
+                            ended_early=True,
+                            server_outcome=health.Outcome.ERROR,
+                        )
                     self._finish_stream(call, head)
                     return ExchangeResult(
                         calls.Result.DONE,
--- a/hornbeamrudder/gateway/sending.py
+++ b/hornbeamrudder/gateway/sending.py
@@ -46,7 +46,7 @@
         """Return a connection for a request; on failure none was sent."""
         route = call.admitted.route
         connection = (
-            record.pop_idle_connection(clock.now())
+            record.pop_idle_connection(clock.now(), call.request_id)
             if route.retry_safety is records.RetrySafety.SAFE
             else None
         )
@@ -75,10 +75,11 @@
         """Send a request, or what remains of its stream."""
         self._record_send(call, placement.record.entry.id)
         sent_at = clock.now()
+        opened.connection.request_ids.add(call.request_id)
         exchange = opened.connection.send(
             self._request_bytes(call, placement, sent_at),
             lambda status, headers: self._matches_request(
-                call, status, headers
+                call, opened.reused, status, headers
             ),
             call.request.method == b'HEAD',
         )
@@ -119,11 +120,17 @@
     def _matches_request(
         self,
         call: calls.Call,
+        reused: bool,
         status: int,
         headers: tuple[http_client.Header, ...],
     ) -> bool:
+        """Whether a response belongs to the request of a call.
+
+        On a connection that was used before, one without an id may belong to
+        an earlier request.
+        """
         found = self._translation.decode_response(status, headers).request_id
-        return found is None or found == call.request_id
+        return (found is None and not reused) or found == call.request_id
 
     def _record_send(self, call: calls.Call, server: ids.WorkerId) -> None:
         now = clock.now()
--- a/hornbeamrudder/gateway/server_registry.py
+++ b/hornbeamrudder/gateway/server_registry.py
@@ -89,11 +89,24 @@
             self.speed = host_speed.updated(self.speed, stated, now)
 
     def pop_idle_connection(
-        self, now: float
+        self, now: float, request_id: str = ''
     ) -> http_client.ServerConnection | None:
-        """Return an idle connection that is probably still open."""
-        while self.idle:
-            connection = self.idle.pop()
+        """Return an idle connection that is probably still open.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the request to send; a connection that was used for a
+            request with the same id is left out.
+        """
+        usable = [
+            connection
+            for connection in self.idle
+            if request_id not in connection.request_ids
+        ]
+        while usable:
+            connection = usable.pop()
+            self.idle.remove(connection)
             limit_s = MAX_IDLE_S
             if connection.keep_alive_s is not None:
                 limit_s = min(
@@ -131,6 +144,7 @@
         self,
         data_centre: ids.DataCentreName,
         on_leaving: Callable[[ServerRecord], None],
+        on_returned: Callable[[ServerRecord], None] = lambda record: None,
     ) -> None:
         self.by_id: dict[ids.WorkerId, ServerRecord] = {}
         self._by_service: dict[
@@ -138,6 +152,9 @@
         ] = collections.defaultdict(dict)
         self._data_centre = data_centre
         self._on_leaving = on_leaving
+        self._on_returned = on_returned
+        # Servers without an entry that have requests in progress.
+        self._removed_by_id: dict[ids.WorkerId, ServerRecord] = {}
         self._by_key: dict[int, ServerRecord] = {}
         self._reports: dict[ids.NodeId, tuple[float, reports.Load]] = {}
 
@@ -156,6 +173,8 @@
             record.close_idle_connections()
             self._mark_leaving(record, now)
             record = None
+        elif record is None:
+            record = self._take_removed(entry)
         if record is None:
             record = ServerRecord(
                 entry,
@@ -184,6 +203,34 @@
             self._by_key.pop(record.key, None)
             record.close_idle_connections()
             self._mark_leaving(record, now)
+            if record.running:
+                self._removed_by_id[server] = record
+
+    def _take_removed(
+        self, entry: records.BackendServer
+    ) -> ServerRecord | None:
+        """Return the record of a server whose entry is back.
+
+        A server that is silent for a while loses its entry; its requests go
+        on there once it is known that it has not ended.
+        """
+        for server, removed in list(self._removed_by_id.items()):
+            if not removed.running:
+                del self._removed_by_id[server]
+        record = self._removed_by_id.pop(entry.id, None)
+        if (
+            record is None
+            or record.entry.started != entry.started
+            or record.entry.address != entry.address
+            or entry.state is not records.ServerState.READY
+        ):
+            return None
+        record.leaving_since = record.leaves_at = None
+        record.peer_running = record.peer_backlog_tokens = 0
+        self._apply_reports(record)
+        self._by_key[record.key] = record
+        self._on_returned(record)
+        return record
 
     def _mark_leaving(self, record: ServerRecord, now: float) -> None:
         if record.leaving_since is None:
--- a/hornbeamrudder/standins/platform_server.py
+++ b/hornbeamrudder/standins/platform_server.py
@@ -19,6 +19,12 @@
 # shorter than the time-outs of the routes in `configuration`.
 LATE_RESPONSE_DELAY_S = 0.85
 UNFRAMED_RESET_DELAY_S = 0.05
+TRICKLE_S = 0.2
+# A text that looks like complete events.
+ERROR_TEXT = (
+    b'HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\n\r\n'
+    b'no room\n\nplease try again\n\n'
+)
 CUT_RESET_DELAY_S = 0.02
 
 
@@ -31,7 +37,13 @@
     the connection, `UNFRAMED_RESET` by resetting it. `EARLY` responds before
     the body is read. `CUT` closes the connection within the body, or resets
     it within a stream. `PAUSE` interrupts the stream for `STREAM_PAUSE_S`.
-    `LATE` delays the response by `LATE_RESPONSE_DELAY_S`.
+    `LATE` delays the response by `LATE_RESPONSE_DELAY_S`. `REPEATED_REFUSAL`
+    rejects the request, and does so once more when the next request arrives on
+    the connection, before the response to that one; `NAMELESS_REFUSAL` omits
+    the request id then. `ERROR_TEXT` and `REJECTION` respond with status 500
+    and 409 and a text. `PAGE` responds to a stream with status 200 and a text
+    that is no event stream, `STRAY_TEXT` with an event stream that has text
+    before its first event. `TRICKLE` sends a byte of an event now and then.
     """
 
     NORMAL = 'normal'
@@ -49,6 +61,13 @@
     EARLY = 'early'
     PAUSE = 'pause'
     LATE = 'late'
+    REPEATED_REFUSAL = 'repeated refusal'
+    NAMELESS_REFUSAL = 'nameless refusal'
+    ERROR_TEXT = 'error text'
+    REJECTION = 'rejection'
+    PAGE = 'page'
+    STRAY_TEXT = 'stray text'
+    TRICKLE = 'trickle'
 
 
 @dataclasses.dataclass(slots=True)
@@ -102,6 +121,7 @@
         self.connections = 0
         self.address = ''
         self.writers: set[asyncio.StreamWriter] = set()
+        self._repeated_by_writer: dict[asyncio.StreamWriter, bytes] = {}
         self.listener: asyncio.Server | None = None
 
     async def start(self, ip: str, port: int = 0) -> None:
@@ -144,6 +164,7 @@
             return
         finally:
             self.writers.discard(writer)
+            self._repeated_by_writer.pop(writer, None)
             writer.close()
 
     async def _read(
@@ -208,6 +229,7 @@
                 )
             )
             return True
+        writer.write(self._repeated_by_writer.pop(writer, b''))
         seal = f'{_HEADER_PREFIX}Response-Seal: seal-{self.id}'
         body = f'answer of {self.id}'.encode()
         content_length = f'Content-Length: {len(body)}'
@@ -226,15 +248,52 @@
             case Behaviour.RESET:
                 _reset(writer)
                 return False
-            case Behaviour.FULL:
+            case (
+                Behaviour.FULL
+                | Behaviour.REPEATED_REFUSAL
+                | Behaviour.NAMELESS_REFUSAL
+            ):
                 request.executed = False
+                refusal = self._head(
+                    request,
+                    '503 Service Unavailable',
+                    f'{_HEADER_PREFIX}Not-Executed: 1',
+                    'Content-Length: 0',
+                )
+                writer.write(refusal)
+                if behaviour is Behaviour.REPEATED_REFUSAL:
+                    self._repeated_by_writer[writer] = refusal
+                if behaviour is Behaviour.NAMELESS_REFUSAL:
+                    self._repeated_by_writer[writer] = refusal.replace(
+                        b'Request-Id', b'Something'
+                    )
+                return True
+            case Behaviour.ERROR_TEXT | Behaviour.REJECTION:
+                status = (
+                    '500 Error'
+                    if behaviour is Behaviour.ERROR_TEXT
+                    else '409 Conflict'
+                )
                 writer.write(
                     self._head(
                         request,
-                        '503 Service Unavailable',
-                        f'{_HEADER_PREFIX}Not-Executed: 1',
-                        'Content-Length: 0',
+                        status,
+                        seal,
+                        f'Content-Length: {len(ERROR_TEXT)}',
                     )
+                    + ERROR_TEXT
+                )
+                return True
+            case Behaviour.PAGE:
+                writer.write(
+                    self._head(
+                        request,
+                        '200 OK',
+                        seal,
+                        'Content-Type: text/html',
+                        f'Content-Length: {len(ERROR_TEXT)}',
+                    )
+                    + ERROR_TEXT
                 )
                 return True
             case Behaviour.ERROR:
@@ -304,6 +363,14 @@
                 'Transfer-Encoding: chunked',
             )
         )
+        if behaviour is Behaviour.STRAY_TEXT:
+            writer.write(b'%x\r\n%s\r\n' % (len(ERROR_TEXT), ERROR_TEXT))
+        if behaviour is Behaviour.TRICKLE:
+            while not (reader.at_eof() or writer.transport.is_closing()):
+                writer.write(b'1\r\n:\r\n')
+                await asyncio.sleep(TRICKLE_S)
+            request.client_disconnected = True
+            return False
         first = int(request.headers.get('last-event-id') or 0) + 1
         for number in range(first, self.events + 1):
             event = f'id: {number}\ndata: piece {number}\n\n'.encode()
