Show that confirmations never state a later time than the store's

Cause: nodes now confirm tables to each other by bounds on each other's clocks; a bound that is too late would let a revoked key pass. Change: scenarios only. 300 messages of nodes whose clocks differ by up to 1,000 s, with delays up to 3 s and pauses; and a store that is down for all, with 1 and 30 % of the datagrams lost. Conclusion: keys lapse with the last answer of the store, as before.

--- a/hornbeamrudder/gateway/features/fleet_simulation.py
+++ b/hornbeamrudder/gateway/features/fleet_simulation.py
@@ -245,6 +245,7 @@
         self.reports_by_window = collections.defaultdict(list)
         self.counted_by_window = collections.defaultdict(collections.Counter)
         self.failures = []
+        self.loss_rate = LOSS_RATE
         self._in_transit = []
         self._sequence = itertools.count()
         self._delivery = None
@@ -390,7 +391,7 @@
 
     def send(self, source, target_ip, data):
         """Put a datagram in transit unless it is lost."""
-        if self.rng.random() < LOSS_RATE:
+        if self.rng.random() < self.loss_rate:
             return
         loop = asyncio.get_running_loop()
         heapq.heappush(
--- a/hornbeamrudder/gateway/features/steps/store_call_steps.py
+++ b/hornbeamrudder/gateway/features/steps/store_call_steps.py
@@ -1,12 +1,16 @@
 """Steps for the calls that nodes make to the store, in virtual time."""
 
 import asyncio
+import random
+from unittest import mock
 
 import behave
 
 from hornbeamrudder.core import ids
 from hornbeamrudder.gateway import clock
 from hornbeamrudder.gateway.features import fleet_simulation
+from hornbeamrudder.gateway import peers
+from hornbeamrudder.gateway import reports
 
 START_S = 4.0
 POLL_S = 0.1
@@ -15,6 +19,8 @@
 TURNED_AWAY_SHARE = 0.35
 STOPPED_S = 0.2
 RESTARTS = 20
+# Age of a configuration from which keys are refused, and some time more.
+KEYS_S = 3.2
 # Until the last windows that ended before are reported.
 REPORTED_S = 14.0
 WINDOW_S = fleet_simulation.BOUNDS.usage_window_s
@@ -266,3 +272,94 @@
     for window, (counted, reported) in _missing_by_window(fleet).items():
         lost = counted - sum(reported.values())
         assert 0 <= lost <= counted * percent / 100, (window, counted, lost)
+
+
+@behave.when(
+    'the store is down from a moment on, and {percent:d} % of the datagrams'
+    ' are lost'
+)
+def be_down_for_good(context, percent):
+    async def play(fleet):
+        await _start(fleet)
+        fleet.loss_rate = percent / 100
+        await asyncio.sleep(6.0)
+        fleet.store.refuses = lambda node_id: True
+        context.down_at = clock.now()
+        # A call that is being answered was sent before.
+        await asyncio.sleep(KEYS_S)
+        return [
+            running.node.state for running in fleet.running_by_number.values()
+        ], clock.now()
+
+    states, now = context.fleet.run(play)
+    context.confirmed_at = [state.confirmed_at for state in states]
+    context.now = now
+
+
+@behave.then(
+    'no node has a configuration that was confirmed after that moment'
+)
+def check_not_later(context):
+    assert max(context.confirmed_at) <= context.down_at, (
+        max(context.confirmed_at) - context.down_at
+    )
+
+
+@behave.then('each node that had one refuses keys {seconds:g} s after it')
+def check_keys_refused(context, seconds):
+    youngest_s = context.now - max(context.confirmed_at)
+    assert youngest_s >= seconds, youngest_s
+
+
+@behave.when(
+    '{count:d} messages of nodes with different clocks arrive after delays and'
+    ' pauses'
+)
+def exchange_with_clocks(context, count):
+    rng = random.Random(3)
+    offset_by_node = {
+        ids.NodeId(f'n{number}'): rng.uniform(-500, 500) for number in range(4)
+    }
+    receiver = peers.Peers(ids.NodeId('receiver'))
+    now = 1000.0
+    shortest_by_node = {}
+    context.errors = []
+    with mock.patch.object(clock, 'now', lambda: now):
+        for _ in range(count):
+            now += rng.choice((0.01, 0.3, 2.0))
+            node, offset_s = rng.choice(list(offset_by_node.items()))
+            delay_s = rng.choice((0.001, 0.05, 3.0))
+            confirmation = reports.Confirmation(
+                node, 1, now - delay_s + offset_s, 1, 0.0, 0, ()
+            )
+            receiver.datagram_received(
+                reports.encode(confirmation), ('10.0.0.1', 1)
+            )
+            shortest_by_node[node] = min(
+                delay_s, shortest_by_node.get(node, delay_s)
+            )
+            now += rng.choice((0.0, 5.0))
+            context.errors += [
+                (
+                    now
+                    + offset_by_node[other]
+                    - receiver.clock_bound(other).clock_s,
+                    shortest_s,
+                )
+                for other, shortest_s in shortest_by_node.items()
+            ]
+
+
+@behave.then('no bound on a clock is later than that clock')
+def check_bounds(context):
+    assert min(error for error, _ in context.errors) > -1e-6
+
+
+@behave.then(
+    'no bound is earlier than the clock by more than the shortest delay since'
+    ' the start'
+)
+def check_tightness(context):
+    assert all(
+        error <= shortest_s + 1e-6 for error, shortest_s in context.errors
+    )
--- a/hornbeamrudder/gateway/features/store_calls.feature
+++ b/hornbeamrudder/gateway/features/store_calls.feature
@@ -37,6 +37,27 @@
       | count | calm | partial |
       | 1000  | 60   | 500     |
 
+  Scenario Outline: No table counts as confirmed later than the store answered
+    # Guards against revoked keys that are accepted because nodes confirm old
+    # tables to each other while the store is down.
+    Given <count> nodes with a shared store
+    When the store is down from a moment on, and <lost> % of the datagrams are lost
+    Then no node has a configuration that was confirmed after that moment
+    And each node that had one refuses keys 3.1 s after it
+
+    Examples:
+      | count | lost |
+      | 7     | 1    |
+      | 24    | 1    |
+      | 24    | 30   |
+
+  Scenario: A time that is stated on another node's clock has passed there
+    # Guards against confirmations that state a later time than the one at
+    # which the store was asked, for nodes whose clocks differ.
+    When 300 messages of nodes with different clocks arrive after delays and pauses
+    Then no bound on a clock is later than that clock
+    And no bound is earlier than the clock by more than the shortest delay since the start
+
   Scenario: Usage counts survive the nodes that gather them
     # Guards against counts lost with the node that counted them, or with the
     # hub that had them.
