Keep gathered usage counts when a clock has jumped

Cause: found by reading. A hub kept the counts of the newest windows that any node had sent. A node that hears no others takes its own time of day, which may have jumped by 2,400 s, and its counts would displace those of all nodes. Change: a hub takes only windows near its present one, which follows the median of the clocks. Before: not played; the scenario was written with the change and not run without it. After: it passes, as do the scenarios of usage in store_calls.feature.

--- a/hornbeamrudder/gateway/exchange.py
+++ b/hornbeamrudder/gateway/exchange.py
@@ -94,6 +94,7 @@
                 self.gatherer.add(
                     usage.Source(message.node, message.started),
                     message.rows_by_window,
+                    self._present_window(),
                 )
 
     def _handle_confirmation(self, message: reports.Confirmation) -> None:
@@ -145,6 +146,10 @@
             )
             peers_.send_to(node, reports.encode(confirmation))
 
+    def _present_window(self) -> int:
+        """Return the number of the present usage window."""
+        return self._state.usage.window_at(self._state.peers.cluster_time())
+
     def _send_usage(self, now: float) -> None:
         """Send the counts of ended windows to the hubs until one has them.
 
@@ -154,7 +159,7 @@
         state = self._state
         if now - self._usage_sent_at < USAGE_INTERVAL_S:
             return
-        present = state.usage.window_at(state.peers.cluster_time())
+        present = self._present_window()
         rows = state.usage.changed(present)
         if not any(window < present for window in rows) and (
             now - self._usage_sent_at
@@ -163,7 +168,7 @@
             return
         self._usage_sent_at = now
         own = usage.Source(state.settings.node, state.started)
-        self.gatherer.add(own, rows)
+        self.gatherer.add(own, rows, present)
         if not rows:
             return
         data = reports.encode(
--- a/hornbeamrudder/gateway/features/decisions.feature
+++ b/hornbeamrudder/gateway/features/decisions.feature
@@ -151,6 +151,12 @@
     When nodes write their usage counts, one of them after a restart
     Then the totals include all requests and a window is due once its rows are present
 
+  Scenario: Counts of a node whose clock has jumped displace no others
+    # Guards against a hub that drops the counts of all nodes because one of
+    # them sends counts of a window in the future.
+    When a hub has counts of the last window and gets some of a window 480 later and 480 earlier
+    Then the hub writes the counts of the last window only
+
   Scenario Outline: Only complete events are forwarded
     # Guards against merged or duplicated events when a stream is resumed.
     When a stream of 5 events arrives in chunks of <size> bytes and breaks after <bytes> bytes
--- a/hornbeamrudder/gateway/features/steps/decision_steps.py
+++ b/hornbeamrudder/gateway/features/steps/decision_steps.py
@@ -447,3 +447,26 @@
     ]
     assert paused_shares[1] > 0.01, paused_shares
     assert paused_shares[0] <= paused_shares[1] / 2, paused_shares
+
+
+@behave.when(
+    'a hub has counts of the last window and gets some of a window {jump:d}'
+    ' later and {back:d} earlier'
+)
+def gather_after_clock_jump(context, jump, back):
+    gatherer = usage.Gatherer()
+    row = {'counts': {'north': 3}, 'complete': True}
+    present = 1000
+    for source, window in (
+        (usage.Source('a', 1), present - 1),
+        (usage.Source('b', 1), present + jump),
+        (usage.Source('c', 1), present - back),
+    ):
+        gatherer.add(source, {window: row}, present)
+    context.rows = gatherer.unsaved(float('inf'))
+
+
+@behave.then('the hub writes the counts of the last window only')
+def check_gathered(context):
+    assert [row.window for row in context.rows] == [999], context.rows
+    assert list(context.rows[0].value['sources']) == ['a/1'], context.rows
--- a/hornbeamrudder/gateway/usage.py
+++ b/hornbeamrudder/gateway/usage.py
@@ -175,10 +175,26 @@
         )
 
     def add(
-        self, source: Source, rows_by_window: Mapping[int, Mapping[str, Any]]
+        self,
+        source: Source,
+        rows_by_window: Mapping[int, Mapping[str, Any]],
+        present: int,
     ) -> None:
-        """Add the rows of a source, as its `Counter` gives them."""
+        """Add the rows of a source, as its `Counter` gives them.
+
+        Parameters
+        ----------
+        present : int
+            Number of the present window. The clock of a node that hears no
+            others may have jumped, so windows far from it are left out.
+        """
+        for window in [
+            item for item in self._by_window if item < present - KEPT_WINDOWS
+        ]:
+            del self._by_window[window]
         for window, row in rows_by_window.items():
+            if not present - KEPT_WINDOWS <= window <= present + 1:
+                continue
             known = self._by_window[window].get(source)
             if known is not None and (
                 known.row == row
@@ -187,11 +203,6 @@
             ):
                 continue
             self._by_window[window][source] = _Gathered(row)
-        newest = max(self._by_window, default=0)
-        for window in [
-            item for item in self._by_window if item < newest - KEPT_WINDOWS
-        ]:
-            del self._by_window[window]
 
     def unsaved(self, ended_before: float) -> list[GatheredRow]:
         """Return the rows to write.
