--- a/hornbeamrudder/gateway/metrics.py
+++ b/hornbeamrudder/gateway/metrics.py
@@ -37,6 +37,11 @@
             'hornbeamrudder_sends_total',
             'Requests sent to backend servers by service and result.',
         )
+        self.broken_beginnings = self._counter(
+            'hornbeamrudder_broken_beginnings_total',
+            'Responses of engines that broke before their first event, by'
+            ' service.',
+        )
         self.calls = self._counter(
             'hornbeamrudder_platform_calls_total',
             'Calls to the platform by kind and result.',
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -28,6 +28,7 @@
 MIN_PREFILL_SAMPLE_TOKENS = 1500
 # Part of the time to the first event that does not depend on the prompt.
 FIRST_EVENT_OVERHEAD_MS = 60.0
+MAX_LOGGED_PARTS = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,8 +86,11 @@
         match event:
             case http_client.Head() as head:
                 return await self._handle_head(call, attempt, head)
-            case http_client.ConnectionBroken(detail, answered, endless):
+            case http_client.ConnectionBroken(
+                detail, answered, endless
+            ) as broken:
                 attempt.connection.abort()
+                self._record_broken_beginning(call, attempt, broken, False)
                 return ExchangeResult(
                     calls.Result.FAILED,
                     detail,
@@ -255,8 +259,9 @@
                     parts += data
                 case http_client.End():
                     break
-                case http_client.ConnectionBroken(detail):
+                case http_client.ConnectionBroken(detail) as broken:
                     attempt.connection.abort()
+                    self._record_broken_beginning(call, attempt, broken, True)
                     return ExchangeResult(
                         calls.Result.FAILED,
                         f'answer is not whole: {detail}',
@@ -297,6 +302,39 @@
             calls.Result.DONE, server_outcome=health.Outcome.SUCCESS
         )
 
+    def _record_broken_beginning(
+        self,
+        call: calls.Call,
+        attempt: calls.Attempt,
+        broken: http_client.ConnectionBroken,
+        begun: bool,
+    ) -> None:
+        """Log a response that broke before its first event.
+
+        Parameters
+        ----------
+        begun : bool
+            Whether its head had arrived.
+        """
+        shared_parts = call.admitted.metadata.prompt_parts[:-1]
+        if not shared_parts:
+            return
+        entry = attempt.placement.record.entry
+        self._state.metrics.broken_beginnings.inc(
+            {'service': call.service.name}
+        )
+        self._state.log.info(
+            'response broke at its beginning',
+            request=call.request_id,
+            server=entry.id,
+            server_started=entry.started,
+            begun=begun,
+            detail=broken.detail,
+            prompt_parts=[
+                part.name for part in shared_parts[:MAX_LOGGED_PARTS]
+            ],
+        )
+
     def _mark_started(
         self, call: calls.Call, placement: server_registry.Placement
     ) -> None:
@@ -355,6 +393,10 @@
                     )
                 case http_client.ConnectionBroken() as broken:
                     attempt.connection.abort()
+                    if first:
+                        self._record_broken_beginning(
+                            call, attempt, broken, True
+                        )
                     return await self._handle_broken_stream(call, broken)
                 case failover.FailedOver():
                     if self._is_leaving(call, clock.now()):
