--- a/hornbeamrudder/gateway/features/node_harness.py
+++ b/hornbeamrudder/gateway/features/node_harness.py
@@ -42,6 +42,8 @@
     ----------
     event_count : int
         Number of events in each stream of the engines.
+    node_count : int
+        Number of nodes; requests go to the first one unless said.
     configuration_overrides : dict
         Top-level fields of the configuration that replace the default ones.
     """
@@ -52,6 +54,7 @@
         engine_count=2,
         event_count=6,
         bounds=None,
+        node_count=1,
         **configuration_overrides,
     ):
         self.store = row_store.RowStore()
@@ -72,6 +75,9 @@
         )
         self.configuration_overrides = configuration_overrides
         self.duties = frozenset()
+        self.node_count = node_count
+        self.nodes = []
+        self.tasks = []
         self.node = None
         self.version = 1
 
@@ -82,9 +88,25 @@
             await server.start(IP)
             self.put_entry(server)
         self.put_configuration()
+        self._platform_ports = store_port, cloud_port
+        for number in range(self.node_count):
+            self.start_node(number)
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while not all(map(self._is_ready, self.nodes)):
+            assert time.monotonic() < deadline, self.log.lines[-5:]
+            for task in self.tasks:
+                assert not task.done(), task.exception()
+            await asyncio.sleep(0.01)
+        self.node, self.task = self.nodes[0], self.tasks[0]
+        self.settings = self.node.settings
+        return self
+
+    def start_node(self, number):
+        """Start a node process with its own ports."""
+        store_port, cloud_port = self._platform_ports
         front, readiness, peer, metrics = ports.reserve(4)
-        self.settings = records.NodeSettings(
-            node=ids.NodeId('node-1'),
+        settings = records.NodeSettings(
+            node=ids.NodeId(f'node-{number + 1}'),
             ip=IP,
             data_centre=ids.DataCentreName('levis-est'),
             front=types.Address(IP, front),
@@ -98,22 +120,21 @@
             row_bytes=65536,
             bounds=self.bounds,
         )
-        self.node = node.Node(self.settings, adapter, self.log)
-        self.task = asyncio.create_task(self.node.run())
-        deadline = time.monotonic() + READY_TIMEOUT_S
+        self.nodes.append(node.Node(settings, adapter, self.log))
+        self.tasks.append(asyncio.create_task(self.nodes[-1].run()))
+
+    def _is_ready(self, started_node):
         expected_servers = len(self.plain_servers) + len(self.engines)
-        while not (
-            self.node.is_ready()
-            and len(self.node.state.servers.by_id) == expected_servers
-        ):
-            assert time.monotonic() < deadline, self.log.lines[-5:]
-            assert not self.task.done(), self.task.exception()
-            await asyncio.sleep(0.01)
-        return self
+        return (
+            started_node.is_ready()
+            and len(started_node.state.servers.by_id) == expected_servers
+            and started_node.state.peers.node_count == self.node_count
+        )
 
     async def __aexit__(self, *_):
-        self.task.cancel()
-        await asyncio.wait([self.task])
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.wait(self.tasks)
         for task in asyncio.all_tasks() - {asyncio.current_task()}:
             task.cancel()
 
@@ -143,17 +164,19 @@
             if request_id in (None, request.request_id)
         ]
 
-    async def connect(self):
-        """Open a client connection to the node."""
-        return await asyncio.open_connection(IP, self.settings.front.port)
+    async def connect(self, number=0):
+        """Open a client connection to a node."""
+        return await asyncio.open_connection(
+            IP, self.nodes[number].settings.front.port
+        )
 
-    async def send_request(self, path, connection=None, **options):
-        """Send one request and return the response.
+    async def send_request(self, path, connection=None, number=0, **options):
+        """Send one request to a node and return the response.
 
         Opens a connection for the request unless one is given.
         """
         closes_connection = connection is None
-        reader, writer = connection or await self.connect()
+        reader, writer = connection or await self.connect(number)
         sent_at = time.monotonic()
         writer.write(platform_caller.request_bytes(path, **options))
         response = await platform_caller.read_response(reader, sent_at)
--- a/hornbeamrudder/standins/platform_server.py
+++ b/hornbeamrudder/standins/platform_server.py
@@ -106,6 +106,10 @@
         Delay of the next response, in addition to `response_delay_s`.
     load_figures : str
         Value of the load header of responses; empty for no header.
+    crashing_parts : set of str
+        Prompt parts under which it ends at the beginning of its response.
+    on_crash : callable
+        Called when it has ended so.
     """
 
     def __init__(self, server_id: str, service: str, events: int = 0) -> None:
@@ -123,12 +127,30 @@
         self.writers: set[asyncio.StreamWriter] = set()
         self._repeated_by_writer: dict[asyncio.StreamWriter, bytes] = {}
         self.listener: asyncio.Server | None = None
+        self.crashing_parts: set[str] = set()
+        self.on_crash: Callable[['PlatformServer'], None] = lambda _: None
 
     async def start(self, ip: str, port: int = 0) -> None:
         """Start listening."""
         self.listener = await asyncio.start_server(self._serve, ip, port)
         self.address = '%s:%d' % self.listener.sockets[0].getsockname()[:2]
 
+    def crash(self) -> None:
+        """End without a notice: reset all connections and stop listening."""
+        if self.listener is None:
+            return
+        self.listener.close()
+        self.listener = None
+        for writer in tuple(self.writers):
+            _reset(writer)
+        self.on_crash(self)
+
+    def _crashes_under(self, request: ReceivedRequest) -> bool:
+        prefix = request.headers.get('x-hornbeamrudder-prompt-prefix', '')
+        return not self.crashing_parts.isdisjoint(
+            entry.partition(':')[0] for entry in prefix.split(',')
+        )
+
     def entry(self, **fields: Any) -> dict[str, Any]:
         """Return the registration entry of the server."""
         return {
@@ -363,6 +385,13 @@
                 'Transfer-Encoding: chunked',
             )
         )
+        if self._crashes_under(request):
+            beginning = b'id: 1\ndata: pie'
+            writer.write(b'%x\r\n%s\r\n' % (len(beginning), beginning))
+            await writer.drain()
+            await asyncio.sleep(CUT_RESET_DELAY_S)
+            self.crash()
+            return False
         if behaviour is Behaviour.STRAY_TEXT:
             writer.write(b'%x\r\n%s\r\n' % (len(ERROR_TEXT), ERROR_TEXT))
         if behaviour is Behaviour.TRICKLE:
