--- a/hornbeamrudder/gateway/calls.py
+++ b/hornbeamrudder/gateway/calls.py
@@ -6,6 +6,7 @@
 
 from . import admit
 from ..core import ids
+from . import crash_evidence
 from . import events
 from . import http_client
 from . import http_server
@@ -24,6 +25,8 @@
     DEADLINE_EXCEEDED = 'out of time'
     # The run continues at another backend server from a copy of its KV cache.
     MOVED = 'moved'
+    # Servers have crashed under a part of its prompt.
+    HELD = 'held back'
     # Another backend server has accepted the request.
     FAILED_OVER = 'failed over'
 
@@ -133,6 +136,12 @@
         Attempt to which the request was failed over, until it is followed.
     tried_at : float
         Time at which another server was last tried in vain.
+    part_keys : tuple of PartKey
+        Parts of the prompt that other requests may share.
+    broken_at : LifetimeKey or None
+        Server that broke off while an answer was beginning.
+    is_trial : bool
+        Whether it is sent although its parts are held back.
     """
 
     request: http_server.CallerRequest
@@ -155,6 +164,9 @@
     error_response: ErrorResponse | None = None
     next_attempt: Attempt | None = None
     tried_at: float = float('-inf')
+    part_keys: tuple[crash_evidence.PartKey, ...] = ()
+    broken_at: crash_evidence.LifetimeKey | None = None
+    is_trial: bool = False
 
     def record_send(self, server: ids.WorkerId) -> None:
         """Count one more send."""
--- a/hornbeamrudder/gateway/exchange.py
+++ b/hornbeamrudder/gateway/exchange.py
@@ -90,6 +90,8 @@
                     self._on_holder()
             case reports.Confirmation():
                 self._handle_confirmation(message)
+            case reports.Suspicions():
+                self._state.part_guard.apply(message)
             case reports.UsageCounts():
                 self.gatherer.add(
                     usage.Source(message.node, message.started),
@@ -233,6 +235,7 @@
         state = self._state
         now = clock.now()
         hubs = state.peers.hubs()
+        state.part_guard.step()
         if hubs:
             self._step_with_hubs(now, hubs)
         interval_s = peers.interval_s(state.peers.node_count)
--- a/hornbeamrudder/gateway/failover.py
+++ b/hornbeamrudder/gateway/failover.py
@@ -216,6 +216,9 @@
         opened = await self._sender.open(call, trial.placement.record)
         if isinstance(opened, http_client.ConnectionBroken):
             return None
+        if self._state.part_guard.held(call) is not None:
+            opened.connection.abort()
+            return None
         attempt = self._sender.send(call, trial.placement, opened)
         trial.sent = True
         try:
@@ -250,7 +253,12 @@
                     else health.Outcome.ERROR,
                     f'not accepted: status {head.status}',
                 )
-            case http_client.ConnectionBroken(detail, answered, endless):
+            case http_client.ConnectionBroken(
+                detail, answered, endless
+            ) as broken:
+                self._state.part_guard.record_broken(
+                    call, record, broken, False
+                )
                 # The server may have closed an idle connection at any time.
                 if answered or not attempt.reused:
                     self._sender.record_outcome(
--- a/hornbeamrudder/gateway/features/fleet_simulation.py
+++ b/hornbeamrudder/gateway/features/fleet_simulation.py
@@ -246,6 +246,8 @@
         self.counted_by_window = collections.defaultdict(collections.Counter)
         self.failures = []
         self.loss_rate = LOSS_RATE
+        # Numbers of the nodes that reach no other node.
+        self.cut = frozenset()
         self._in_transit = []
         self._sequence = itertools.count()
         self._delivery = None
@@ -276,6 +278,8 @@
             counting.cancel()
             for number in list(self.running_by_number):
                 self.kill(number)
+            for task in asyncio.all_tasks() - {asyncio.current_task()}:
+                task.cancel()
             await asyncio.sleep(0)
 
     # Nodes
@@ -393,6 +397,8 @@
         """Put a datagram in transit unless it is lost."""
         if self.rng.random() < self.loss_rate:
             return
+        if not self.cut.isdisjoint((_number(source.ip), _number(target_ip))):
+            return
         loop = asyncio.get_running_loop()
         heapq.heappush(
             self._in_transit,
--- a/hornbeamrudder/gateway/features/node_network.py
+++ b/hornbeamrudder/gateway/features/node_network.py
@@ -13,6 +13,7 @@
 from hornbeamrudder.gateway import messages
 from hornbeamrudder.gateway import metrics
 from hornbeamrudder.gateway import node_state
+from hornbeamrudder.gateway import part_guard
 from hornbeamrudder.gateway import peers
 from hornbeamrudder.gateway import records
 from hornbeamrudder.gateway import retry_budget
@@ -85,6 +86,9 @@
         self.address = types.Address('10.0.0.1', number)
         self.sent_count = 0
         node = ids.NodeId(f'n{number}')
+        node_metrics = metrics.Metrics()
+        node_peers = peers.Peers(node)
+        log = null_log.NullLog()
         self.state = node_state.NodeState(
             settings=records.NodeSettings(
                 node,
@@ -103,15 +107,18 @@
                 link_mbps=200.0 if number % 10 == 0 else 10.0,
             ),
             started=started,
-            log=null_log.NullLog(),
-            metrics=metrics.Metrics(),
+            log=log,
+            metrics=node_metrics,
             servers=server_registry.ServerRegistry(
                 ids.DataCentreName('d'), lambda record: None
             ),
-            peers=peers.Peers(node),
+            peers=node_peers,
             usage=usage.Counter(5.0),
             retry_budget=retry_budget.RetryBudget(0.2, 10.0, 200.0),
             rng=random.Random(number),
+            part_guard=part_guard.PartGuard(
+                node, node_peers, log, node_metrics
+            ),
         )
         self.state.configuration = configuration()
         self.state.peers.connection_made(self)
--- /dev/null
+++ b/hornbeamrudder/gateway/features/steps/crash_steps.py
@@ -0,0 +1,361 @@
+"""Steps for crashes of servers under requests, in virtual time."""
+
+import asyncio
+import itertools
+
+import behave
+
+from hornbeamrudder.gateway import clock
+from hornbeamrudder.gateway import crash_evidence
+from hornbeamrudder.gateway.features import crash_simulation
+from hornbeamrudder.gateway.features import fleet_simulation
+from hornbeamrudder.gateway import held_parts
+from hornbeamrudder.gateway import messages
+
+CONTACT_S = 3.0
+SOUND_PER_S = 90.0
+BAD_PER_S = 4.0
+START_S = 4.0
+USUAL_S = 3.0
+BAD_S = 12.0
+# Times after the first bad request at which a fault begins and ends.
+FAULT_AT_S = 0.4
+FAULT_S = 2.5
+FATAL_CRASH = 5
+CUT_SHARE = 0.4
+OTHER_BAD_PART = 'bad too'
+VICTIM_PART = 'part of another'
+VICTIM_PER_S = 1.0
+TRIAL_TIME_S = 900.0
+BAD_INTERVAL_S = 1.0
+
+
+def _keys(*names):
+    return frozenset(
+        crash_evidence.part_keys(
+            crash_simulation.SERVICE,
+            [messages.PromptPart(name, 100) for name in names],
+        )
+    )
+
+
+@behave.given('{count:d} nodes of one fleet')
+def create_fleet(context, count):
+    context.fleet = fleet_simulation.Fleet(count)
+
+
+def _play(context, scenario):
+    """Run a scenario after a start of all nodes and some sound requests."""
+
+    async def play(fleet):
+        fleet.put_configuration(1)
+        await fleet.start_all()
+        await asyncio.sleep(START_S)
+        simulation = crash_simulation.CrashSimulation(fleet)
+        await simulation.send_requests(USUAL_S, SOUND_PER_S, 0.0)
+        await scenario(simulation)
+        context.held_by_node = simulation.held_parts()
+        return simulation
+
+    context.simulation = context.fleet.run(play)
+    assert not context.fleet.failures, context.fleet.failures
+
+
+async def _inject(simulation, fault, out_of_touch):
+    """Inject a fault, and note from when to when nodes are out of touch."""
+    fleet = simulation.fleet
+    await asyncio.sleep(FAULT_AT_S)
+    numbers = sorted(fleet.running_by_number)
+    some = [
+        number for number in numbers if fleet.rng.random() < CUT_SHARE
+    ] or numbers[:1]
+    match fault:
+        case 'store down':
+            fleet.store.refuses = lambda node_id: True
+        case 'hubs lost':
+            state = fleet.running_by_number[1].node.state
+            for hub in state.peers.hubs():
+                fleet.kill(int(hub.removeprefix('n')))
+        case 'nodes restarted':
+            for number in some:
+                fleet.kill(number)
+                fleet.start(number)
+                out_of_touch[number] = clock.now()
+        case 'nodes cut':
+            fleet.cut = frozenset(some)
+            await asyncio.sleep(FAULT_S)
+            fleet.cut = frozenset()
+            out_of_touch.update(dict.fromkeys(some, clock.now()))
+
+
+@behave.when(
+    'requests with a part that crashes servers come while the fault is'
+    ' "{fault}"'
+)
+def send_bad_requests(context, fault):
+    context.out_of_touch = {}
+
+    async def scenario(simulation):
+        simulation.run_later(_inject(simulation, fault, context.out_of_touch))
+        await simulation.send_requests(BAD_S, SOUND_PER_S, BAD_PER_S)
+
+    _play(context, scenario)
+
+
+@behave.then(
+    'at most {count:d} of them are sent by nodes in touch later than 3 s after'
+    ' the fifth crash'
+)
+def check_later_sends(context, count):
+    simulation = context.simulation
+    assert simulation.crashed_at
+    if len(simulation.crashed_at) < FATAL_CRASH:
+        return
+    limit = simulation.crashed_at[FATAL_CRASH - 1] + CONTACT_S
+    later = [
+        (moment, number)
+        for moment, number in simulation.bad_sends()
+        if moment > limit
+        and moment
+        > context.out_of_touch.get(number, float('-inf')) + CONTACT_S
+    ]
+    assert len(later) <= count, (later, simulation.crashed_at)
+
+
+@behave.then('no sound request is held back')
+def check_sound_requests(context):
+    simulation = context.simulation
+    held = [
+        call
+        for call in simulation.calls
+        if not call.is_bad and call.outcome == 'held'
+    ]
+    assert not held, (len(held), held[0].parts, context.held_by_node)
+    assert sum(call.outcome == 'answered' for call in simulation.calls) > 900
+
+
+@behave.when('requests with two parts that crash servers come')
+def send_two_bad_parts(context):
+    async def scenario(simulation):
+        simulation.crashing_parts = {crash_simulation.BAD_PART, OTHER_BAD_PART}
+        turns = itertools.cycle(sorted(simulation.crashing_parts))
+        await simulation.send_requests(
+            BAD_S,
+            SOUND_PER_S,
+            BAD_PER_S,
+            lambda: (f'first{simulation.rng.randrange(3)}', next(turns)),
+        )
+
+    _play(context, scenario)
+
+
+@behave.then('both parts are held back at each node, and no others')
+def check_both_held(context):
+    expected = {_keys(crash_simulation.BAD_PART), _keys(OTHER_BAD_PART)}
+    for number, held in context.held_by_node.items():
+        assert held == expected, (number, held, expected)
+
+
+@behave.when('servers end because of "{cause}" beside sound requests')
+def end_servers(context, cause):
+    async def scenario(simulation):
+        simulation.run_later(simulation.send_requests(BAD_S, SOUND_PER_S, 0.0))
+        await asyncio.sleep(1.0)
+        match cause:
+            case 'a rack':
+                for server in simulation.servers[:12]:
+                    simulation.crash(server)
+            case 'crashes one after the other':
+                for number in range(len(simulation.servers)):
+                    simulation.crash(simulation.servers[number])
+                    await asyncio.sleep(0.3)
+            case 'a whole service':
+                simulation.fails_all = True
+                await asyncio.sleep(6.0)
+                simulation.fails_all = False
+            case 'resets':
+                for _ in range(20):
+                    for server in simulation.servers:
+                        simulation.break_connections(server)
+                    await asyncio.sleep(0.2)
+            case 'a cut':
+                for server in simulation.servers:
+                    simulation.crash(server, crash_simulation.LOST)
+                    await asyncio.sleep(0.2)
+            case 'a release':
+                for server in list(simulation.servers):
+                    server.leaving_since = clock.now()
+                    simulation.crash(server)
+                    await asyncio.sleep(0.2)
+        await asyncio.sleep(BAD_S - 6.0)
+
+    _play(context, scenario)
+
+
+@behave.then('nothing is held back at any node')
+def check_nothing_held(context):
+    held = {
+        number: parts
+        for number, parts in context.held_by_node.items()
+        if parts
+    }
+    assert not held, held
+    assert not any(call.outcome == 'held' for call in context.simulation.calls)
+
+
+@behave.when(
+    'requests that crash servers all name a part of another client too'
+)
+def name_part_of_another(context):
+    async def scenario(simulation):
+        rng = simulation.rng
+        simulation.run_later(simulation.send_requests(BAD_S, SOUND_PER_S, 0.0))
+        simulation.run_later(
+            simulation.send_requests(
+                BAD_S,
+                0.0,
+                BAD_PER_S,
+                lambda: (
+                    f'first{rng.randrange(3)}',
+                    VICTIM_PART,
+                    crash_simulation.BAD_PART,
+                ),
+            )
+        )
+        # The other client comes only when the parts are held back.
+        await asyncio.sleep(BAD_S / 2)
+        context.victims = []
+        while len(context.victims) < 5:
+            context.victims.append(
+                simulation.send(False, ('first1', VICTIM_PART))
+            )
+            await asyncio.sleep(1 / VICTIM_PER_S)
+        await asyncio.sleep(1.0)
+
+    _play(context, scenario)
+
+
+@behave.then(
+    'requests of the other client are sent, and those of the first are not'
+)
+def check_victims(context):
+    outcomes = [call.outcome for call in context.victims]
+    assert outcomes == ['answered'] * len(outcomes), outcomes
+    assert _keys(crash_simulation.BAD_PART) in context.held_by_node[0]
+
+
+@behave.when('all nodes are killed after a part was held back')
+def kill_all(context):
+    async def scenario(simulation):
+        fleet = simulation.fleet
+        await simulation.send_requests(8.0, SOUND_PER_S, BAD_PER_S)
+        assert all(simulation.held_parts().values())
+        for number in list(fleet.running_by_number):
+            fleet.kill(number)
+        await fleet.start_all()
+        context.limit = clock.now() + CONTACT_S
+        await simulation.send_requests(10.0, SOUND_PER_S, BAD_PER_S)
+
+    _play(context, scenario)
+
+
+@behave.then(
+    'no request with the part is sent later than 3 s after their start'
+)
+def check_not_sent_after_start(context):
+    later = [
+        moment
+        for moment, _ in context.simulation.bad_sends()
+        if moment > context.limit
+    ]
+    assert not later, (later, context.limit)
+
+
+async def _hold(simulation):
+    """Send bad requests until all nodes hold the part back."""
+    await simulation.send_requests(8.0, SOUND_PER_S, BAD_PER_S)
+    held = simulation.held_parts()
+    assert all(
+        parts == {_keys(crash_simulation.BAD_PART)} for parts in held.values()
+    ), held
+
+
+@behave.when('requests with a held part come for 900 s')
+def wait_for_trials(context):
+    async def scenario(simulation):
+        await _hold(simulation)
+        context.held_at = clock.now()
+        end = clock.now() + TRIAL_TIME_S
+        while clock.now() < end:
+            for number in simulation.fleet.running_by_number:
+                simulation.send(True, number=number)
+            await asyncio.sleep(BAD_INTERVAL_S)
+
+    _play(context, scenario)
+
+
+@behave.then(
+    '{count:d} of them are sent after the hold, the second 10 minutes after'
+    ' the first'
+)
+def check_trials(context, count):
+    sends = [
+        moment
+        for moment, _ in context.simulation.bad_sends()
+        if moment > context.held_at
+    ]
+    assert len(sends) == count, sends
+    assert 595.0 < sends[1] - sends[0] < 620.0, sends
+
+
+async def _send_until_answered(simulation, seconds):
+    """Send requests with the part; return when each node answered one."""
+    answered_at = {}
+    end = clock.now() + seconds
+    while clock.now() < end:
+        calls = [
+            simulation.send(True, number=number)
+            for number in simulation.fleet.running_by_number
+        ]
+        await asyncio.sleep(BAD_INTERVAL_S / 2)
+        for call in calls:
+            if call.outcome == 'answered':
+                answered_at.setdefault(call.node_number, clock.now())
+    return answered_at
+
+
+@behave.when('a held part no longer crashes servers')
+def make_part_sound(context):
+    async def scenario(simulation):
+        await _hold(simulation)
+        simulation.crashing_parts = set()
+        context.answered_at = await _send_until_answered(simulation, 75.0)
+
+    _play(context, scenario)
+
+
+@behave.then(
+    'requests with it are answered at each node soon after the first trial'
+)
+def check_released(context):
+    moments = sorted(context.answered_at.values())
+    assert len(moments) == context.fleet.count, moments
+    assert moments[-1] - moments[0] <= 2.0, moments
+
+
+@behave.when('the row of the held parts is removed and the part is sound')
+def remove_row(context):
+    async def scenario(simulation):
+        await _hold(simulation)
+        simulation.crashing_parts = set()
+        store = simulation.fleet.store
+        assert store.rows_by_table[held_parts.TABLE], store.rows_by_table
+        store.commit([(held_parts.TABLE, held_parts.KEY, None)])
+        context.answered_at = await _send_until_answered(simulation, 8.0)
+
+    _play(context, scenario)
+
+
+@behave.then('requests with it are answered at each node within 8 s')
+def check_released_by_hand(context):
+    assert len(context.answered_at) == context.fleet.count, context.answered_at
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -7,12 +7,14 @@
 from . import calls
 from . import clock
 from ..core import ids
+from . import crash_evidence
 from . import events
 from . import failover
 from . import http_client
 from . import http_server
 from . import messages
 from . import node_state
+from . import part_guard
 from . import records
 from . import relay
 from . import sending
@@ -39,6 +41,7 @@
 # Batches capacity changes, to avoid a scan of the queue for each one.
 DISPATCH_DELAY_S = 0.004
 CLIENT_DISCONNECTED = 'client disconnected'
+HELD_BACK = 'servers have crashed under a part of the prompt'
 
 
 class Forwarder:
@@ -107,11 +110,17 @@
             decision,
             service,
             calls.Stream(events.EventSplitter(metadata.last_event_id)),
+            part_keys=crash_evidence.part_keys(
+                service.name, metadata.prompt_parts[:-1]
+            ),
         )
         self.calls.add(call)
         outcome = CLIENT_DISCONNECTED
         try:
-            await self._serve_with_retries(call)
+            if not await self.state.part_guard.admit(call):
+                self._fail(call, HELD_BACK)
+            else:
+                await self._serve_with_retries(call)
             outcome = call.detail or 'served'
         finally:
             self.calls.discard(call)
@@ -194,9 +203,13 @@
                     call.record_refusal(placement.record.entry.id)
                     retry = self.may_retry(call)
                 case calls.Result.FAILED:
-                    retry = call.admitted.route.retryable and self.may_retry(
-                        call
+                    retry = (
+                        call.admitted.route.retryable
+                        and self.may_retry(call)
+                        and await self.state.part_guard.may_repeat(call)
                     )
+                case calls.Result.HELD:
+                    retry = False
             if not retry:
                 self._fail(call, call.detail)
                 return
@@ -226,6 +239,8 @@
             return False
         if clock.now() >= call.admitted.deadline:
             return False
+        if self.state.part_guard.held(call) is not None:
+            return False
         return self.state.retry_budget.allows_retry(
             call.service.name, self.state.peers.node_count, clock.now()
         )
@@ -398,6 +413,11 @@
         if clock.now() >= call.admitted.deadline:
             opened.connection.abort()
             return calls.Result.DEADLINE_EXCEEDED
+        # The parts may have been held back while the request was waiting.
+        if self.state.part_guard.held(call) is not None:
+            opened.connection.abort()
+            call.detail = HELD_BACK
+            return calls.Result.HELD
         return await self._follow(
             call, self._sender.send(call, placement, opened)
         )
@@ -447,11 +467,14 @@
             self._send_error(call.reply, call, 504 if late else 502, None)
             return
         remaining_s = max(0.0, call.admitted.deadline - now)
+        hold = self.state.part_guard.held(call)
         self._send_error(
             call.reply,
             call,
             503,
-            min(admit.OTHER_NODE_RETRY_S, remaining_s * RETRY_AFTER_SHARE),
+            min(admit.OTHER_NODE_RETRY_S, remaining_s * RETRY_AFTER_SHARE)
+            if hold is None
+            else part_guard.retry_after_s(hold, now),
         )
 
     def _send_error(
--- a/hornbeamrudder/gateway/http_client.py
+++ b/hornbeamrudder/gateway/http_client.py
@@ -76,11 +76,14 @@
         Whether any byte of the response had arrived.
     endless : bool
         Whether the response exceeded a limit on its bytes.
+    closed : bool
+        Whether the server closed or reset the connection.
     """
 
     detail: str
     answered: bool = False
     endless: bool = False
+    closed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -335,19 +338,27 @@
         if self._until_close and self._exchange is not None:
             self._exchange.add_event(End())
         else:
-            self._end_broken('closed by the other side')
+            self._end_broken('closed by the other side', closed=True)
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the open exchange; called by the event loop."""
         self.closed = True
-        self._end_broken(f'connection lost: {error}' if error else 'closed')
+        # A path that is cut ends with a time-out instead.
+        self._end_broken(
+            f'connection lost: {error}' if error else 'closed',
+            closed=error is None or isinstance(error, ConnectionError),
+        )
 
-    def _end_broken(self, detail: str, endless: bool = False) -> None:
+    def _end_broken(
+        self, detail: str, endless: bool = False, closed: bool = False
+    ) -> None:
         if self._exchange is not None:
             self._emit_body()
             self._exchange.add_event(
-                ConnectionBroken(detail, self._exchange.answered, endless)
+                ConnectionBroken(
+                    detail, self._exchange.answered, endless, closed
+                )
             )
 
     # httptools callbacks
--- a/hornbeamrudder/gateway/metrics.py
+++ b/hornbeamrudder/gateway/metrics.py
@@ -37,6 +37,19 @@
             'hornbeamrudder_sends_total',
             'Requests sent to backend servers by service and result.',
         )
+        self.crashes = self._counter(
+            'hornbeamrudder_server_crashes_total',
+            'Crashes of backend servers seen by this node, by service.',
+        )
+        self.holds = self._counter(
+            'hornbeamrudder_holds_total',
+            'Holds on prompt parts, by whether this node or another found'
+            ' them.',
+        )
+        self.held_requests = self._counter(
+            'hornbeamrudder_held_requests_total',
+            'Requests refused for a prompt part that is held back, by route.',
+        )
         self.broken_beginnings = self._counter(
             'hornbeamrudder_broken_beginnings_total',
             'Responses of engines that broke before their first event, by'
--- a/hornbeamrudder/gateway/node.py
+++ b/hornbeamrudder/gateway/node.py
@@ -11,11 +11,13 @@
 from . import duties
 from . import exchange
 from . import forward
+from . import held_parts
 from . import http_server
 from . import listener
 from . import metrics
 from . import moves
 from . import node_state
+from . import part_guard
 from . import peers
 from . import records
 from . import registration
@@ -81,22 +83,27 @@
         )
         bounds = settings.bounds
         started = int(clock.wall() * 1e3)
+        node_metrics = metrics.Metrics()
+        node_peers = peers.Peers(settings.node)
         self.state = node_state.NodeState(
             settings=settings,
             started=started,
             log=log,
-            metrics=metrics.Metrics(),
+            metrics=node_metrics,
             servers=server_registry.ServerRegistry(
                 settings.data_centre,
                 self._on_server_leaving,
                 lambda record: self.mover.returned(record),
             ),
-            peers=peers.Peers(settings.node),
+            peers=node_peers,
             usage=usage.Counter(bounds.usage_window_s),
             retry_budget=retry_budget.RetryBudget(
                 bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
             ),
             rng=random.Random(),
+            part_guard=part_guard.PartGuard(
+                settings.node, node_peers, log, node_metrics
+            ),
         )
         self._store_health = store_health.StoreHealth(self.state.rng)
         self.forwarder = forward.Forwarder(self.state, platform.headers)
@@ -136,6 +143,10 @@
         self._registration = registration.Registration(
             self.state, self._store, platform, self._store_health
         )
+        self._held_parts = held_parts.HeldParts(
+            self.state, self._store, platform, self._store_health
+        )
+        self.state.part_guard.claim_trial = self._held_parts.claim_trial
         self._node_table = watch.TableWatch(
             self._store,
             registration.TABLE,
@@ -230,6 +241,7 @@
             self._server_table.run(),
             self._node_table.run(),
             self.duties.run(),
+            self._held_parts.run(),
             self._registration.run(lambda: bool(self.duties.fencing_number)),
             self._run_housekeeping(),
         )
--- a/hornbeamrudder/gateway/node_state.py
+++ b/hornbeamrudder/gateway/node_state.py
@@ -9,6 +9,7 @@
 from . import clock
 from ..core import ids
 from . import metrics
+from . import part_guard
 from . import peers
 from . import quota
 from . import records
@@ -49,6 +50,7 @@
     usage: usage.Counter
     retry_budget: retry_budget.RetryBudget
     rng: random.Random
+    part_guard: part_guard.PartGuard
     configuration: records.Configuration | None = None
     confirmed_at: float = float('-inf')
     stopping: bool = False
--- /dev/null
+++ b/hornbeamrudder/gateway/part_guard.py
@@ -0,0 +1,471 @@
+"""Keeps requests with prompt parts that crash backend servers from them.
+
+Nodes tell each other of crashes, of answers that clear a part, and of parts
+that are held back: directly in a full mesh, else through the hubs.
+"""
+
+import asyncio
+import collections
+import itertools
+from typing import Any, Awaitable, Callable, Iterable, Iterator, Sequence
+
+from . import calls
+from . import clock
+from ..core import hashing
+from ..core import ids
+from . import crash_evidence
+from . import http_client
+from . import metrics
+from . import peers
+from . import reports
+from . import server_registry
+
+# Time-out of the connection that tells whether a server has ended.
+CHECK_TIMEOUT_S = 0.3
+# Time in which other nodes can report answers, in a full mesh and with hubs.
+SETTLE_S = 0.1
+RELAYED_SETTLE_S = 0.45
+# News are sent again once, as a datagram may be lost.
+REPEAT_S = 0.4
+# Interval between messages with all holds, while there are any.
+HOLDS_INTERVAL_S = 1.0
+# Items in one datagram.
+MAX_ITEMS = 8
+MAX_PART_NAMES = 512
+# From the start of a hold to its first trial, and from that to the next one.
+TRIAL_PAUSES_S = (60.0, 600.0)
+# Shortest time between two attempts to get leave for a trial.
+TRIAL_RETRY_S = 5.0
+# Bounds on the Retry-After of a request that is held back.
+MIN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 60.0
+
+Connect = Callable[..., Awaitable[Any]]
+# Asks for leave to send the next trial under a hold.
+ClaimTrial = Callable[[crash_evidence.Hold], Awaitable[bool]]
+
+
+async def _no_trial(hold: crash_evidence.Hold) -> bool:
+    return False
+
+
+class PartGuard:
+    """Crash evidence of one node, and its exchange with the others.
+
+    Attributes
+    ----------
+    claim_trial : callable
+        Asks for leave to send a trial; at most one node gets it.
+    connect : callable
+        Opens a connection to a server, to see whether it has ended.
+    """
+
+    def __init__(
+        self,
+        node: ids.NodeId,
+        peers_: peers.Peers,
+        log: Any,
+        metrics_: metrics.Metrics,
+    ) -> None:
+        self.evidence = crash_evidence.CrashEvidence()
+        self.claim_trial: ClaimTrial = _no_trial
+        self._node = node
+        self._peers = peers_
+        self._log = log
+        self._metrics = metrics_
+        self.connect: Connect = http_client.connect
+        self._name_by_key: collections.OrderedDict[
+            crash_evidence.PartKey, str
+        ] = collections.OrderedDict()
+        # Checks in progress and the results of recent ones.
+        self._check_by_lifetime: dict[
+            crash_evidence.LifetimeKey, asyncio.Task[bool]
+        ] = {}
+        self._crash_news: dict[crash_evidence.LifetimeKey, float] = {}
+        self._answer_news: dict[crash_evidence.PartKey, float] = {}
+        self._hold_news = False
+        self._repeat: list[tuple[float, reports.Suspicions]] = []
+        self._holds_sent_at = float('-inf')
+        self._trial_asked_at = float('-inf')
+
+    # Requests
+
+    def held(self, call: calls.Call) -> crash_evidence.Hold | None:
+        """Return the hold that applies to a request."""
+        if call.is_trial:
+            return None
+        return self.evidence.held(call.part_keys)
+
+    async def admit(self, call: calls.Call) -> bool:
+        """Return whether a request may be sent, perhaps as a trial."""
+        hold = self.held(call)
+        if hold is None:
+            return True
+        now = clock.now()
+        if (
+            now < trial_at(hold)
+            or now - self._trial_asked_at < TRIAL_RETRY_S
+            or not await self._claim_trial(hold)
+        ):
+            self._metrics.held_requests.inc(
+                {'route': call.admitted.route.name}
+            )
+            return False
+        call.is_trial = True
+        self._log.warning(
+            'prompt parts are tried again',
+            request=call.request_id,
+            prompt_parts=self._labels(hold.parts),
+            trials=hold.trials + 1,
+        )
+        return True
+
+    async def _claim_trial(self, hold: crash_evidence.Hold) -> bool:
+        self._trial_asked_at = clock.now()
+        return await self.claim_trial(hold)
+
+    def record_answer(self, call: calls.Call) -> None:
+        """Record that an answer has got past its beginning."""
+        if not call.part_keys:
+            return
+        held = frozenset(
+            itertools.chain.from_iterable(self.evidence.hold_by_parts)
+        )
+        cleared = self.evidence.record_answer(
+            crash_evidence.service_key(call.service.name),
+            call.part_keys,
+            clock.now(),
+        )
+        for part in cleared:
+            self._answer_news[part] = clock.now()
+        if not held.isdisjoint(cleared):
+            self._log.warning(
+                'prompt parts are released',
+                request=call.request_id,
+                prompt_parts=self._labels(held.intersection(cleared)),
+            )
+        if cleared:
+            self._send_news()
+
+    def record_broken(
+        self,
+        call: calls.Call,
+        record: server_registry.ServerRecord,
+        broken: http_client.ConnectionBroken,
+        begun: bool,
+    ) -> None:
+        """Find out whether a server that broke off an answer has crashed.
+
+        Parameters
+        ----------
+        begun : bool
+            Whether the head of the answer had arrived.
+        """
+        if (
+            not call.part_keys
+            or not broken.closed
+            or record.leaving_since is not None
+        ):
+            return
+        entry = record.entry
+        lifetime = crash_evidence.LifetimeKey(
+            hashing.stable_hash(entry.id, str(entry.started))
+        )
+        call.broken_at = lifetime if begun else call.broken_at
+        check = self._check_by_lifetime.get(lifetime)
+        if check is None:
+            check = asyncio.ensure_future(self._has_crashed(record))
+            self._check_by_lifetime[lifetime] = check
+            while len(self._check_by_lifetime) > crash_evidence.MAX_CRASHES:
+                del self._check_by_lifetime[
+                    next(iter(self._check_by_lifetime))
+                ]
+        for part in call.admitted.metadata.prompt_parts[:-1][
+            : crash_evidence.MAX_PARTS_PER_REQUEST
+        ]:
+            (key,) = crash_evidence.part_keys(call.service.name, (part,))
+            self._name_by_key[key] = part.name
+        while len(self._name_by_key) > MAX_PART_NAMES:
+            self._name_by_key.popitem(last=False)
+        at = clock.now()
+        check.add_done_callback(
+            lambda done: (
+                self._record_crash(call, record, lifetime, begun, at)
+                if not done.cancelled() and done.result()
+                else None
+            )
+        )
+
+    async def _has_crashed(self, record: server_registry.ServerRecord) -> bool:
+        opened = await self.connect(record.entry.address, CHECK_TIMEOUT_S)
+        if isinstance(opened, http_client.ConnectionBroken):
+            self._metrics.crashes.inc({'service': record.entry.service})
+            return True
+        opened.abort()
+        return False
+
+    def _record_crash(
+        self,
+        call: calls.Call,
+        record: server_registry.ServerRecord,
+        lifetime: crash_evidence.LifetimeKey,
+        begun: bool,
+        at: float,
+    ) -> None:
+        service = crash_evidence.service_key(call.service.name)
+        self.evidence.record_failure(service, call.part_keys, begun, at)
+        parts = frozenset(call.part_keys)
+        self._log.info(
+            'backend server has crashed',
+            server=record.entry.id,
+            server_started=record.entry.started,
+            request=call.request_id,
+            begun=begun,
+            prompt_parts=self._labels(call.part_keys),
+        )
+        if self.evidence.add_crash(
+            crash_evidence.Crash(
+                lifetime,
+                service,
+                at,
+                clock.now(),
+                parts if begun else frozenset(),
+                frozenset() if begun else parts,
+            )
+        ):
+            self._crash_news[lifetime] = at
+            self._send_news()
+
+    async def may_repeat(self, call: calls.Call) -> bool:
+        """Return whether a request may be sent to another server.
+
+        A request whose answer was beginning when its server crashed is not,
+        unless answers with all of its parts have got past their beginning.
+        """
+        if self.held(call) is not None:
+            return False
+        if call.broken_at is None or all(
+            part in self.evidence.answered_at for part in call.part_keys
+        ):
+            return True
+        check = self._check_by_lifetime.get(call.broken_at)
+        return check is not None and not await asyncio.shield(check)
+
+    # Messages
+
+    def step(self) -> None:
+        """Find holds and send what is due."""
+        now = clock.now()
+        uses_hubs = self._peers.uses_hubs
+        for hold in self.evidence.find_holds(
+            now, RELAYED_SETTLE_S if uses_hubs else SETTLE_S
+        ):
+            if self.evidence.add_hold(hold):
+                self._hold_news = True
+                self._log_hold(hold, None)
+        self._send_news()
+        due = [item for item in self._repeat if item[0] <= now]
+        self._repeat = [item for item in self._repeat if item[0] > now]
+        for _, message in due:
+            self._send(message)
+        interval_s = max(
+            HOLDS_INTERVAL_S, peers.interval_s(self._peers.node_count)
+        )
+        if (
+            self.evidence.hold_by_parts
+            and now - self._holds_sent_at >= interval_s
+        ):
+            self._holds_sent_at = now
+            for message in self._hold_messages():
+                self._send(message)
+
+    def apply(self, message: reports.Suspicions) -> None:
+        """Apply what another node knows."""
+        now = clock.now()
+        evidence = self.evidence
+        is_hub = self._is_hub()
+        for crash in message.crashes:
+            own = _decode_crash(crash, now)
+            if not evidence.add_crash(own):
+                continue
+            if is_hub:
+                self._crash_news[own.lifetime] = own.at
+            # The sender adds what it knows of the parts' answers.
+            for part in own.parts:
+                told = message.answer_age_by_part.get(part)
+                known = evidence.answered_at.get(part, float('-inf'))
+                if known > own.at and (told is None or known > now - told):
+                    self._answer_news[part] = known
+        for key, age_s in message.answer_age_by_part.items():
+            part = crash_evidence.PartKey(key)
+            if evidence.vouch(part, now - age_s) and is_hub:
+                self._answer_news[part] = now - age_s
+        for news in message.holds:
+            hold = _decode_hold(news, now)
+            if evidence.add_hold(hold):
+                self._hold_news = self._hold_news or is_hub
+                self._log_hold(hold, message.node)
+            for part in hold.parts:
+                answered = evidence.answered_at.get(part, float('-inf'))
+                if answered > hold.first_at:
+                    self._answer_news[part] = answered
+
+    def adopt(self, hold: crash_evidence.Hold, source: str) -> None:
+        """Apply a hold that the store or an operator tells of."""
+        if self.evidence.add_hold(hold):
+            self._hold_news = True
+            self._log_hold(hold, source)
+
+    def release(self, part: crash_evidence.PartKey, source: str) -> None:
+        """Release a part by hand."""
+        if self.evidence.vouch(part, clock.now()):
+            self._answer_news[part] = clock.now()
+            self._log.warning(
+                'prompt parts are released',
+                prompt_parts=self._labels((part,)),
+                source=source,
+            )
+
+    def _is_hub(self) -> bool:
+        return self._peers.uses_hubs and self._node in self._peers.hubs()
+
+    def _send_news(self) -> None:
+        now = clock.now()
+        messages = list(self._news_messages(now))
+        self._crash_news.clear()
+        self._answer_news.clear()
+        if self._hold_news:
+            self._hold_news = False
+            messages.extend(self._hold_messages())
+        for message in messages:
+            self._send(message)
+            self._repeat.append((now + REPEAT_S, message))
+
+    def _news_messages(self, now: float) -> Iterator[reports.Suspicions]:
+        evidence = self.evidence
+        for lifetimes in _batches(list(self._crash_news)):
+            crashes = [
+                evidence.crash_by_lifetime[lifetime]
+                for lifetime in lifetimes
+                if lifetime in evidence.crash_by_lifetime
+            ]
+            answers: dict[int, float] = {
+                part: now - evidence.answered_at[part]
+                for crash in crashes
+                for part in crash.parts
+                if part in evidence.answered_at
+            }
+            yield reports.Suspicions(
+                self._node,
+                tuple(_encode_crash(crash, now) for crash in crashes),
+                answers,
+            )
+        for parts in _batches(list(self._answer_news.items())):
+            yield reports.Suspicions(
+                self._node,
+                answer_age_by_part={
+                    part: max(0.0, now - at) for part, at in parts
+                },
+            )
+
+    def _hold_messages(self) -> Iterator[reports.Suspicions]:
+        now = clock.now()
+        for holds in _batches(list(self.evidence.hold_by_parts.values())):
+            yield reports.Suspicions(
+                self._node,
+                holds=tuple(_encode_hold(hold, now) for hold in holds),
+            )
+
+    def _send(self, message: reports.Suspicions) -> None:
+        if not self._peers.uses_hubs:
+            targets: Iterable[ids.NodeId] = self._peers.known_by_id
+        elif self._is_hub():
+            targets = {*self._peers.hubs(), *self._peers.direct_reports()}
+        else:
+            targets = self._peers.hubs()
+        data = reports.encode(message)
+        for node in targets:
+            if node != self._node:
+                self._peers.send_to(node, data)
+
+    # Log
+
+    def _labels(self, parts: Iterable[crash_evidence.PartKey]) -> list[str]:
+        """Return keys in hexadecimal, with the names known to this node."""
+        return [
+            f'{part:016x} {self._name_by_key.get(part, "")}'.rstrip()
+            for part in sorted(parts)[:MAX_ITEMS]
+        ]
+
+    def _log_hold(self, hold: crash_evidence.Hold, source: str | None) -> None:
+        self._metrics.holds.inc(
+            {'source': 'own' if source is None else 'other'}
+        )
+        self._log.warning(
+            'prompt parts are held back',
+            prompt_parts=self._labels(hold.parts),
+            crashes=hold.crashes,
+            first_crash_age_s=round(clock.now() - hold.first_at, 2),
+            trials=hold.trials,
+            source=source,
+        )
+
+
+def trial_at(hold: crash_evidence.Hold) -> float:
+    """Return from when on the next trial may be sent; infinite for never."""
+    if hold.trials >= len(TRIAL_PAUSES_S):
+        return float('inf')
+    return hold.held_at + sum(TRIAL_PAUSES_S[: hold.trials + 1])
+
+
+def retry_after_s(hold: crash_evidence.Hold, now: float) -> float:
+    """Return the Retry-After of a request that is held back."""
+    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, trial_at(hold) - now))
+
+
+def _batches(items: Sequence[Any]) -> Iterator[Sequence[Any]]:
+    for start in range(0, len(items), MAX_ITEMS):
+        yield items[start : start + MAX_ITEMS]
+
+
+def _encode_crash(
+    crash: crash_evidence.Crash, now: float
+) -> reports.CrashNews:
+    return reports.CrashNews(
+        crash.lifetime,
+        crash.service,
+        max(0.0, now - crash.at),
+        tuple(crash.begun),
+        tuple(crash.unanswered),
+    )
+
+
+def _decode_crash(news: reports.CrashNews, now: float) -> crash_evidence.Crash:
+    return crash_evidence.Crash(
+        crash_evidence.LifetimeKey(news.lifetime),
+        crash_evidence.ServiceKey(news.service),
+        now - news.age_s,
+        now,
+        frozenset(map(crash_evidence.PartKey, news.begun)),
+        frozenset(map(crash_evidence.PartKey, news.unanswered)),
+    )
+
+
+def _encode_hold(hold: crash_evidence.Hold, now: float) -> reports.HoldNews:
+    return reports.HoldNews(
+        tuple(hold.parts),
+        max(0.0, now - hold.first_at),
+        max(0.0, now - hold.held_at),
+        hold.crashes,
+        hold.trials,
+    )
+
+
+def _decode_hold(news: reports.HoldNews, now: float) -> crash_evidence.Hold:
+    return crash_evidence.Hold(
+        frozenset(map(crash_evidence.PartKey, news.parts)),
+        now - news.first_age_s,
+        now - news.held_age_s,
+        news.crashes,
+        news.trials,
+    )
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -274,6 +274,7 @@
                     attempt.connection.abort()
                     return _deadline_result('no whole answer')
         _keep_connection(attempt)
+        self._state.part_guard.record_answer(call)
         if call.stream.started:
             return ExchangeResult(
                 calls.Result.FAILED,
@@ -309,7 +310,7 @@
         broken: http_client.ConnectionBroken,
         begun: bool,
     ) -> None:
-        """Log a response that broke before its first event.
+        """Record a response that broke before its first event.
 
         Parameters
         ----------
@@ -319,6 +320,9 @@
         shared_parts = call.admitted.metadata.prompt_parts[:-1]
         if not shared_parts:
             return
+        self._state.part_guard.record_broken(
+            call, attempt.placement.record, broken, begun
+        )
         entry = attempt.placement.record.entry
         self._state.metrics.broken_beginnings.inc(
             {'service': call.service.name}
@@ -435,6 +439,7 @@
                 / max(1.0, prefill_ms),
             )
         self._mark_started(call, placement)
+        self._state.part_guard.record_answer(call)
 
     def _forward_events(
         self, call: calls.Call, head: http_client.Head, event_bytes: bytes
--- a/hornbeamrudder/gateway/reports.py
+++ b/hornbeamrudder/gateway/reports.py
@@ -18,6 +18,7 @@
 MEMBERS_FORMAT = 5
 CONFIRMATION_FORMAT = 6
 USAGE_FORMAT = 7
+SUSPICIONS_FORMAT = 8
 # Backlogs are encoded as multiples of this number of tokens.
 BACKLOG_UNIT_TOKENS = 64
 
@@ -172,7 +173,66 @@
     rows_by_window: Mapping[int, Mapping[str, Any]]
 
 
-Message = Report | LoadDigest | MembersDigest | Confirmation | UsageCounts
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashNews:
+    """Crash of a backend server, as `crash_evidence.Crash`.
+
+    Attributes
+    ----------
+    age_s : float
+        Seconds since the crash.
+    """
+
+    lifetime: int
+    service: int
+    age_s: float
+    begun: tuple[int, ...]
+    unanswered: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HoldNews:
+    """Prompt parts that are held back, as `crash_evidence.Hold`.
+
+    Attributes
+    ----------
+    first_age_s, held_age_s : float
+        Seconds since the first crash, and since requests are refused.
+    """
+
+    parts: tuple[int, ...]
+    first_age_s: float
+    held_age_s: float
+    crashes: int
+    trials: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspicions:
+    """What a node knows of crashes and of the prompt parts behind them.
+
+    Attributes
+    ----------
+    answer_age_by_part : mapping
+        Seconds since an answer with a part got past its beginning.
+    """
+
+    node: ids.NodeId
+    crashes: tuple[CrashNews, ...] = ()
+    answer_age_by_part: Mapping[int, float] = dataclasses.field(
+        default_factory=dict
+    )
+    holds: tuple[HoldNews, ...] = ()
+
+
+Message = (
+    Report
+    | LoadDigest
+    | MembersDigest
+    | Confirmation
+    | UsageCounts
+    | Suspicions
+)
 
 
 def encode(message: Message) -> bytes:
@@ -231,6 +291,14 @@
                     for window, row in message.rows_by_window.items()
                 ],
             ]
+        case Suspicions():
+            fields = [
+                SUSPICIONS_FORMAT,
+                message.node,
+                [dataclasses.astuple(crash) for crash in message.crashes],
+                list(message.answer_age_by_part.items()),
+                [dataclasses.astuple(hold) for hold in message.holds],
+            ]
     packed: bytes = msgpack.packb(fields)
     return packed
 
@@ -239,7 +307,14 @@
     """Decode the fields of a datagram; return None if they are invalid."""
     try:
         return _DECODER_BY_FORMAT[fields[0]](fields[1:])
-    except (ValueError, TypeError, IndexError, AttributeError, KeyError):
+    except (
+        ValueError,
+        TypeError,
+        IndexError,
+        AttributeError,
+        KeyError,
+        OverflowError,
+    ):
         # Truncated, or sent by another program; counted by the caller.
         return None
 
@@ -310,12 +385,48 @@
     )
 
 
+def _decode_suspicions(fields: Sequence[Any]) -> Suspicions:
+    node, crashes, answers, holds = fields
+    return Suspicions(
+        ids.NodeId(str(node)),
+        tuple(
+            CrashNews(
+                int(lifetime),
+                int(service),
+                _unpack_age(age_s),
+                tuple(map(int, begun)),
+                tuple(map(int, unanswered)),
+            )
+            for lifetime, service, age_s, begun, unanswered in crashes
+        ),
+        {int(part): _unpack_age(age_s) for part, age_s in answers},
+        tuple(
+            HoldNews(
+                tuple(map(int, parts)),
+                _unpack_age(first_age_s),
+                _unpack_age(held_age_s),
+                int(count),
+                int(trials),
+            )
+            for parts, first_age_s, held_age_s, count, trials in holds
+        ),
+    )
+
+
+def _unpack_age(value: Any) -> float:
+    age_s = float(value)
+    if not 0.0 <= age_s < float('inf'):
+        raise ValueError(f'{value!r} is no age')
+    return age_s
+
+
 _DECODER_BY_FORMAT: dict[int, Callable[[Sequence[Any]], Message]] = {
     REPORT_FORMAT: _decode_report,
     LOAD_FORMAT: _decode_load,
     MEMBERS_FORMAT: _decode_members,
     CONFIRMATION_FORMAT: _decode_confirmation,
     USAGE_FORMAT: _decode_usage,
+    SUSPICIONS_FORMAT: _decode_suspicions,
 }
 
 
