--- a/hornbeamrudder/gateway/features/path.feature
+++ b/hornbeamrudder/gateway/features/path.feature
@@ -175,3 +175,20 @@
     # while it starts, before it has installed its handler (soak, seed 120).
     When a starting node reaches its first import
     Then it already ignores SIGHUP
+
+  Scenario: A stream without a length or chunks is complete at its close
+    # Guards against streams that are cut as they have no framing.
+    When a request on "chat" gets "unframed stream" from each server
+    Then the client receives the complete stream
+
+  Scenario Outline: A stream that closes within an event has been broken off
+    # Guards against a stream that breaks off and reaches the client as whole.
+    When a request on "<route>" gets "<first>" from one server and "normal" from the other
+    Then the client receives <outcome>
+
+    Examples: without a length or chunks
+      | route | first          | outcome                   |
+      | chat  | unframed cut   | a stream without its end  |
+      | chat  | unframed empty | an error                  |
+      | plan  | unframed cut   | the complete stream       |
+      | plan  | unframed empty | the complete stream       |
--- a/hornbeamrudder/gateway/features/reports_of_operators.feature
+++ b/hornbeamrudder/gateway/features/reports_of_operators.feature
@@ -68,3 +68,17 @@
       | route | gone | servers |
       | plan  | 0.5  | 1       |
       | chat  | 0.5  | 1       |
+
+  Scenario Outline: An answer that ends within its head reaches nobody as a success
+    # Guards against a 200 with an empty or a short body that seems whole.
+    When a request on "<route>" gets "<first>" from each server
+    Then the client receives 502
+
+    Examples: how the head ends
+      | route | first          |
+      | book  | cut head       |
+      | book  | cut head reset |
+      | look  | cut head       |
+      | chat  | cut head       |
+      | chat  | cut head reset |
+      | plan  | cut head       |
--- a/hornbeamrudder/gateway/features/steps/reported_fault_steps.py
+++ b/hornbeamrudder/gateway/features/steps/reported_fault_steps.py
@@ -161,3 +161,33 @@
 @behave.then('{count:d} servers receive the request')
 def check_servers(context, count):
     assert len(context.requests) == count, context.requests
+
+
+@behave.when('a request on "{route}" gets "{behaviour}" from each server')
+def send_to_faulty_servers(context, route, behaviour):
+    async def scenario(harness):
+        for server in (*harness.plain_servers, *harness.engines):
+            server.behaviours = [Behaviour(behaviour)] * 4
+        return await harness.send_request(f'/{route}/x', remaining_ms=1500)
+
+    context.event_count = EVENT_COUNT
+    context.response = node_harness.run_scenario(
+        scenario, event_count=EVENT_COUNT
+    )
+
+
+@behave.then('the client receives {status:d}')
+def check_status(context, status):
+    assert context.response.status == status, context.response
+
+
+@behave.then('the client receives a stream without its end')
+def check_broken_off(context):
+    response = context.response
+    assert response.status == 200 and not response.complete, response
+    assert node_harness.complete_stream(EVENT_COUNT).startswith(response.body)
+
+
+@behave.then('the client receives an error')
+def check_error(context):
+    assert context.response.status == 502, context.response
--- a/hornbeamrudder/gateway/http_client.py
+++ b/hornbeamrudder/gateway/http_client.py
@@ -32,11 +32,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Head:
-    """Status and headers of a response."""
+    """Status and headers of a response.
+
+    Attributes
+    ----------
+    until_close : bool
+        Whether the close of the connection ends the body.
+    """
 
     status: int
     headers: tuple[Header, ...]
     content_length: int | None
+    until_close: bool = False
 
     @property
     def content_type(self) -> bytes:
@@ -414,7 +421,12 @@
         if self._until_close:
             self._must_close = True
         exchange.add_event(
-            Head(status, headers, int(length) if length else None)
+            Head(
+                status,
+                headers,
+                int(length) if length else None,
+                self._until_close,
+            )
         )
         if exchange.head_only:
             self._must_close = True
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -383,10 +383,21 @@
                         attempt.connection.end_endless('event is too large')
                 case http_client.End():
                     _keep_connection(attempt)
-                    if stream.is_resumed and stream.splitter.partial:
+                    if head.until_close and await self._was_moved(call):
+                        return ExchangeResult(
+                            calls.Result.MOVED, 'run was moved'
+                        )
+                    if _is_broken_off(call, head):
+                        broken = http_client.ConnectionBroken(
+                            'ended within an event', True, closed=True
+                        )
+                        if first:
+                            self._record_broken_beginning(
+                                call, attempt, broken, True
+                            )
                         return ExchangeResult(
                             calls.Result.FAILED,
-                            'resumed stream ends within an event',
+                            f'stream {broken.detail}',
                             ended_early=True,
                             server_outcome=health.Outcome.ERROR,
                         )
@@ -461,17 +472,22 @@
             self._forward_events(call, head, rest)
         call.reply.end()
 
+    async def _was_moved(self, call: calls.Call) -> bool:
+        """Return whether a stream has closed because its run was moved.
+
+        The engine closes the stream before it responds to the call that moves
+        the run.
+        """
+        moving, call.stream.moving = call.stream.moving, None
+        if moving is not None:
+            call.stream.moved = await moving
+        return call.stream.moved is not None
+
     async def _handle_broken_stream(
         self, call: calls.Call, broken: http_client.ConnectionBroken
     ) -> ExchangeResult:
-        moving = call.stream.moving
-        if moving is not None:
-            call.stream.moving = None
-            # The engine closes the stream before it responds to the call
-            # that moves the run.
-            call.stream.moved = await moving
-            if call.stream.moved is not None:
-                return ExchangeResult(calls.Result.MOVED, 'run was moved')
+        if await self._was_moved(call):
+            return ExchangeResult(calls.Result.MOVED, 'run was moved')
         leaving = (
             call.placement is not None
             and call.placement.record.leaving_since is not None
@@ -491,6 +507,24 @@
     return max(1.0, record.slowness(clock.now()))
 
 
+def _is_broken_off(call: calls.Call, head: http_client.Head) -> bool:
+    """Whether a stream ends within an event, or before its first one.
+
+    Without a length or chunks, nothing else tells its end from a crash.
+    """
+    if not head.may_be_stream:
+        return False
+    stream = call.stream
+    if stream.splitter.partial.strip(b'\r\n'):
+        return True
+    return (
+        head.until_close
+        and not stream.is_resumed
+        and call.admitted.metadata.last_event_id is None
+        and not stream.started
+    )
+
+
 def _keep_connection(attempt: calls.Attempt) -> None:
     """Return the connection of a complete response to the idle pool."""
     attempt.connection.release()
--- a/hornbeamrudder/standins/platform_server.py
+++ b/hornbeamrudder/standins/platform_server.py
@@ -44,6 +44,10 @@
     and 409 and a text. `PAGE` responds to a stream with status 200 and a text
     that is no event stream, `STRAY_TEXT` with an event stream that has text
     before its first event. `TRICKLE` sends a byte of an event now and then.
+    `CUT_HEAD` and `CUT_HEAD_RESET` end the connection within the head.
+    `UNFRAMED_STREAM` sends a stream without a length or chunks and closes at
+    its end, `UNFRAMED_CUT` closes within an event and `UNFRAMED_EMPTY` right
+    after the head.
     """
 
     NORMAL = 'normal'
@@ -52,6 +56,8 @@
     RESET = 'reset'
     HANG = 'hang'
     CUT = 'cut'
+    CUT_HEAD = 'cut head'
+    CUT_HEAD_RESET = 'cut head reset'
     UNSEALED = 'unsealed'
     GARBLED = 'garbled'
     EXTRA = 'extra'
@@ -68,6 +74,9 @@
     PAGE = 'page'
     STRAY_TEXT = 'stray text'
     TRICKLE = 'trickle'
+    UNFRAMED_STREAM = 'unframed stream'
+    UNFRAMED_CUT = 'unframed cut'
+    UNFRAMED_EMPTY = 'unframed empty'
 
 
 @dataclasses.dataclass(slots=True)
@@ -346,6 +355,14 @@
                     await asyncio.sleep(UNFRAMED_RESET_DELAY_S)
                     _reset(writer)
                 return False
+        if behaviour in (Behaviour.CUT_HEAD, Behaviour.CUT_HEAD_RESET):
+            head = self._head(request, '200 OK', seal)
+            writer.write(head[: head.index(b'Seal: ')])
+            await writer.drain()
+            if behaviour is Behaviour.CUT_HEAD_RESET:
+                await asyncio.sleep(CUT_RESET_DELAY_S)
+                _reset(writer)
+            return False
         if self.events:
             return await self._stream(request, behaviour, reader, writer, seal)
         response = self._head(request, '200 OK', seal, content_length) + body
@@ -362,6 +379,33 @@
         await writer.drain()
         return True
 
+    async def _stream_unframed(
+        self,
+        request: ReceivedRequest,
+        behaviour: Behaviour,
+        writer: asyncio.StreamWriter,
+        seal: str,
+    ) -> bool:
+        first = int(request.headers.get('last-event-id') or 0) + 1
+        body = b''.join(
+            b'id: %d\ndata: piece %d\n\n' % (number, number)
+            for number in range(first, self.events + 1)
+        )
+        match behaviour:
+            case Behaviour.UNFRAMED_CUT:
+                # Within an event, after its id.
+                body = body[: len(body) // 2 + len(b'id: 1\nda')]
+            case Behaviour.UNFRAMED_EMPTY:
+                body = b''
+        writer.write(
+            self._head(
+                request, '200 OK', seal, 'Content-Type: text/event-stream'
+            )
+            + body
+        )
+        await writer.drain()
+        return False
+
     async def _wait_for_disconnect(
         self, request: ReceivedRequest, reader: asyncio.StreamReader
     ) -> None:
@@ -376,6 +420,14 @@
         writer: asyncio.StreamWriter,
         seal: str,
     ) -> bool:
+        if behaviour in (
+            Behaviour.UNFRAMED_STREAM,
+            Behaviour.UNFRAMED_CUT,
+            Behaviour.UNFRAMED_EMPTY,
+        ):
+            return await self._stream_unframed(
+                request, behaviour, writer, seal
+            )
         writer.write(
             self._head(
                 request,
