--- a/hornbeamrudder/gateway/failover.py
+++ b/hornbeamrudder/gateway/failover.py
@@ -106,11 +106,24 @@
         if second is None:
             self._log(call, 'request stays at its server', first, placement)
             return None
+        self._record_late_wishes(first)
         first.connection.abort()
         call.next_attempt = second
         self._log(call, 'request fails over', first, placement)
         return FailedOver()
 
+    def _record_late_wishes(self, attempt: calls.Attempt) -> None:
+        """Apply what a server asks for in an answer that is not used."""
+        for event in attempt.exchange.events:
+            if isinstance(event, http_client.Head):
+                self._state.servers.record_wishes(
+                    attempt.placement.record,
+                    self._translation.decode_response(
+                        event.status, event.headers
+                    ),
+                    clock.now(),
+                )
+
     def _abandon(
         self,
         task: 'asyncio.Task[calls.Attempt | None]',
@@ -244,6 +257,9 @@
                 metadata = self._translation.decode_response(
                     head.status, head.headers
                 )
+                self._state.servers.record_wishes(
+                    record, metadata, clock.now()
+                )
                 if metadata.not_executed:
                     call.record_refusal(attempt.server)
                 self._sender.record_outcome(
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -317,25 +317,32 @@
             placement = self._reserve_another(call)
             if placement is not None:
                 return placement
-        if not any(
-            record.usable
-            for record in self.state.servers.of_service(call.service.name)
-        ):
+        paused_until = min(
+            (
+                record.wishes.paused_until
+                for record in self.state.servers.of_service(call.service.name)
+                if record.usable
+            ),
+            default=None,
+        )
+        if paused_until is None:
             call.detail = 'no backend server of the service is ready'
             return None
         queued_at = clock.now()
         reservation = asyncio.get_running_loop().create_future()
-        queue.add(
-            waiting.make_queued_request(
-                call.admitted.route,
-                rank,
-                call.request.arrived_at,
-                call.admitted.deadline,
-                lambda: self._reserve_another(call),
-                reservation,
-                None if call.excluded else call.admitted.route.name,
-            )
+        queued = waiting.make_queued_request(
+            call.admitted.route,
+            rank,
+            call.request.arrived_at,
+            call.admitted.deadline,
+            lambda: self._reserve_another(call),
+            reservation,
+            None if call.excluded else call.admitted.route.name,
         )
+        if paused_until >= queued.expires_at:
+            call.detail = 'all backend servers have asked for a pause'
+            return None
+        queue.add(queued)
         self.schedule_dispatch(call.service.name)
         try:
             placement = await reservation
--- a/hornbeamrudder/gateway/messages.py
+++ b/hornbeamrudder/gateway/messages.py
@@ -82,6 +82,11 @@
         Whether the response carries the backend server's seal header.
     not_executed : bool
         Whether the backend server reports that it did not run the request.
+    leaving : bool
+        Whether the backend server says that it is about to end.
+    pause_s : float or None
+        Time for which a backend server that has turned a request away wants
+        none from this node; None if it asks for no pause.
     slowness : float or None
         Duration of work on the backend server's host at this moment,
         relative to the usual one; None if it is not stated.
@@ -95,6 +100,8 @@
     slowness: float | None = None
     keep_alive_s: float | None = None
     closes: bool = False
+    leaving: bool = False
+    pause_s: float | None = None
 
 
 def expected_tokens(
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -194,8 +194,10 @@
     ) -> ExchangeResult:
         metadata = self._translation.decode_response(head.status, head.headers)
         attempt.connection.keep_alive_s = metadata.keep_alive_s
-        attempt.placement.record.record_slowness(
-            metadata.slowness, clock.now()
+        now = clock.now()
+        attempt.placement.record.record_slowness(metadata.slowness, now)
+        self._state.servers.record_wishes(
+            attempt.placement.record, metadata, now
         )
         if metadata.not_executed:
             return await self._handle_not_executed(attempt, metadata)
--- a/hornbeamrudder/gateway/server_registry.py
+++ b/hornbeamrudder/gateway/server_registry.py
@@ -30,6 +30,26 @@
 # intervals if that is longer.
 REPORT_AGE_S = 1.5
 REPORT_AGE_INTERVALS = 2.5
+# Longest pause that a backend server is granted; it says so again.
+MAX_PAUSE_S = 600.0
+# Processes of backend servers whose wishes outlast their entries.
+MAX_WISHES = 1024
+
+
+@dataclasses.dataclass(slots=True)
+class Wishes:
+    """What a backend server process has asked for in its answers.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether it wants no new requests, as it is about to end.
+    paused_until : float
+        Time on `clock.now` until which it wants none from this node.
+    """
+
+    leaving: bool = False
+    paused_until: float = float('-inf')
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,6 +84,7 @@
     leaving_since: float | None = None
     leaves_at: float | None = None
     missing_since: float | None = None
+    wishes: Wishes = dataclasses.field(default_factory=Wishes)
     cached_parts: collections.OrderedDict[str, float] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
@@ -157,6 +178,9 @@
         self._removed_by_id: dict[ids.WorkerId, ServerRecord] = {}
         self._by_key: dict[int, ServerRecord] = {}
         self._reports: dict[ids.NodeId, tuple[float, reports.Load]] = {}
+        self._wishes_by_process: collections.OrderedDict[
+            tuple[ids.WorkerId, records.StartedMs], Wishes
+        ] = collections.OrderedDict()
 
     def of_service(self, service: ids.ServiceName) -> Iterable[ServerRecord]:
         """Backend servers of a service."""
@@ -192,7 +216,32 @@
         record.cold_until = now + entry.cold_s
         if entry.leaves_in_s is not None:
             record.leaves_at = now + entry.leaves_in_s
-        if entry.state is records.ServerState.LEAVING:
+        record.wishes = self._wishes_by_process.get(
+            (entry.id, entry.started), record.wishes
+        )
+        if entry.state is records.ServerState.LEAVING or record.wishes.leaving:
+            self._mark_leaving(record, now)
+
+    def record_wishes(
+        self,
+        record: ServerRecord,
+        metadata: messages.ResponseMetadata,
+        now: float,
+    ) -> None:
+        """Apply what a backend server asks for in an answer."""
+        if not metadata.leaving and metadata.pause_s is None:
+            return
+        wishes = record.wishes
+        entry = record.entry
+        self._wishes_by_process[entry.id, entry.started] = wishes
+        if len(self._wishes_by_process) > MAX_WISHES:
+            self._wishes_by_process.popitem(last=False)
+        if metadata.pause_s is not None:
+            wishes.paused_until = max(
+                wishes.paused_until, now + min(metadata.pause_s, MAX_PAUSE_S)
+            )
+        if metadata.leaving:
+            wishes.leaving = True
             self._mark_leaving(record, now)
 
     def remove(self, server: ids.WorkerId, now: float) -> None:
@@ -257,7 +306,9 @@
         usable = [
             record
             for record in self.of_service(service.name)
-            if record.usable and record.entry.id not in excluded
+            if record.usable
+            and record.entry.id not in excluded
+            and now >= record.wishes.paused_until
         ]
         # A server whose entry lapsed during a store outage may be gone, so it
         # is used only if no other server has an entry.
--- a/hornbeamrudder/platform/headers.py
+++ b/hornbeamrudder/platform/headers.py
@@ -19,6 +19,8 @@
 _SEAL = _PREFIX + b'response-seal'
 _NOT_EXECUTED = _PREFIX + b'not-executed'
 _SERVER_LOAD = _PREFIX + b'server-load'
+_SERVER_LEAVING = b'server-leaving'
+_RETRY_AFTER = b'retry-after'
 _LAST_EVENT_ID = b'last-event-id'
 _KV_SOURCE = b'kv-from'
 
@@ -165,6 +167,10 @@
         slowness=_parse_slowness(load_figures[_LOAD_FIGURES:]),
         keep_alive_s=_parse_float(timeout),
         closes=b'close' in value_by_name.get(b'connection', b'').lower(),
+        leaving=_header_text(value_by_name, _SERVER_LEAVING) == '1',
+        pause_s=_parse_pause(_header_text(value_by_name, _RETRY_AFTER))
+        if status == 503
+        else None,
     )
 
 
@@ -200,6 +206,12 @@
     return percent / 100 if percent else None
 
 
+def _parse_pause(text: str) -> float | None:
+    """Parse a Retry-After in seconds, which may be fractions."""
+    seconds = _parse_float(text)
+    return seconds if seconds is not None and seconds > 0 else None
+
+
 def _header_text(value_by_name: dict[bytes, bytes], name: bytes) -> str:
     return value_by_name.get(name, b'').decode('latin-1').strip()
 
--- a/hornbeamrudder/standins/platform_server.py
+++ b/hornbeamrudder/standins/platform_server.py
@@ -115,6 +115,10 @@
         Delay of the next response, in addition to `response_delay_s`.
     load_figures : str
         Value of the load header of responses; empty for no header.
+    answer_headers : list of str
+        Further header lines of all responses.
+    refusal_headers : list of str
+        Further header lines of refusals.
     crashing_parts : set of str
         Prompt parts under which it ends at the beginning of its response.
     on_crash : callable
@@ -136,6 +140,8 @@
         self.writers: set[asyncio.StreamWriter] = set()
         self._repeated_by_writer: dict[asyncio.StreamWriter, bytes] = {}
         self.listener: asyncio.Server | None = None
+        self.answer_headers: list[str] = []
+        self.refusal_headers: list[str] = []
         self.crashing_parts: set[str] = set()
         self.on_crash: Callable[['PlatformServer'], None] = lambda _: None
 
@@ -235,6 +241,7 @@
                     else []
                 ),
                 *headers,
+                *self.answer_headers,
                 '',
                 '',
             ]
@@ -290,6 +297,7 @@
                     '503 Service Unavailable',
                     f'{_HEADER_PREFIX}Not-Executed: 1',
                     'Content-Length: 0',
+                    *self.refusal_headers,
                 )
                 writer.write(refusal)
                 if behaviour is Behaviour.REPEATED_REFUSAL:
