--- a/hornbeamrudder/gateway/duties.py
+++ b/hornbeamrudder/gateway/duties.py
@@ -160,8 +160,16 @@
         if isinstance(read, errors.Failure):
             return None
         row = next((item for item in read.rows if item.key == KEY), None)
+        try:
+            term = _decode_term(row.value) if row else None
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
+            # A lower number than that of the row must not be used.
+            self._state.log.error(
+                'term of the duties is malformed', failure=repr(error)
+            )
+            return None
         return duty_lease.ObservedTerm(
-            _decode_term(row.value) if row else None,
+            term,
             row.version if row else 0,
             read.store_clock_ms,
             read.sent_at,
@@ -498,9 +506,14 @@
     }
 
 
-def _decode_term(value: Any) -> duty_lease.TermRow | None:
-    if not isinstance(value, dict):
-        return None
+def _decode_term(value: Any) -> duty_lease.TermRow:
+    """Decode the row of the term.
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError, OverflowError
+        Another program has written it.
+    """
     return duty_lease.TermRow(
         ids.NodeId(str(value['holder'])),
         int(value['started']),
--- a/hornbeamrudder/gateway/features/node_harness.py
+++ b/hornbeamrudder/gateway/features/node_harness.py
@@ -32,7 +32,7 @@
         """Store one line."""
         self.lines.append((event, fields))
 
-    warning = error = info
+    warning = error = exception = info
 
 
 class NodeHarness:
--- a/hornbeamrudder/gateway/features/null_log.py
+++ b/hornbeamrudder/gateway/features/null_log.py
@@ -7,4 +7,4 @@
     def info(self, *args, **fields):
         """Discard a line."""
 
-    warning = error = info
+    warning = error = exception = info
--- a/hornbeamrudder/gateway/features/reports_of_operators.feature
+++ b/hornbeamrudder/gateway/features/reports_of_operators.feature
@@ -82,3 +82,63 @@
       | chat  | cut head       |
       | chat  | cut head reset |
       | plan  | cut head       |
+
+  Scenario Outline: An odd entry among those of the servers disturbs nothing
+    # Guards against nodes that end, or answer no more, for a row of another
+    # writer.
+    When a row among the entries of servers holds <what>
+    Then all requests are served by the other servers, and the node follows the table
+
+    Examples: rows of another writer
+      | what                |
+      | 900 levels          |
+      | 100000 levels       |
+      | 5000 digits         |
+      | 2^70                |
+      | 1e300               |
+      | 1e400               |
+      | port 99999          |
+      | port 65536          |
+      | port -1             |
+      | a host name         |
+      | a NUL               |
+      | bytes that are none |
+
+  Scenario Outline: Odd rows are relayed to nodes that do not follow the store
+    # Guards against hubs that end for a row that can't be packed.
+    When odd rows are written to "<table>" beside a valid server, with 12 nodes
+    Then each node runs and knows the valid server
+
+    Examples: tables that nodes follow
+      | table   |
+      | servers |
+      | nodes   |
+
+  Scenario Outline: Odd numbers in the headers of a request get an answer
+    # Guards against connections closed without an answer for a header.
+    When a request on "<route>" states <number> in "<header>"
+    Then the client receives a complete answer
+
+    Examples: numbers that are none, or too large
+      | route | header                               | number      |
+      | look  | X-Hornbeamrudder-Deadline-Remaining  | nan         |
+      | look  | X-Hornbeamrudder-Deadline-Remaining  | inf         |
+      | look  | X-Hornbeamrudder-Deadline-Remaining  | 1e300       |
+      | chat  | X-Hornbeamrudder-Token-Counts        | 3500 digits |
+      | chat  | X-Hornbeamrudder-Length-Hint         | 3500 digits |
+      | chat  | X-Hornbeamrudder-Prompt-Prefix       | 3500 digits |
+
+  Scenario Outline: A failure within a node still gives the client an answer
+    # Guards against connections closed without an answer by an exception.
+    When serving a request on "look" fails within the node <when> it is sent
+    Then the client receives <status>, and the next request is served
+
+    Examples: 503 promises that nothing has run, 502 promises nothing
+      | when   | status |
+      | before | 503    |
+      | after  | 502    |
+
+  Scenario: An answer that changes the protocol is no answer
+    # Guards against exceptions in the connection to a server.
+    When a request on "look" gets "upgrade" from each server
+    Then the client receives 502
--- a/hornbeamrudder/gateway/features/steps/reported_fault_steps.py
+++ b/hornbeamrudder/gateway/features/steps/reported_fault_steps.py
@@ -1,9 +1,13 @@
 """Steps for faults that operators of similar systems have reported."""
 
 import asyncio
+from unittest import mock
 
 import behave
+import orjson
 
+from hornbeamrudder.core import ids
+from hornbeamrudder.gateway.features import fleet_simulation
 from hornbeamrudder.gateway.features import node_harness
 from hornbeamrudder.standins import platform_caller
 from hornbeamrudder.standins import platform_server
@@ -14,6 +18,10 @@
 LONG_EVENT_COUNT = 80
 LONG_EVENT_INTERVAL_S = 0.04
 POLL_S = 0.01
+ODD_VALUE_DEPTH = 900
+ODD_REQUESTS = 20
+RELAYED_S = 4.0
+LAST_SERVER = 'e-last'
 
 
 @behave.when(
@@ -191,3 +199,197 @@
 @behave.then('the client receives an error')
 def check_error(context):
     assert context.response.status == 502, context.response
+
+
+def _odd_row(what, entry):
+    """Return the bytes of a row that another writer might leave."""
+    match what.split():
+        case [depth, 'levels']:
+            return b'{"a":' + b'[' * int(depth) + b']' * int(depth) + b'}'
+        case [count, 'digits']:
+            number = b'9' * int(count)
+        case ['port', port]:
+            return orjson.dumps({**entry, 'address': f'127.0.0.1:{port}'})
+        case ['a', 'host', 'name']:
+            return orjson.dumps({**entry, 'address': 'h' * 300 + ':80'})
+        case ['a', 'NUL']:
+            return orjson.dumps({**entry, 'address': '127.0.0.1\x00:80'})
+        case ['bytes', *_]:
+            return b'\xff\x00\xfe'
+        case ['2^70']:
+            number = b'%d' % 2**70
+        case [literal]:
+            number = literal.encode()
+    return orjson.dumps({**entry, 'born': 0, 'slots': 64}).replace(
+        b'"born":0', b'"born":' + number + b',"coldRemainingMs":' + number
+    )
+
+
+@behave.when('a row among the entries of servers holds {what}')
+def put_odd_row(context, what):
+    async def scenario(harness):
+        for server in (harness.plain_servers[0], harness.engines[0]):
+            harness.store.put_raw(
+                'servers',
+                f'odd-{server.id}',
+                _odd_row(what, server.entry()),
+            )
+        last = platform_server.PlatformServer(
+            LAST_SERVER, node_harness.ENGINE_SERVICE, EVENT_COUNT
+        )
+        await last.start(node_harness.IP)
+        harness.engines.append(last)
+        harness.put_entry(last)
+        servers = harness.node.state.servers
+        while LAST_SERVER not in servers.by_id:
+            await asyncio.sleep(POLL_S)
+        responses = [
+            await harness.send_request(f'/{route}/x')
+            for route in ('look', 'chat')
+            for _ in range(ODD_REQUESTS)
+        ]
+        assert not harness.task.done()
+        return responses, list(servers.by_id), harness.log.lines
+
+    context.responses, context.known, context.lines = (
+        node_harness.run_scenario(scenario, event_count=EVENT_COUNT)
+    )
+
+
+@behave.then(
+    'all requests are served by the other servers, and the node follows the'
+    ' table'
+)
+def check_undisturbed(context):
+    outcomes = {
+        (response.status, response.complete) for response in context.responses
+    }
+    assert outcomes == {(200, True)}, outcomes
+    assert not [name for name in context.known if name.startswith('odd')]
+    longest = max(len(str(fields)) for _, fields in context.lines)
+    assert longest < 2000, longest
+
+
+def _nested(depth):
+    value = 1
+    for _ in range(depth):
+        value = [value]
+    return value
+
+
+@behave.when(
+    'odd rows are written to "{table}" beside a valid server, with {count:d}'
+    ' nodes'
+)
+def relay_odd_rows(context, table, count):
+    entry = platform_server.PlatformServer(
+        LAST_SERVER, node_harness.ENGINE_SERVICE
+    )
+    entry.address = '10.0.0.9:80'
+
+    async def scenario(fleet):
+        fleet.put_configuration(1)
+        await fleet.start_all()
+        await asyncio.sleep(RELAYED_S)
+        odd = {
+            'levels': {'a': _nested(ODD_VALUE_DEPTH), 'ip': _nested(600)},
+            'large': {**entry.entry(), 'born': 2**70, 'port': 2**70},
+            'infinite': {**entry.entry(), 'born': 1e300, 'port': 1e300},
+            'words': {'ip': 7, 'port': 'none', 'link_mbps': 'fast'},
+            'port': {
+                **entry.entry(),
+                'address': '10.0.0.8:99999',
+                'ip': '10.0.0.8',
+                'port': 99999,
+            },
+            'list': [1, 2],
+            'nothing': None,
+        }
+        for key, value in odd.items():
+            fleet.store.commit([(table, f'odd {key}', value)])
+            await asyncio.sleep(POLL_S)
+        fleet.store.commit([('servers', LAST_SERVER, entry.entry())])
+        await asyncio.sleep(RELAYED_S)
+        return [
+            (
+                list(running.node.state.servers.by_id),
+                running.node.state.peers.node_count,
+                [task for task in running.tasks if task.done()],
+            )
+            for running in fleet.running_by_number.values()
+        ]
+
+    fleet = fleet_simulation.Fleet(count)
+    context.node_states = fleet.run(scenario)
+    context.failures, context.count = fleet.failures, count
+
+
+@behave.then('each node runs and knows the valid server')
+def check_relayed(context):
+    assert not context.failures, context.failures
+    for servers, nodes, ended in context.node_states:
+        assert not ended
+        assert servers == [ids.WorkerId(LAST_SERVER)], servers
+        assert nodes == context.count, nodes
+
+
+@behave.when('a request on "{route}" states {number} in "{header}"')
+def state_odd_number(context, route, number, header):
+    match number.split():
+        case [count, 'digits']:
+            number = '9' * int(count)
+    if 'Prompt-Prefix' in header:
+        number = f'a:{number},b:1'
+
+    async def scenario(harness):
+        headers = [f'{header}: {number}']
+        if 'Deadline' in header:
+            # Replaces the header that the client would send.
+            request = platform_caller.request_bytes(f'/{route}/x').replace(
+                b'Deadline-Remaining: 3000',
+                b'Deadline-Remaining: ' + number.encode(),
+            )
+            reader, writer = await harness.connect()
+            writer.write(request)
+            return await platform_caller.read_response(reader)
+        return await harness.send_request(f'/{route}/x', headers=headers)
+
+    context.response = node_harness.run_scenario(
+        scenario,
+        event_count=EVENT_COUNT,
+        limits={
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 65536,
+            'headerTimeoutMs': 800,
+            'idleTimeoutMs': 3000,
+        },
+    )
+
+
+@behave.then('the client receives a complete answer')
+def check_complete_answer(context):
+    assert context.response.status in (200, 400), context.response
+    assert context.response.complete, context.response
+
+
+@behave.when(
+    'serving a request on "{route}" fails within the node {when} it is sent'
+)
+def fail_within_node(context, route, when):
+    async def scenario(harness):
+        forwarder = harness.node.forwarder
+        name = '_acquire_placement' if when == 'before' else '_follow'
+        with mock.patch.object(forwarder, name, side_effect=KeyError('x')):
+            failed = await harness.send_request(f'/{route}/x')
+        return failed, await harness.send_request(f'/{route}/x')
+
+    context.response, context.next_response = node_harness.run_scenario(
+        scenario
+    )
+
+
+@behave.then('the client receives {status:d}, and the next request is served')
+def check_failure_answered(context, status):
+    assert context.response.status == status, context.response
+    assert context.response.complete
+    assert context.next_response.status == 200, context.next_response
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -122,6 +122,10 @@
             else:
                 await self._serve_with_retries(call)
             outcome = call.detail or 'served'
+        except Exception:
+            outcome = 'failed within the node'
+            self.state.log.exception(outcome, request=call.request_id)
+            self._fail(call, outcome)
         finally:
             self.calls.discard(call)
             self._clear_placement(call)
--- a/hornbeamrudder/gateway/http_client.py
+++ b/hornbeamrudder/gateway/http_client.py
@@ -326,6 +326,9 @@
         before = self._body_bytes
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._must_close = True
+            self._end_broken('answer changes the protocol')
         except httptools.HttpParserError as error:
             self._must_close = True
             self._end_broken(f'malformed answer: {error}')
@@ -480,6 +483,7 @@
             )
     except TimeoutError:
         return ConnectionBroken(f'no connection within {timeout_s:.3f} s')
-    except OSError as error:
+    except (OSError, OverflowError, ValueError) as error:
+        # The last two for what is no address.
         return ConnectionBroken(f'cannot connect: {error}')
     return connection
--- a/hornbeamrudder/gateway/http_server.py
+++ b/hornbeamrudder/gateway/http_server.py
@@ -423,6 +423,13 @@
         reply = ResponseWriter(self, request)
         try:
             await self.server.handler(request, reply)
+        except Exception as error:
+            asyncio.get_running_loop().call_exception_handler(
+                {'message': 'request handler failed', 'exception': error}
+            )
+            if not reply.started:
+                # Unlike a 503, it does not promise that nothing has run.
+                reply.send(502, ())
         finally:
             self._task = None
             self._last_activity_at = clock.now()
--- a/hornbeamrudder/gateway/registration.py
+++ b/hornbeamrudder/gateway/registration.py
@@ -21,6 +21,7 @@
 DEREGISTER_TIMEOUT_S = 0.6
 # A transaction of the store is limited to 100 entries.
 MAX_REMOVALS = 90
+MAX_DETAIL = 200
 
 
 class Registration:
@@ -54,17 +55,36 @@
             node = ids.NodeId(row.key)
             if row.removed:
                 known.pop(node, None)
-            elif isinstance(row.value, dict):
-                known[node] = peers.KnownNode(
-                    types.Address(
-                        str(row.value.get('ip')),
-                        int(row.value.get('port') or 0),
-                    ),
-                    float(row.value.get('link_mbps') or 0.0),
-                )
+            else:
+                entry = self._decode_entry(row)
+                if entry is not None:
+                    known[node] = entry
         self._is_registered = known.get(state.settings.node) == self._own_entry
         state.peers.set_known(known)
 
+    def _decode_entry(self, row: Any) -> peers.KnownNode | None:
+        """Decode an entry; None for one that another program has written."""
+        try:
+            return peers.KnownNode(
+                self._platform.decode_endpoint(
+                    row.value['ip'], row.value['port']
+                ),
+                float(row.value.get('link_mbps') or 0.0),
+            )
+        except (
+            KeyError,
+            TypeError,
+            ValueError,
+            AttributeError,
+            OverflowError,
+        ) as error:
+            self._state.log.info(
+                'entry names no node',
+                entry=row.key,
+                failure=repr(error)[:MAX_DETAIL],
+            )
+            return None
+
     async def run(self, holds_duties: Callable[[], bool]) -> None:
         """Register whenever the entry is missing, until cancelled.
 
--- a/hornbeamrudder/gateway/table_relay.py
+++ b/hornbeamrudder/gateway/table_relay.py
@@ -219,7 +219,7 @@
 def _encode(changes: Changes) -> bytes:
     packed = msgpack.packb(
         [
-            (row.key, row.value, row.version, row.removed)
+            (row.key, _packable(row.value), row.version, row.removed)
             for row in changes.rows
         ]
     )
@@ -236,6 +236,19 @@
     return data
 
 
+def _packable(value: Any) -> Any:
+    """Return a value, or None if no other node could unpack it.
+
+    A row of another writer may be nested too deeply, or hold a number that is
+    too large; then it has no value, as one that can't be read.
+    """
+    try:
+        msgpack.unpackb(msgpack.packb(value))
+    except (ValueError, OverflowError, TypeError, RecursionError):
+        return None
+    return value
+
+
 def _decode(fields: Sequence[Any]) -> Changes:
     _, table, before, after, recovered_s, packed = fields
     return Changes(
--- a/hornbeamrudder/gateway/usage.py
+++ b/hornbeamrudder/gateway/usage.py
@@ -309,7 +309,11 @@
     )
     nodes = set()
     for key, row in rows:
-        counts, complete = _decode_row(key, row)
+        try:
+            counts, complete = _decode_row(key, row)
+        except (TypeError, ValueError, OverflowError):
+            # Of another writer; the node of its key counts as incomplete.
+            continue
         for source, by_account in counts.items():
             counts_by_source[source] |= by_account
         nodes |= {source.split('/')[0] for source in complete}
--- a/hornbeamrudder/platform/adapter.py
+++ b/hornbeamrudder/platform/adapter.py
@@ -22,6 +22,7 @@
 Remove = store.Remove
 Store = store.Store
 decode_configuration = operator_config.decode
+decode_endpoint = settings.decode_endpoint
 decode_server = server_entries.decode
 load_settings = settings.load
 move_request = engine_calls.move_request
--- a/hornbeamrudder/platform/features/adapter.feature
+++ b/hornbeamrudder/platform/features/adapter.feature
@@ -38,6 +38,28 @@
       | slots   | true        |
       | slots   | 0           |
 
+    Examples: values out of range
+      | field           | value                  |
+      | address         | "10.0.0.1:99999"       |
+      | address         | "10.0.0.1:65536"       |
+      | address         | "10.0.0.1:0"           |
+      | address         | "10.0.0.1:-1"          |
+      | address         | "10.0.0.1:"            |
+      | address         | "10.0.0.300:80"        |
+      | address         | "host.example:80"      |
+      | address         | "10.0.0.1\u0000:80"    |
+      | slots           | 1e300                  |
+      | slots           | 1000000000000000000000 |
+      | born            | 1180591620717411303424 |
+      | born            | 1e300                  |
+      | born            | 1e400                  |
+      | born            | -1                     |
+      | born            | "now"                  |
+      | coldRemainingMs | 1e400                  |
+      | coldRemainingMs | -1e400                 |
+      | leaves_ms       | 1e400                  |
+      | leaves_ms       | []                     |
+
   Scenario: The entry of a reclaimed backend server has its remaining time
     When the entry of a reclaimable server is "draining" with 2500 ms left
     Then the backend server is leaving in 2.5 s and reclaimable
--- a/hornbeamrudder/platform/headers.py
+++ b/hornbeamrudder/platform/headers.py
@@ -1,5 +1,6 @@
 """Translates the platform's HTTP request and response headers."""
 
+import math
 from typing import Iterable
 
 from ..core import ids
@@ -62,6 +63,8 @@
     }
 )
 _MAX_PRIORITY = 9
+# Longer numbers are malformed.
+_MAX_DIGITS = 15
 # Running and waiting requests, and slots; a figure for the host may follow.
 _LOAD_FIGURES = 3
 
@@ -217,11 +220,16 @@
 
 
 def _parse_float(text: str) -> float | None:
+    """Parse a finite number; None for any other text."""
     try:
-        return float(text)
+        value = float(text)
     except ValueError:
         return None
+    return value if math.isfinite(value) else None
 
 
 def _parse_count(text: str) -> int:
-    return int(text) if text.strip().isdecimal() else 0
+    stripped = text.strip()
+    if len(stripped) > _MAX_DIGITS or not stripped.isdecimal():
+        return 0
+    return int(stripped)
--- a/hornbeamrudder/platform/settings.py
+++ b/hornbeamrudder/platform/settings.py
@@ -1,5 +1,6 @@
 """Decodes the settings file that the platform provides to each process."""
 
+import ipaddress
 import os
 from typing import Any, Mapping
 
@@ -13,6 +14,7 @@
 CONFIG_ENV_VAR = 'HORNBEAMRUDDER_CONFIG'
 USAGE_DUTY = 'usage_report'
 SCALING_DUTY = 'autoscale'
+MAX_PORT = 65535
 _Loader = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 
 
@@ -117,11 +119,29 @@
 
 
 def decode_address(text: str) -> types.Address:
-    """Parse an address in the form `IP:PORT`."""
+    """Parse an address in the form `IP:PORT`.
+
+    Raises
+    ------
+    ValueError
+        It is not of that form; names of hosts are not resolved.
+    """
     ip, _, port = str(text).rpartition(':')
-    if not ip:
-        raise ValueError(f'{text!r} is not IP:PORT')
-    return types.Address(ip, int(port))
+    return decode_endpoint(ip, port)
+
+
+def decode_endpoint(ip: str, port: Any) -> types.Address:
+    """Return an address that a connection or a datagram can be sent to.
+
+    Raises
+    ------
+    OverflowError, TypeError, ValueError
+        The IP address or the port is not valid.
+    """
+    number = int(port)
+    if not 0 < number <= MAX_PORT:
+        raise ValueError(f'port {port} is out of range')
+    return types.Address(str(ipaddress.ip_address(ip)), number)
 
 
 def _failure(path: str, detail: str) -> errors.Failure:
--- a/hornbeamrudder/standins/platform_server.py
+++ b/hornbeamrudder/standins/platform_server.py
@@ -44,7 +44,8 @@
     and 409 and a text. `PAGE` responds to a stream with status 200 and a text
     that is no event stream, `STRAY_TEXT` with an event stream that has text
     before its first event. `TRICKLE` sends a byte of an event now and then.
-    `CUT_HEAD` and `CUT_HEAD_RESET` end the connection within the head.
+    `UPGRADE` changes the protocol (101). `CUT_HEAD` and `CUT_HEAD_RESET` end
+    the connection within the head.
     `UNFRAMED_STREAM` sends a stream without a length or chunks and closes at
     its end, `UNFRAMED_CUT` closes within an event and `UNFRAMED_EMPTY` right
     after the head.
@@ -74,6 +75,7 @@
     PAGE = 'page'
     STRAY_TEXT = 'stray text'
     TRICKLE = 'trickle'
+    UPGRADE = 'upgrade'
     UNFRAMED_STREAM = 'unframed stream'
     UNFRAMED_CUT = 'unframed cut'
     UNFRAMED_EMPTY = 'unframed empty'
@@ -348,6 +350,19 @@
             case Behaviour.GARBLED:
                 writer.write(b'\x00\x01 not an answer\r\n\r\n')
                 return False
+            case Behaviour.UPGRADE:
+                writer.write(
+                    self._head(
+                        request,
+                        '101 Switching Protocols',
+                        seal,
+                        'Connection: Upgrade',
+                        'Upgrade: other',
+                    )
+                    + b'not HTTP'
+                )
+                await writer.drain()
+                return False
             case Behaviour.EARLY:
                 writer.write(
                     self._head(request, '400 Bad', seal, content_length) + body
--- a/hornbeamrudder/standins/row_store.py
+++ b/hornbeamrudder/standins/row_store.py
@@ -67,8 +67,11 @@
 
     def put(self, table: str, key: str, value: Any) -> int:
         """Write a row without an HTTP call, on behalf of another client."""
-        encoded = base64.b64encode(orjson.dumps(value)).decode()
-        return self._commit([(table, key, encoded)])
+        return self.put_raw(table, key, orjson.dumps(value))
+
+    def put_raw(self, table: str, key: str, value: bytes) -> int:
+        """Write a row whose value need not be JSON."""
+        return self._commit([(table, key, base64.b64encode(value).decode())])
 
     def remove(self, table: str, key: str) -> int:
         """Remove a row without an HTTP call."""
