--- a/hornbeamrudder/gateway/calls.py
+++ b/hornbeamrudder/gateway/calls.py
@@ -140,6 +140,8 @@
         Parts of the prompt that other requests may share.
     broken_at : LifetimeKey or None
         Server that broke off while an answer was beginning.
+    task : Task or None
+        Task that serves it.
     is_trial : bool
         Whether it is sent although its parts are held back.
     """
@@ -167,6 +169,7 @@
     part_keys: tuple[crash_evidence.PartKey, ...] = ()
     broken_at: crash_evidence.LifetimeKey | None = None
     is_trial: bool = False
+    task: 'asyncio.Task[None] | None' = None
 
     def record_send(self, server: ids.WorkerId) -> None:
         """Count one more send."""
--- a/hornbeamrudder/gateway/features/steps/stop_steps.py
+++ b/hornbeamrudder/gateway/features/steps/stop_steps.py
@@ -1,6 +1,7 @@
 """Steps for the graceful stop of a node."""
 
 import asyncio
+import itertools
 import os
 import signal
 import socket
@@ -19,6 +20,8 @@
 
 # Events of a stream that lasts 4 seconds or a little longer.
 LONG_STREAM_EVENTS = 400
+# Events of a stream that lasts 0.4 seconds or a little longer.
+SHORT_STREAM_EVENTS = 40
 # Time for which a node takes streams after SIGTERM, and a little more.
 LAST_STREAM_S = 2.8
 
@@ -368,3 +371,64 @@
 def check_each_refused(context, status):
     statuses = {response.status for response in context.responses}
     assert statuses == {status}, statuses
+
+
+@behave.when(
+    'requests on "{route}" with {remaining_ms:d} ms to their deadline come'
+    ' until a node with {grace_s:g} seconds for its stop exits, and servers'
+    ' {do}'
+)
+def send_through_stop(context, route, remaining_ms, grace_s, do):
+    async def scenario(harness):
+        for server in (*harness.plain_servers, *harness.engines):
+            if do == 'hang':
+                server.behaviours = [platform_server.Behaviour.HANG] * 1000
+        kept = [await harness.connect() for _ in range(int(grace_s * 20))]
+        outcomes = {}
+
+        async def send(connection):
+            request_id = platform_caller.new_request_id()
+            try:
+                response = await harness.send_request(
+                    f'/{route}/x',
+                    connection or await harness.connect(),
+                    request_id=request_id,
+                    remaining_ms=remaining_ms,
+                )
+            except ConnectionError:
+                response = None
+            outcomes[request_id] = response
+
+        tasks = []
+        _stop()
+        for turn in itertools.count():
+            if harness.task.done():
+                break
+            connection = kept.pop() if turn % 2 and kept else None
+            tasks.append(asyncio.create_task(send(connection)))
+            await asyncio.sleep(0.05)
+        await asyncio.wait(tasks, timeout=1.0)
+        received = {item.request_id for item in harness.received_requests()}
+        return outcomes, received
+
+    routes = platform_server.configuration(
+        1, (node_harness.ENGINE_SERVICE, node_harness.PLAIN_SERVICE)
+    )['routes']
+    context.outcomes, context.received = node_harness.run_scenario(
+        scenario,
+        event_count=SHORT_STREAM_EVENTS,
+        bounds=records.Bounds(grace_s=grace_s),
+        routes=[{**item, 'timeoutMs': 20000} for item in routes],
+    )
+
+
+@behave.then('each request that reached a server was answered')
+def check_passed_on_answered(context):
+    assert context.received
+    unanswered = [
+        request_id
+        for request_id in context.received
+        if context.outcomes.get(request_id) is None
+        or not context.outcomes[request_id].complete
+    ]
+    assert not unanswered, (len(unanswered), len(context.received))
--- a/hornbeamrudder/gateway/features/stop.feature
+++ b/hornbeamrudder/gateway/features/stop.feature
@@ -67,3 +67,23 @@
     # Guards against charging an account for requests that were not run.
     When 20 streams of a limited account are requested late in a stop
     Then each of them is refused with 503
+
+  Scenario Outline: No request of a stop is passed on and then cut without an answer
+    # Guards against requests taken late in the grace time, among them those
+    # that may not be repeated, whose connections end with the process.
+    When requests on "<route>" with <remaining> ms to their deadline come until a node with <grace> seconds for its stop exits, and servers <do>
+    Then each request that reached a server was answered
+
+    Examples: plain requests
+      | route | remaining | grace | do     |
+      | book  | 900       | 4.5   | hang   |
+      | look  | 900       | 4.5   | hang   |
+      | book  | 20000     | 4.5   | hang   |
+      | book  | 20000     | 2     | hang   |
+      | book  | 20000     | 8     | hang   |
+
+    Examples: streams
+      | route | remaining | grace | do     |
+      | chat  | 20000     | 4.5   | hang   |
+      | chat  | 20000     | 2     | hang   |
+      | chat  | 20000     | 2     | answer |
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -114,6 +114,7 @@
                 service.name, metadata.prompt_parts[:-1]
             ),
         )
+        call.task = asyncio.current_task()
         self.calls.add(call)
         outcome = CLIENT_DISCONNECTED
         try:
@@ -461,6 +462,17 @@
 
     # Completion
 
+    def end_all(self) -> None:
+        """Answer the requests that are in progress, as the node ends.
+
+        A stream that has started is cut, visibly.
+        """
+        for call in list(self.calls):
+            if not call.reply.ended:
+                self._fail(call, 'node is stopping')
+            if call.task is not None:
+                call.task.cancel()
+
     def _fail(self, call: calls.Call, reason: str) -> None:
         """Send the client an error, or abort a response already started."""
         call.detail = reason
--- a/hornbeamrudder/gateway/node.py
+++ b/hornbeamrudder/gateway/node.py
@@ -55,6 +55,9 @@
 # Time after the stop signal during which requests are still accepted: the
 # balancer removes a node after two failed readiness checks.
 STOP_ACCEPT_S = 2.6
+# Share of a short grace period after which no streams are accepted, as they
+# could not be completed.
+STOP_STREAM_SHARE = 0.325
 # Part of the grace period reserved for the last writes to the store.
 STOP_RESERVE_S = 0.7
 DRAIN_POLL_S = 0.05
@@ -264,7 +267,11 @@
         )
         state.stopping = True
         state.stop_times = admit.StopTimes(
-            last_stream_at=stop_started_at + STOP_ACCEPT_S, ends_at=deadline
+            last_stream_at=stop_started_at
+            + min(
+                STOP_ACCEPT_S, STOP_STREAM_SHARE * self.settings.bounds.grace_s
+            ),
+            ends_at=deadline,
         )
         self.server.stopping = True
         self._log.info('node is stopping', requests=len(self.forwarder.calls))
@@ -281,6 +288,7 @@
         while clock.now() < deadline and self.server.connections:
             self.server.close_idle(STOP_IDLE_S)
             await asyncio.sleep(DRAIN_POLL_S)
+        self.forwarder.end_all()
         self.server.refuse_incomplete()
         await self.leave()
 
