--- a/hornbeamrudder/gateway/crash_evidence.py
+++ b/hornbeamrudder/gateway/crash_evidence.py
@@ -37,6 +37,8 @@
 # Highest chance that a part is in all of its crashes without being the cause.
 MAX_CHANCE = 0.001
 MAX_AGE_S = 600.0
+# Time after a crash in which the evidence is looked at again.
+RECENT_S = 10.0
 MAX_CRASHES = 256
 MAX_ANSWERED_PARTS = 4096
 MAX_HOLDS = 32
@@ -132,6 +134,7 @@
         self.answered_at: collections.OrderedDict[PartKey, float] = (
             collections.OrderedDict()
         )
+        self._crash_learned_at = float('-inf')
         # Time of the latest crash with each part.
         self._suspected_at: dict[PartKey, float] = {}
         self._answers_by_service: dict[
@@ -225,6 +228,7 @@
                 unanswered=self._limited(crash.unanswered),
             )
         self.crash_by_lifetime[crash.lifetime] = crash
+        self._crash_learned_at = crash.learned_at
         for part in crash.parts:
             self._suspected_at[part] = max(
                 crash.at, self._suspected_at.get(part, float('-inf'))
@@ -305,12 +309,16 @@
             return hold.trials > known.trials
         if any(other < parts for other in self.hold_by_parts):
             return False
-        if len(self.hold_by_parts) >= MAX_HOLDS:
-            return False
         # A hold on fewer parts includes those on more.
         for other in [item for item in self.hold_by_parts if parts < item]:
             del self.hold_by_parts[other]
         self.hold_by_parts[parts] = hold
+        if len(self.hold_by_parts) > MAX_HOLDS:
+            oldest = min(
+                self.hold_by_parts.values(),
+                key=lambda known: (known.held_at, sorted(known.parts)),
+            )
+            del self.hold_by_parts[oldest.parts]
         return True
 
     def find_holds(self, now: float, settle_s: float) -> list[Hold]:
@@ -321,7 +329,7 @@
         settle_s : float
             Time that other nodes have to report answers with a part.
         """
-        if not self.crash_by_lifetime:
+        if now - self._crash_learned_at > RECENT_S:
             return []
         return [
             hold
--- a/hornbeamrudder/gateway/failover.py
+++ b/hornbeamrudder/gateway/failover.py
@@ -106,23 +106,27 @@
         if second is None:
             self._log(call, 'request stays at its server', first, placement)
             return None
-        self._record_late_wishes(first)
+        self._record_unused(call, first)
         first.connection.abort()
         call.next_attempt = second
         self._log(call, 'request fails over', first, placement)
         return FailedOver()
 
-    def _record_late_wishes(self, attempt: calls.Attempt) -> None:
-        """Apply what a server asks for in an answer that is not used."""
+    def _record_unused(self, call: calls.Call, attempt: calls.Attempt) -> None:
+        """Record what an answer that is not used tells of its server."""
+        record = attempt.placement.record
         for event in attempt.exchange.events:
-            if isinstance(event, http_client.Head):
-                self._state.servers.record_wishes(
-                    attempt.placement.record,
-                    self._translation.decode_response(
-                        event.status, event.headers
-                    ),
-                    clock.now(),
-                )
+            match event:
+                case http_client.Head(status, headers):
+                    self._state.servers.record_wishes(
+                        record,
+                        self._translation.decode_response(status, headers),
+                        clock.now(),
+                    )
+                case http_client.ConnectionBroken():
+                    self._state.part_guard.record_broken(
+                        call, record, event, attempt.exchange.answered
+                    )
 
     def _abandon(
         self,
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -244,7 +244,7 @@
             return False
         if clock.now() >= call.admitted.deadline:
             return False
-        if self.state.part_guard.held(call) is not None:
+        if call.is_trial or self.state.part_guard.held(call) is not None:
             return False
         return self.state.retry_budget.allows_retry(
             call.service.name, self.state.peers.node_count, clock.now()
