--- a/hornbeamrudder/gateway/calls.py
+++ b/hornbeamrudder/gateway/calls.py
@@ -138,8 +138,8 @@
         Time at which another server was last tried in vain.
     part_keys : tuple of PartKey
         Parts of the prompt that other requests may share.
-    broken_at : LifetimeKey or None
-        Server that broke off while an answer was beginning.
+    crash_check : Task or None
+        Whether a server that broke off as an answer began has crashed.
     task : Task or None
         Task that serves it.
     is_trial : bool
@@ -167,7 +167,7 @@
     next_attempt: Attempt | None = None
     tried_at: float = float('-inf')
     part_keys: tuple[crash_evidence.PartKey, ...] = ()
-    broken_at: crash_evidence.LifetimeKey | None = None
+    crash_check: 'asyncio.Task[bool] | None' = None
     is_trial: bool = False
     task: 'asyncio.Task[None] | None' = None
 
--- a/hornbeamrudder/gateway/crash_evidence.py
+++ b/hornbeamrudder/gateway/crash_evidence.py
@@ -44,7 +44,7 @@
 MAX_HOLDS = 32
 # Limits on what one request of a client may add.
 MAX_PARTS_PER_REQUEST = 32
-MAX_PARTS_PER_CRASH = 64
+MAX_PARTS_PER_CRASH = 32
 # Answers and failures of a service that this node remembers.
 MAX_OUTCOMES = 256
 
@@ -216,17 +216,23 @@
             crash = dataclasses.replace(
                 crash,
                 at=min(known.at, crash.at),
-                begun=self._limited(known.begun | crash.begun),
-                unanswered=self._limited(known.unanswered | crash.unanswered),
-            )
-            if crash.parts == known.parts and crash.begun == known.begun:
-                return False
-        else:
-            crash = dataclasses.replace(
-                crash,
-                begun=self._limited(crash.begun),
-                unanswered=self._limited(crash.unanswered),
+                begun=known.begun | crash.begun,
+                unanswered=known.unanswered | crash.unanswered,
             )
+        begun = self._limited(crash.begun, MAX_PARTS_PER_CRASH)
+        crash = dataclasses.replace(
+            crash,
+            begun=begun,
+            unanswered=self._limited(
+                crash.unanswered - begun, MAX_PARTS_PER_CRASH - len(begun)
+            ),
+        )
+        if (
+            known is not None
+            and crash.parts == known.parts
+            and crash.begun == known.begun
+        ):
+            return False
         self.crash_by_lifetime[crash.lifetime] = crash
         self._crash_learned_at = crash.learned_at
         for part in crash.parts:
@@ -236,9 +242,11 @@
         self._forget(crash.learned_at)
         return True
 
-    def _limited(self, parts: frozenset[PartKey]) -> frozenset[PartKey]:
+    def _limited(
+        self, parts: frozenset[PartKey], limit: int
+    ) -> frozenset[PartKey]:
         """Keep the most suspicious parts: never or least recently answered."""
-        if len(parts) <= MAX_PARTS_PER_CRASH:
+        if len(parts) <= limit:
             return parts
         return frozenset(
             sorted(
@@ -247,7 +255,7 @@
                     self.answered_at.get(part, float('-inf')),
                     part,
                 ),
-            )[:MAX_PARTS_PER_CRASH]
+            )[:limit]
         )
 
     def _forget(self, now: float) -> None:
@@ -404,7 +412,7 @@
         doubtful = not begun_only or part in self.answered_at
         if count < (MIN_DOUBTFUL_CRASHES if doubtful else MIN_CRASHES):
             return False
-        since, service = run[0].at, run[0].service
+        since, until, service = run[0].at, run[-1].at, run[0].service
         others = _distinct(
             [
                 crash
@@ -417,11 +425,14 @@
         )
         if count < MIN_SHARE * (count + others):
             return False
-        answers = sum(at > since for at in self._answers_by_service[service])
+        # Later answers may only show that the service has recovered.
+        answers = sum(
+            since < at < until for at in self._answers_by_service[service]
+        )
         if part in self.answered_at and answers < MIN_ANSWERS:
             return False
         failures = sum(
-            failure.at >= since
+            since <= failure.at <= until
             and part not in failure.parts
             and (failure.begun or not begun_only)
             and not any(hold <= failure.parts for hold in self.hold_by_parts)
--- a/hornbeamrudder/gateway/features/crash_simulation.py
+++ b/hornbeamrudder/gateway/features/crash_simulation.py
@@ -60,7 +60,7 @@
     is_bad: bool
     part_keys: tuple = ()
     is_trial: bool = False
-    broken_at: object = None
+    crash_check: object = None
     has_head: bool = False
     sends: list = dataclasses.field(default_factory=list)
     outcome: str = ''
@@ -88,7 +88,7 @@
         Times of the crashes under these.
     """
 
-    def __init__(self, fleet, server_count=22):
+    def __init__(self, fleet, server_count):
         self.fleet = fleet
         self.rng = fleet.rng
         self.servers = [Server(number, 1) for number in range(server_count)]
@@ -215,6 +215,13 @@
         for call, guard in calls:
             guard.record_broken(call, server, broken, call.has_head)
 
+    def break_each_connection(self):
+        """Break a connection of each node to each server."""
+        for number in self.fleet.running_by_number:
+            for server in self.servers:
+                call = SimulatedCall(('first0', 'own0'), number, 'x', False)
+                self.guard(number).record_broken(call, server, CLOSED, False)
+
     async def _restart(self, number):
         await asyncio.sleep(RESTART_S)
         self.servers[number] = Server(number, self.servers[number].started + 1)
--- a/hornbeamrudder/gateway/features/prompt_parts.feature
+++ b/hornbeamrudder/gateway/features/prompt_parts.feature
@@ -21,6 +21,7 @@
       | 7     | store down       |
       | 7     | nodes restarted  |
       | 7     | nodes cut        |
+      | 7     | earlier resets   |
 
     Examples: hubs
       | count | fault            |
@@ -86,3 +87,21 @@
     Given 7 nodes of one fleet
     When the row of the held parts is removed and the part is sound
     Then requests with it are answered at each node within 8 s
+
+  Scenario: What is remembered of crashes, parts and holds is bounded
+    # Guards against memory and messages that grow with what clients send.
+    When 2000 crashes with 200 parts each are recorded, and 5000 answers
+    Then at most 256 crashes, 32 parts of each, 4096 answered parts and 32 holds are known
+    And each message about them fits one datagram
+
+  Scenario Outline: A malformed message about crashes changes nothing
+    # Guards against nodes that end for a datagram of another program.
+    When a message about crashes has <odd> in it
+    Then it is counted as malformed, and nothing is held back
+
+    Examples:
+      | odd              |
+      | an infinite age  |
+      | a negative age   |
+      | no list of parts |
+      | a missing field  |
--- a/hornbeamrudder/gateway/features/steps/crash_steps.py
+++ b/hornbeamrudder/gateway/features/steps/crash_steps.py
@@ -4,15 +4,21 @@
 import itertools
 
 import behave
+import msgpack
 
 from hornbeamrudder.gateway import clock
 from hornbeamrudder.gateway import crash_evidence
 from hornbeamrudder.gateway.features import crash_simulation
 from hornbeamrudder.gateway.features import fleet_simulation
+from hornbeamrudder.gateway.features import node_network
 from hornbeamrudder.gateway import held_parts
 from hornbeamrudder.gateway import messages
+from hornbeamrudder.gateway import reports
+from hornbeamrudder.gateway import table_relay
 
 CONTACT_S = 3.0
+SERVER_COUNT = 22
+MANY_SERVERS = 60
 SOUND_PER_S = 90.0
 BAD_PER_S = 4.0
 START_S = 4.0
@@ -44,14 +50,14 @@
     context.fleet = fleet_simulation.Fleet(count)
 
 
-def _play(context, scenario):
+def _play(context, scenario, server_count=SERVER_COUNT):
     """Run a scenario after a start of all nodes and some sound requests."""
 
     async def play(fleet):
         fleet.put_configuration(1)
         await fleet.start_all()
         await asyncio.sleep(START_S)
-        simulation = crash_simulation.CrashSimulation(fleet)
+        simulation = crash_simulation.CrashSimulation(fleet, server_count)
         await simulation.send_requests(USUAL_S, SOUND_PER_S, 0.0)
         await scenario(simulation)
         context.held_by_node = simulation.held_parts()
@@ -96,10 +102,16 @@
     context.out_of_touch = {}
 
     async def scenario(simulation):
+        if fault == 'earlier resets':
+            # Each node sees each server break off once; all of them go on.
+            simulation.break_each_connection()
+            await asyncio.sleep(1.0)
         simulation.run_later(_inject(simulation, fault, context.out_of_touch))
         await simulation.send_requests(BAD_S, SOUND_PER_S, BAD_PER_S)
 
-    _play(context, scenario)
+    # With many servers, most crash for the first time.
+    count = MANY_SERVERS if fault == 'earlier resets' else SERVER_COUNT
+    _play(context, scenario, count)
 
 
 @behave.then(
@@ -359,3 +371,85 @@
 @behave.then('requests with it are answered at each node within 8 s')
 def check_released_by_hand(context):
     assert len(context.answered_at) == context.fleet.count, context.answered_at
+
+
+@behave.when(
+    '{crashes:d} crashes with {parts:d} parts each are recorded, and'
+    ' {answers:d} answers'
+)
+def record_many(context, crashes, parts, answers):
+    evidence = context.evidence = crash_evidence.CrashEvidence()
+    service = crash_evidence.service_key(crash_simulation.SERVICE)
+    for number in range(answers):
+        evidence.record_answer(service, _keys(f'answered {number}'), 1.0)
+    for number in range(crashes):
+        at = 2.0 + number / 10
+        names = [f'part {number} {part}' for part in range(parts)]
+        evidence.add_crash(
+            crash_evidence.Crash(
+                crash_evidence.LifetimeKey(number),
+                service,
+                at,
+                at,
+                _keys(*names),
+            )
+        )
+        evidence.add_hold(crash_evidence.Hold(_keys(names[0]), at, at, 3))
+
+
+@behave.then(
+    'at most {crashes:d} crashes, {parts:d} parts of each, {answered:d}'
+    ' answered parts and {holds:d} holds are known'
+)
+def check_bounds(context, crashes, parts, answered, holds):
+    evidence = context.evidence
+    assert len(evidence.crash_by_lifetime) <= crashes
+    assert len(evidence.answered_at) <= answered
+    assert len(evidence.hold_by_parts) <= holds
+    assert all(
+        len(crash.parts) <= parts
+        for crash in evidence.crash_by_lifetime.values()
+    )
+
+
+@behave.then('each message about them fits one datagram')
+def check_message_sizes(context):
+    network = node_network.SimulatedNetwork(2)
+    sizes = []
+    with network.patch_clock():
+        guard = network.node_by_number[0].state.part_guard
+        guard.evidence = context.evidence
+        for lifetime in context.evidence.crash_by_lifetime:
+            guard.announce_crash(lifetime)
+        network.send = lambda sender, number, data: sizes.append(len(data))
+        network.now += 1.0
+        guard.step()
+    assert sizes and max(sizes) <= table_relay.MAX_DATAGRAM_BYTES, max(sizes)
+
+
+@behave.when('a message about crashes has {odd} in it')
+def send_malformed(context, odd):
+    part = next(iter(_keys(crash_simulation.BAD_PART)))
+    hold = [[part], 1.0, 1.0, 3, 0]
+    message = [reports.SUSPICIONS_FORMAT, 'n1', [], [], [hold]]
+    match odd:
+        case 'an infinite age':
+            hold[1] = float('inf')
+        case 'a negative age':
+            hold[2] = -1.0
+        case 'no list of parts':
+            hold[0] = part
+        case 'a missing field':
+            message.pop()
+    network = node_network.SimulatedNetwork(2)
+    with network.patch_clock():
+        context.node = network.node_by_number[0]
+        context.node.state.peers.datagram_received(
+            msgpack.packb(message), ('10.0.0.1', 1)
+        )
+
+
+@behave.then('it is counted as malformed, and nothing is held back')
+def check_malformed(context):
+    assert context.node.state.peers.malformed == 1
+    assert not context.node.state.part_guard.evidence.hold_by_parts
--- a/hornbeamrudder/gateway/part_guard.py
+++ b/hornbeamrudder/gateway/part_guard.py
@@ -7,7 +7,7 @@
 import asyncio
 import collections
 import itertools
-from typing import Any, Awaitable, Callable, Iterable, Iterator, Sequence
+from typing import Any, Awaitable, Callable, Iterable, Iterator, TypeVar
 
 from . import calls
 from . import clock
@@ -29,8 +29,10 @@
 REPEAT_S = 0.4
 # Interval between messages with all holds, while there are any.
 HOLDS_INTERVAL_S = 1.0
-# Items in one datagram.
-MAX_ITEMS = 8
+# Prompt parts in one datagram.
+MAX_ITEMS = crash_evidence.MAX_PARTS_PER_CRASH
+FIELDS_ROOM = 4
+MAX_LABELS = 8
 MAX_PART_NAMES = 512
 # From the start of a hold to its first trial, and from that to the next one.
 TRIAL_PAUSES_S = (60.0, 600.0)
@@ -40,6 +42,7 @@
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 60.0
 
+_Item = TypeVar('_Item')
 Connect = Callable[..., Awaitable[Any]]
 # Asks for leave to send the next trial under a hold.
 ClaimTrial = Callable[[crash_evidence.Hold], Awaitable[bool]]
@@ -81,7 +84,7 @@
         self._check_by_lifetime: dict[
             crash_evidence.LifetimeKey, asyncio.Task[bool]
         ] = {}
-        self._crash_news: dict[crash_evidence.LifetimeKey, float] = {}
+        self._crash_news: set[crash_evidence.LifetimeKey] = set()
         self._answer_news: dict[crash_evidence.PartKey, float] = {}
         self._hold_news = False
         self._repeat: list[tuple[float, reports.Suspicions]] = []
@@ -171,15 +174,9 @@
         lifetime = crash_evidence.LifetimeKey(
             hashing.stable_hash(entry.id, str(entry.started))
         )
-        call.broken_at = lifetime if begun else call.broken_at
-        check = self._check_by_lifetime.get(lifetime)
-        if check is None:
-            check = asyncio.ensure_future(self._has_crashed(record))
-            self._check_by_lifetime[lifetime] = check
-            while len(self._check_by_lifetime) > crash_evidence.MAX_CRASHES:
-                del self._check_by_lifetime[
-                    next(iter(self._check_by_lifetime))
-                ]
+        check = self._check(lifetime, record)
+        if begun:
+            call.crash_check = check
         for part in call.admitted.metadata.prompt_parts[:-1][
             : crash_evidence.MAX_PARTS_PER_REQUEST
         ]:
@@ -196,6 +193,23 @@
             )
         )
 
+    def _check(
+        self,
+        lifetime: crash_evidence.LifetimeKey,
+        record: server_registry.ServerRecord,
+    ) -> 'asyncio.Task[bool]':
+        """Return the check of a server; one that has crashed stays so."""
+        check = self._check_by_lifetime.get(lifetime)
+        if check is not None and not (
+            check.done() and (check.cancelled() or not check.result())
+        ):
+            return check
+        check = asyncio.ensure_future(self._has_crashed(record))
+        self._check_by_lifetime[lifetime] = check
+        if len(self._check_by_lifetime) > crash_evidence.MAX_CRASHES:
+            del self._check_by_lifetime[next(iter(self._check_by_lifetime))]
+        return check
+
     async def _has_crashed(self, record: server_registry.ServerRecord) -> bool:
         opened = await self.connect(record.entry.address, CHECK_TIMEOUT_S)
         if isinstance(opened, http_client.ConnectionBroken):
@@ -233,7 +247,7 @@
                 frozenset() if begun else parts,
             )
         ):
-            self._crash_news[lifetime] = at
+            self.announce_crash(lifetime)
             self._send_news()
 
     async def may_repeat(self, call: calls.Call) -> bool:
@@ -244,15 +258,18 @@
         """
         if self.held(call) is not None:
             return False
-        if call.broken_at is None or all(
+        if call.crash_check is None or all(
             part in self.evidence.answered_at for part in call.part_keys
         ):
             return True
-        check = self._check_by_lifetime.get(call.broken_at)
-        return check is not None and not await asyncio.shield(check)
+        return not await asyncio.shield(call.crash_check)
 
     # Messages
 
+    def announce_crash(self, lifetime: crash_evidence.LifetimeKey) -> None:
+        """Include a crash in the next news."""
+        self._crash_news.add(lifetime)
+
     def step(self) -> None:
         """Find holds and send what is due."""
         now = clock.now()
@@ -289,7 +306,7 @@
             if not evidence.add_crash(own):
                 continue
             if is_hub:
-                self._crash_news[own.lifetime] = own.at
+                self.announce_crash(own.lifetime)
             # The sender adds what it knows of the parts' answers.
             for part in own.parts:
                 told = message.answer_age_by_part.get(part)
@@ -343,12 +360,14 @@
 
     def _news_messages(self, now: float) -> Iterator[reports.Suspicions]:
         evidence = self.evidence
-        for lifetimes in _batches(list(self._crash_news)):
-            crashes = [
+        for crashes in _batches(
+            [
                 evidence.crash_by_lifetime[lifetime]
-                for lifetime in lifetimes
+                for lifetime in self._crash_news
                 if lifetime in evidence.crash_by_lifetime
-            ]
+            ],
+            lambda crash: len(crash.parts),
+        ):
             answers: dict[int, float] = {
                 part: now - evidence.answered_at[part]
                 for crash in crashes
@@ -360,7 +379,7 @@
                 tuple(_encode_crash(crash, now) for crash in crashes),
                 answers,
             )
-        for parts in _batches(list(self._answer_news.items())):
+        for parts in _batches(self._answer_news.items(), lambda item: 1):
             yield reports.Suspicions(
                 self._node,
                 answer_age_by_part={
@@ -370,7 +389,10 @@
 
     def _hold_messages(self) -> Iterator[reports.Suspicions]:
         now = clock.now()
-        for holds in _batches(list(self.evidence.hold_by_parts.values())):
+        for holds in _batches(
+            self.evidence.hold_by_parts.values(),
+            lambda hold: len(hold.parts),
+        ):
             yield reports.Suspicions(
                 self._node,
                 holds=tuple(_encode_hold(hold, now) for hold in holds),
@@ -394,7 +416,7 @@
         """Return keys in hexadecimal, with the names known to this node."""
         return [
             f'{part:016x} {self._name_by_key.get(part, "")}'.rstrip()
-            for part in sorted(parts)[:MAX_ITEMS]
+            for part in sorted(parts)[:MAX_LABELS]
         ]
 
     def _log_hold(self, hold: crash_evidence.Hold, source: str | None) -> None:
@@ -423,9 +445,22 @@
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, trial_at(hold) - now))
 
 
-def _batches(items: Sequence[Any]) -> Iterator[Sequence[Any]]:
-    for start in range(0, len(items), MAX_ITEMS):
-        yield items[start : start + MAX_ITEMS]
+def _batches(
+    items: Iterable[_Item], count_parts: Callable[[_Item], int]
+) -> Iterator[list[_Item]]:
+    """Divide items so that the parts of each batch fit one datagram."""
+    batch: list[_Item] = []
+    used = 0
+    for item in items:
+        # The fields of an item take as much room as a few parts.
+        room = count_parts(item) + FIELDS_ROOM
+        if batch and used + room > MAX_ITEMS + FIELDS_ROOM:
+            yield batch
+            batch, used = [], 0
+        batch.append(item)
+        used += room
+    if batch:
+        yield batch
 
 
 def _encode_crash(
