--- a/hornbeamrudder/gateway/crash_evidence.py
+++ b/hornbeamrudder/gateway/crash_evidence.py
@@ -39,7 +39,7 @@
 MAX_AGE_S = 600.0
 # Time after a crash in which the evidence is looked at again.
 RECENT_S = 10.0
-MAX_CRASHES = 256
+MAX_CRASHES = 128
 MAX_ANSWERED_PARTS = 4096
 MAX_HOLDS = 32
 # Limits on what one request of a client may add.
--- a/hornbeamrudder/gateway/features/prompt_parts.feature
+++ b/hornbeamrudder/gateway/features/prompt_parts.feature
@@ -91,7 +91,7 @@
   Scenario: What is remembered of crashes, parts and holds is bounded
     # Guards against memory and messages that grow with what clients send.
     When 2000 crashes with 200 parts each are recorded, and 5000 answers
-    Then at most 256 crashes, 32 parts of each, 4096 answered parts and 32 holds are known
+    Then at most 128 crashes, 32 parts of each, 4096 answered parts and 32 holds are known
     And each message about them fits one datagram
 
   Scenario Outline: A malformed message about crashes changes nothing
--- a/hornbeamrudder/gateway/part_guard.py
+++ b/hornbeamrudder/gateway/part_guard.py
@@ -6,14 +6,16 @@
 
 import asyncio
 import collections
+import dataclasses
 import itertools
-from typing import Any, Awaitable, Callable, Iterable, Iterator, TypeVar
+from typing import Any, Awaitable, Callable, Iterable, Iterator, Mapping
 
 from . import calls
 from . import clock
 from ..core import hashing
 from ..core import ids
 from . import crash_evidence
+from . import crash_news
 from . import http_client
 from . import metrics
 from . import peers
@@ -25,13 +27,10 @@
 # Time in which other nodes can report answers, in a full mesh and with hubs.
 SETTLE_S = 0.1
 RELAYED_SETTLE_S = 0.45
-# News are sent again once, as a datagram may be lost.
+# Until news are sent once more.
 REPEAT_S = 0.4
 # Interval between messages with all holds, while there are any.
 HOLDS_INTERVAL_S = 1.0
-# Prompt parts in one datagram.
-MAX_ITEMS = crash_evidence.MAX_PARTS_PER_CRASH
-FIELDS_ROOM = 4
 MAX_LABELS = 8
 MAX_PART_NAMES = 512
 # From the start of a hold to its first trial, and from that to the next one.
@@ -42,7 +41,6 @@
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 60.0
 
-_Item = TypeVar('_Item')
 Connect = Callable[..., Awaitable[Any]]
 # Asks for leave to send the next trial under a hold.
 ClaimTrial = Callable[[crash_evidence.Hold], Awaitable[bool]]
@@ -52,6 +50,15 @@
     return False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Repeat:
+    """News that are sent once more, as a datagram may be lost."""
+
+    at: float
+    crashes: frozenset[crash_evidence.LifetimeKey]
+    answers: Mapping[crash_evidence.PartKey, float]
+
+
 class PartGuard:
     """Crash evidence of one node, and its exchange with the others.
 
@@ -87,7 +94,8 @@
         self._crash_news: set[crash_evidence.LifetimeKey] = set()
         self._answer_news: dict[crash_evidence.PartKey, float] = {}
         self._hold_news = False
-        self._repeat: list[tuple[float, reports.Suspicions]] = []
+        # Latest news, until they are sent once more.
+        self._repeats: list[_Repeat] = []
         self._holds_sent_at = float('-inf')
         self._trial_asked_at = float('-inf')
 
@@ -281,10 +289,13 @@
                 self._hold_news = True
                 self._log_hold(hold, None)
         self._send_news()
-        due = [item for item in self._repeat if item[0] <= now]
-        self._repeat = [item for item in self._repeat if item[0] > now]
-        for _, message in due:
-            self._send(message)
+        due = [item for item in self._repeats if item.at <= now]
+        self._repeats = [item for item in self._repeats if item.at > now]
+        for item in due:
+            for message in self._news_messages(
+                now, item.crashes, item.answers
+            ):
+                self._send(message)
         interval_s = max(
             HOLDS_INTERVAL_S, peers.interval_s(self._peers.node_count)
         )
@@ -302,7 +313,7 @@
         evidence = self.evidence
         is_hub = self._is_hub()
         for crash in message.crashes:
-            own = _decode_crash(crash, now)
+            own = crash_news.decode_crash(crash, now)
             if not evidence.add_crash(own):
                 continue
             if is_hub:
@@ -318,7 +329,7 @@
             if evidence.vouch(part, now - age_s) and is_hub:
                 self._answer_news[part] = now - age_s
         for news in message.holds:
-            hold = _decode_hold(news, now)
+            hold = crash_news.decode_hold(news, now)
             if evidence.add_hold(hold):
                 self._hold_news = self._hold_news or is_hub
                 self._log_hold(hold, message.node)
@@ -348,22 +359,28 @@
 
     def _send_news(self) -> None:
         now = clock.now()
-        messages = list(self._news_messages(now))
-        self._crash_news.clear()
-        self._answer_news.clear()
+        if self._crash_news or self._answer_news:
+            crashes, self._crash_news = frozenset(self._crash_news), set()
+            answers, self._answer_news = self._answer_news, {}
+            for message in self._news_messages(now, crashes, answers):
+                self._send(message)
+            self._repeats.append(_Repeat(now + REPEAT_S, crashes, answers))
         if self._hold_news:
             self._hold_news = False
-            messages.extend(self._hold_messages())
-        for message in messages:
-            self._send(message)
-            self._repeat.append((now + REPEAT_S, message))
+            for message in self._hold_messages():
+                self._send(message)
 
-    def _news_messages(self, now: float) -> Iterator[reports.Suspicions]:
+    def _news_messages(
+        self,
+        now: float,
+        lifetimes: Iterable[crash_evidence.LifetimeKey],
+        answers_at: Mapping[crash_evidence.PartKey, float],
+    ) -> Iterator[reports.Suspicions]:
         evidence = self.evidence
-        for crashes in _batches(
+        for crashes in crash_news.batches(
             [
                 evidence.crash_by_lifetime[lifetime]
-                for lifetime in self._crash_news
+                for lifetime in lifetimes
                 if lifetime in evidence.crash_by_lifetime
             ],
             lambda crash: len(crash.parts),
@@ -376,10 +393,12 @@
             }
             yield reports.Suspicions(
                 self._node,
-                tuple(_encode_crash(crash, now) for crash in crashes),
+                tuple(
+                    crash_news.encode_crash(crash, now) for crash in crashes
+                ),
                 answers,
             )
-        for parts in _batches(self._answer_news.items(), lambda item: 1):
+        for parts in crash_news.batches(answers_at.items(), lambda item: 1):
             yield reports.Suspicions(
                 self._node,
                 answer_age_by_part={
@@ -389,13 +408,15 @@
 
     def _hold_messages(self) -> Iterator[reports.Suspicions]:
         now = clock.now()
-        for holds in _batches(
+        for holds in crash_news.batches(
             self.evidence.hold_by_parts.values(),
             lambda hold: len(hold.parts),
         ):
             yield reports.Suspicions(
                 self._node,
-                holds=tuple(_encode_hold(hold, now) for hold in holds),
+                holds=tuple(
+                    crash_news.encode_hold(hold, now) for hold in holds
+                ),
             )
 
     def _send(self, message: reports.Suspicions) -> None:
@@ -443,64 +464,3 @@
 def retry_after_s(hold: crash_evidence.Hold, now: float) -> float:
     """Return the Retry-After of a request that is held back."""
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, trial_at(hold) - now))
-
-
-def _batches(
-    items: Iterable[_Item], count_parts: Callable[[_Item], int]
-) -> Iterator[list[_Item]]:
-    """Divide items so that the parts of each batch fit one datagram."""
-    batch: list[_Item] = []
-    used = 0
-    for item in items:
-        # The fields of an item take as much room as a few parts.
-        room = count_parts(item) + FIELDS_ROOM
-        if batch and used + room > MAX_ITEMS + FIELDS_ROOM:
-            yield batch
-            batch, used = [], 0
-        batch.append(item)
-        used += room
-    if batch:
-        yield batch
-
-
-def _encode_crash(
-    crash: crash_evidence.Crash, now: float
-) -> reports.CrashNews:
-    return reports.CrashNews(
-        crash.lifetime,
-        crash.service,
-        max(0.0, now - crash.at),
-        tuple(crash.begun),
-        tuple(crash.unanswered),
-    )
-
-
-def _decode_crash(news: reports.CrashNews, now: float) -> crash_evidence.Crash:
-    return crash_evidence.Crash(
-        crash_evidence.LifetimeKey(news.lifetime),
-        crash_evidence.ServiceKey(news.service),
-        now - news.age_s,
-        now,
-        frozenset(map(crash_evidence.PartKey, news.begun)),
-        frozenset(map(crash_evidence.PartKey, news.unanswered)),
-    )
-
-
-def _encode_hold(hold: crash_evidence.Hold, now: float) -> reports.HoldNews:
-    return reports.HoldNews(
-        tuple(hold.parts),
-        max(0.0, now - hold.first_at),
-        max(0.0, now - hold.held_at),
-        hold.crashes,
-        hold.trials,
-    )
-
-
-def _decode_hold(news: reports.HoldNews, now: float) -> crash_evidence.Hold:
-    return crash_evidence.Hold(
-        frozenset(map(crash_evidence.PartKey, news.parts)),
-        now - news.first_age_s,
-        now - news.held_age_s,
-        news.crashes,
-        news.trials,
-    )
