--- a/hornbeamrudder/gateway/failover.py
+++ b/hornbeamrudder/gateway/failover.py
@@ -118,7 +118,7 @@
         for event in attempt.exchange.events:
             match event:
                 case http_client.Head(status, headers):
-                    self._state.servers.record_wishes(
+                    self._state.servers.record_directives(
                         record,
                         self._translation.decode_response(status, headers),
                         clock.now(),
@@ -261,7 +261,7 @@
                 metadata = self._translation.decode_response(
                     head.status, head.headers
                 )
-                self._state.servers.record_wishes(
+                self._state.servers.record_directives(
                     record, metadata, clock.now()
                 )
                 if metadata.not_executed:
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -324,7 +324,7 @@
                 return placement
         paused_until = min(
             (
-                record.wishes.paused_until
+                record.directives.paused_until
                 for record in self.state.servers.of_service(call.service.name)
                 if record.usable
             ),
@@ -468,13 +468,14 @@
         A stream that has started is cut, visibly.
         """
         for call in list(self.calls):
-            if not call.reply.ended:
-                self._fail(call, 'node is stopping')
+            self._fail(call, 'node is stopping')
             if call.task is not None:
                 call.task.cancel()
 
     def _fail(self, call: calls.Call, reason: str) -> None:
         """Send the client an error, or abort a response already started."""
+        if call.reply.ended:
+            return
         call.detail = reason
         if call.reply.started:
             call.reply.abort()
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -196,7 +196,7 @@
         attempt.connection.keep_alive_s = metadata.keep_alive_s
         now = clock.now()
         attempt.placement.record.record_slowness(metadata.slowness, now)
-        self._state.servers.record_wishes(
+        self._state.servers.record_directives(
             attempt.placement.record, metadata, now
         )
         if metadata.not_executed:
--- a/hornbeamrudder/gateway/server_registry.py
+++ b/hornbeamrudder/gateway/server_registry.py
@@ -32,12 +32,12 @@
 REPORT_AGE_INTERVALS = 2.5
 # Longest pause that a backend server is granted; it says so again.
 MAX_PAUSE_S = 600.0
-# Processes of backend servers whose wishes outlast their entries.
-MAX_WISHES = 1024
+# Processes of backend servers whose directives outlast their entries.
+MAX_DIRECTIVES = 1024
 
 
 @dataclasses.dataclass(slots=True)
-class Wishes:
+class Directives:
     """What a backend server process has asked for in its answers.
 
     Attributes
@@ -84,7 +84,7 @@
     leaving_since: float | None = None
     leaves_at: float | None = None
     missing_since: float | None = None
-    wishes: Wishes = dataclasses.field(default_factory=Wishes)
+    directives: Directives = dataclasses.field(default_factory=Directives)
     cached_parts: collections.OrderedDict[str, float] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
@@ -178,8 +178,8 @@
         self._removed_by_id: dict[ids.WorkerId, ServerRecord] = {}
         self._by_key: dict[int, ServerRecord] = {}
         self._reports: dict[ids.NodeId, tuple[float, reports.Load]] = {}
-        self._wishes_by_process: collections.OrderedDict[
-            tuple[ids.WorkerId, records.StartedMs], Wishes
+        self._directives_by_process: collections.OrderedDict[
+            tuple[ids.WorkerId, records.StartedMs], Directives
         ] = collections.OrderedDict()
 
     def of_service(self, service: ids.ServiceName) -> Iterable[ServerRecord]:
@@ -216,13 +216,16 @@
         record.cold_until = now + entry.cold_s
         if entry.leaves_in_s is not None:
             record.leaves_at = now + entry.leaves_in_s
-        record.wishes = self._wishes_by_process.get(
-            (entry.id, entry.started), record.wishes
+        record.directives = self._directives_by_process.get(
+            (entry.id, entry.started), record.directives
         )
-        if entry.state is records.ServerState.LEAVING or record.wishes.leaving:
+        if (
+            entry.state is records.ServerState.LEAVING
+            or record.directives.leaving
+        ):
             self._mark_leaving(record, now)
 
-    def record_wishes(
+    def record_directives(
         self,
         record: ServerRecord,
         metadata: messages.ResponseMetadata,
@@ -231,17 +234,18 @@
         """Apply what a backend server asks for in an answer."""
         if not metadata.leaving and metadata.pause_s is None:
             return
-        wishes = record.wishes
+        directives = record.directives
         entry = record.entry
-        self._wishes_by_process[entry.id, entry.started] = wishes
-        if len(self._wishes_by_process) > MAX_WISHES:
-            self._wishes_by_process.popitem(last=False)
+        self._directives_by_process[entry.id, entry.started] = directives
+        if len(self._directives_by_process) > MAX_DIRECTIVES:
+            self._directives_by_process.popitem(last=False)
         if metadata.pause_s is not None:
-            wishes.paused_until = max(
-                wishes.paused_until, now + min(metadata.pause_s, MAX_PAUSE_S)
+            directives.paused_until = max(
+                directives.paused_until,
+                now + min(metadata.pause_s, MAX_PAUSE_S),
             )
         if metadata.leaving:
-            wishes.leaving = True
+            directives.leaving = True
             self._mark_leaving(record, now)
 
     def remove(self, server: ids.WorkerId, now: float) -> None:
@@ -308,7 +312,7 @@
             for record in self.of_service(service.name)
             if record.usable
             and record.entry.id not in excluded
-            and now >= record.wishes.paused_until
+            and now >= record.directives.paused_until
         ]
         # A server whose entry lapsed during a store outage may be gone, so it
         # is used only if no other server has an entry.
