--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A worker crashes while the stream that it shall take over is moved to it."""
+"""A worker crashes while the streams that it shall take over are moved to it."""
 
 import asyncio
 import collections
@@ -11,28 +11,42 @@
 from standins import deployment  # noqa: E402
 
 ENGINE_COUNT = 7
-STREAMS = 84
+STREAMS = 200
+SEND_INTERVAL_S = 0.001
+# The engines are busy with long prompts: they begin a short one after this
+# time, and a token takes 47 ms, as a chunk of a long prompt is read in between.
+FIRST_TOKEN_S = 1.3
+EVENT_S = 6 * 0.047
+EVENTS = 20
+COPY_S = 0.004
 LEAVES_S = 2.5
-# From the first copy that a worker has got to its crash.
-CRASH_DELAY_S = 0.05
+# From the copy of a run without an event to the crash of its destination.
+CRASH_DELAY_S = 0.02
 
 
 async def play(place: deployment.Deployment) -> bool | None:
     """Return whether TWICE was broken; None if the case did not come about."""
     await place.start(
-        2, ENGINE_COUNT, 0, events=120, interval_s=0.05, copy_s=0.015
+        2,
+        ENGINE_COUNT,
+        0,
+        events=EVENTS,
+        interval_s=EVENT_S,
+        first_s=FIRST_TOKEN_S,
+        copy_s=COPY_S,
     )
     clients = []
     for number in range(STREAMS):
         clients.append(
             asyncio.create_task(place.request('/chat/', number % 2))
         )
-        await asyncio.sleep(0.01)
-    await asyncio.sleep(0.5)
-    running = collections.Counter(
-        event['worker'] for event in place.events if event['event'] == 'runs'
+        await asyncio.sleep(SEND_INTERVAL_S)
+    arrived = collections.Counter(
+        event['worker']
+        for event in place.events
+        if event['event'] == 'arrives'
     )
-    source = place.workers[running.most_common(1)[0][0]]
+    source = place.workers[arrived.most_common(1)[0][0]]
     by_address = {
         worker.address: worker for worker in place.workers.values()
     }
@@ -43,7 +57,7 @@
         if event['event'] != 'copied' or event['last']:
             return
         moved.append(event['id'])
-        if deployment.has_trouble() and not lost:
+        if deployment.has_trouble() and not lost and event['made'] == 0:
             lost.append(by_address[event['to']])
             asyncio.get_running_loop().call_later(
                 CRASH_DELAY_S, place.lose, lost[0]
@@ -61,16 +75,20 @@
     if lost:
         place.store.remove('servers', lost[0].id)
     await asyncio.gather(*clients)
-    place.note(f'moved: {moved}, {time.monotonic() - notice_at:.1f} s')
-    if not moved:
+    place.note(
+        f'{len(moved)} moved, ended {time.monotonic() - notice_at:.1f} s after '
+        'the notice'
+    )
+    if not moved or (deployment.has_trouble() and not lost):
         return None
-    # A run that goes on from a copy counts as the same run.
+    # A run begins with its first token; one that goes on from a copy counts
+    # as the same run.
     runs = collections.Counter(
         event['id']
         for event in place.events
         if event['event'] == 'runs' and event.get('continues') is None
     )
-    twice = {name: count for name, count in runs.items() if count > 1}
+    twice = [name for name, count in runs.items() if count > 1]
     for name in twice:
         where = [
             event['worker']
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -65,7 +65,7 @@
                 'gapTargetMs': 600,
                 'priority': 0,
                 'service': ENGINES,
-                'maxAttempts': 2,
+                'maxAttempts': 1,
                 'streamResume': False,
                 'sessionAffinity': True,
             },
@@ -209,10 +209,10 @@
         for number in range(plain):
             await self.start_worker(f'plain-{number}', PLAIN)
         self.store.put('op', 'config', configuration())
-        ports = _free_ports(4)
+        self._start_arguments = (_free_ports(4), store, cloud)
         for number in range(nodes):
-            await self._start_node(number, ports, store, cloud)
-        await self._wait_until_ready(ports[1])
+            self.nodes.append(await self.start_node(number))
+        await self._wait_until_ready(self._start_arguments[0][1])
 
     async def start_worker(
         self, name: str, service: str, **settings: Any
@@ -271,9 +271,9 @@
             self.note(f'{worker.id} {event["event"]} {fields}')
             self.on_event(event)
 
-    async def _start_node(
-        self, number: int, ports: list[int], store: str, cloud: str
-    ) -> None:
+    async def start_node(self, number: int) -> Node:
+        """Start a node process."""
+        ports, store, cloud = self._start_arguments
         front, ready, first, last = ports
         ip = f'127.0.0.{20 + number}'
         settings = {
@@ -298,7 +298,7 @@
         path.write_text(json.dumps(settings))
         deploy = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
         command = deploy['roles']['node']['run'].split()
-        log = (self.folder / f'{settings["node"]}.log').open('wb')
+        log = (self.folder / f'{settings["node"]}.log').open('ab')
         process = await asyncio.create_subprocess_exec(
             *command,
             cwd=ROOT,
@@ -315,8 +315,8 @@
             stderr=log,
         )
         log.close()
-        self.nodes.append(Node(str(settings['node']), ip, process))
         self.front_port = front
+        return Node(str(settings['node']), ip, process)
 
     async def _wait_until_ready(self, port: int) -> None:
         until = time.monotonic() + READY_S
--- a/review/standins/platform_services.py
+++ b/review/standins/platform_services.py
@@ -14,9 +14,16 @@
 
 
 class Store:
-    """Rows in tables, with versions from one counter and a change feed."""
+    """Rows in tables, with versions from one counter and a change feed.
+
+    Attributes
+    ----------
+    is_busy : bool
+        Whether all calls get 503, without effect.
+    """
 
     def __init__(self) -> None:
+        self.is_busy = False
         self.version = 0
         self.rows: dict[tuple[str, str], tuple[int, str]] = {}
         self.history: list[tuple[int, str, str, str | None]] = []
@@ -65,6 +72,8 @@
                 request.target.partition('?')[2], keep_blank_values=True
             )
         )
+        if self.is_busy:
+            return wire.json_response(503, {})
         if request.path == '/rows-get':
             return self._reply(200, self._page(query))
         if request.path == '/rows-feed':
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -142,14 +142,15 @@
         self.tell('runs', id=request_id, method=request.method)
         await asyncio.sleep(self.settings.get('work_s', 0.02))
         self.tell('ends', id=request_id)
-        writer.write(
-            wire.response(
-                200,
-                'OK',
-                f'answer of {self.id} to {request_id}'.encode(),
-                self._head(request_id),
-            )
+        answer = wire.response(
+            200,
+            'OK',
+            f'answer of {self.id} to {request_id}'.encode(),
+            self._head(request_id),
         )
+        if request.method == 'HEAD':
+            answer = answer[: answer.index(b'\r\n\r\n') + 4]
+        writer.write(answer)
         return True
 
     async def _stream(
@@ -168,6 +169,9 @@
                 return self._refuse(writer, request_id, 503)
             run_id = copy['run_id']
         run = Run(request_id, run_id, last, int(self.settings['events']))
+        if source is None:
+            # Prompts are read in one after the other.
+            await asyncio.sleep(self.settings.get('first_s', 0.0))
         self.runs[request_id] = run
         self.tell('runs', id=request_id, run=run_id, continues=source)
         lines = ['HTTP/1.1 200 OK', 'Content-Type: text/event-stream']
@@ -221,7 +225,13 @@
         if not await _transfer(order['to'], copy):
             self.tell('copy failed', id=run.request_id, to=order['to'])
             return wire.json_response(503, body if last else {})
-        self.tell('copied', id=run.request_id, to=order['to'], last=last)
+        self.tell(
+            'copied',
+            id=run.request_id,
+            to=order['to'],
+            last=last,
+            made=run.last_event,
+        )
         return wire.json_response(200, body)
 
 
