--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -151,6 +151,7 @@
     id: str
     service: str
     process: asyncio.subprocess.Process
+    born: int
     address: str = ''
     lost: bool = False
 
@@ -226,7 +227,7 @@
             json.dumps({'id': name, 'ip': IP, **settings}),
             stdout=asyncio.subprocess.PIPE,
         )
-        worker = Worker(name, service, process)
+        worker = Worker(name, service, process, int(time.time() * 1e3))
         self.workers[name] = worker
         self._readers.append(asyncio.create_task(self._read_events(worker)))
         until = time.monotonic() + READY_S
@@ -251,7 +252,7 @@
                 'state': 'ready',
                 'coldRemainingMs': 0,
                 'sequence': 1,
-                'born': 1700000000000,
+                'born': worker.born,
                 **fields,
             },
         )
@@ -335,9 +336,10 @@
         method: str = 'POST',
         budget_ms: int = 12000,
         headers: dict[str, str] | None = None,
+        request_id: str = '',
     ) -> Answer:
         """Send one request on a new channel and read its answer."""
-        answer = Answer(uuid.uuid4().hex[:16])
+        answer = Answer(request_id or uuid.uuid4().hex[:16])
         self.note(f'client sends {answer.request_id} {method} {path}')
         try:
             async with asyncio.timeout(budget_ms / 1e3 + 1.0):
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import json
+import os
 import sys
 import time
 import uuid
@@ -58,7 +59,9 @@
     async def run(self) -> None:
         """Serve until killed."""
         server = await asyncio.start_server(
-            self._serve, self.settings.get('ip', '127.0.0.1'), 0
+            self._serve,
+            self.settings.get('ip', '127.0.0.1'),
+            self.settings.get('port', 0),
         )
         address = '%s:%d' % server.sockets[0].getsockname()[:2]
         self.tell('listens', address=address)
@@ -172,6 +175,9 @@
         if source is None:
             # Prompts are read in one after the other.
             await asyncio.sleep(self.settings.get('first_s', 0.0))
+        if self._crashes_under(request):
+            self.tell('crashes', id=request_id)
+            os._exit(1)
         self.runs[request_id] = run
         self.tell('runs', id=request_id, run=run_id, continues=source)
         lines = ['HTTP/1.1 200 OK', 'Content-Type: text/event-stream']
@@ -202,6 +208,11 @@
             if self.runs.get(request_id) is run:
                 del self.runs[request_id]
 
+    def _crashes_under(self, request: wire.Request) -> bool:
+        prefix = request.headers.get(PREFIX.lower() + 'prompt-prefix', '')
+        parts = [entry.partition(':')[0] for entry in prefix.split(',')]
+        return self.settings.get('crash_part') in parts[:-1]
+
     async def _move(self, order: dict[str, Any]) -> bytes:
         """Copy the memory of a run to another worker, as `POST /kv-move`."""
         run = self.runs.get(order['id'])
