--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,38 +4,52 @@
 import collections
 import pathlib
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from standins import deployment  # noqa: E402
 
 ENGINE_COUNT = 7
-STREAMS = 200
+STREAMS = 300
 SEND_INTERVAL_S = 0.001
-# The engines are busy with long prompts: they begin a short one after this
-# time, and a token takes 47 ms, as a chunk of a long prompt is read in between.
-FIRST_TOKEN_S = 1.3
+# The engines are busy with long prompts: a short one begins after this time,
+# and a token takes 47 ms, as a chunk of a long prompt is read in between.
+FIRST_TOKEN_S = (0.8, 2.4)
 EVENT_S = 6 * 0.047
 EVENTS = 20
-COPY_S = 0.004
+COPY_S = 0.001
 LEAVES_S = 2.5
+# Plays of the same events, as not each of them has a run in the state that
+# matters at the engine that crashes.
+MAX_PLAYS = 3
+ENGINE = {
+    'events': EVENTS,
+    'interval_s': EVENT_S,
+    'first_s': FIRST_TOKEN_S,
+    'copy_s': COPY_S,
+}
 # From the copy of a run without an event to the crash of its destination.
-CRASH_DELAY_S = 0.02
+CRASH_DELAY_S = 0.0
 
 
-async def play(place: deployment.Deployment) -> bool | None:
-    """Return whether TWICE was broken; None if the case did not come about."""
-    await place.start(
-        2,
-        ENGINE_COUNT,
-        0,
-        events=EVENTS,
-        interval_s=EVENT_S,
-        first_s=FIRST_TOKEN_S,
-        copy_s=COPY_S,
-    )
-    clients = []
+def runs_anew(place: deployment.Deployment) -> dict[str, list[str]]:
+    """Return the engines of each request that has run more than once.
+
+    A run begins with its first token; one that goes on from a copy counts as
+    the same run.
+    """
+    engines: dict[str, list[str]] = collections.defaultdict(list)
+    for event in place.events:
+        if event['event'] == 'runs' and event.get('continues') is None:
+            engines[event['id']].append(event['worker'])
+    return {name: found for name, found in engines.items() if len(found) > 1}
+
+
+async def reclaim(
+    place: deployment.Deployment, clients: list[asyncio.Task]
+) -> int:
+    """Send streams and reclaim the engine that has most; return the moves."""
+    before = len(place.events)
     for number in range(STREAMS):
         clients.append(
             asyncio.create_task(place.request('/chat/', number % 2))
@@ -43,7 +57,7 @@
         await asyncio.sleep(SEND_INTERVAL_S)
     arrived = collections.Counter(
         event['worker']
-        for event in place.events
+        for event in place.events[before:]
         if event['event'] == 'arrives'
     )
     source = place.workers[arrived.most_common(1)[0][0]]
@@ -68,36 +82,34 @@
     place.register(
         source, state='draining', spot=True, leaves_ms=int(LEAVES_S * 1e3)
     )
-    notice_at = time.monotonic()
     await asyncio.sleep(LEAVES_S)
     place.lose(source)
-    place.store.remove('servers', source.id)
-    if lost:
-        place.store.remove('servers', lost[0].id)
+    for worker in (source, *lost):
+        place.store.remove('servers', worker.id)
+        await place.start_worker(
+            f'engine-{len(place.workers)}', deployment.ENGINES, **ENGINE
+        )
+    return len(moved)
+
+
+async def play(place: deployment.Deployment) -> bool | None:
+    """Return whether TWICE was broken; None if no stream was moved."""
+    await place.start(2, ENGINE_COUNT, 0, **ENGINE)
+    clients: list[asyncio.Task] = []
+    moves = await reclaim(place, clients)
     await asyncio.gather(*clients)
-    place.note(
-        f'{len(moved)} moved, ended {time.monotonic() - notice_at:.1f} s after '
-        'the notice'
-    )
-    if not moved or (deployment.has_trouble() and not lost):
-        return None
-    # A run begins with its first token; one that goes on from a copy counts
-    # as the same run.
-    runs = collections.Counter(
-        event['id']
-        for event in place.events
-        if event['event'] == 'runs' and event.get('continues') is None
-    )
-    twice = [name for name, count in runs.items() if count > 1]
-    for name in twice:
-        where = [
-            event['worker']
-            for event in place.events
-            if event['event'] == 'runs' and event['id'] == name
-        ]
-        place.note(f'TWICE: {name} has run anew at {where}')
-    return bool(twice)
+    twice = runs_anew(place)
+    place.note(f'{moves} moves, {len(twice)} requests ran more than once')
+    for name, engines in twice.items():
+        place.note(f'TWICE: {name} has run anew at {engines}')
+    return bool(twice) if moves else None
 
 
 if __name__ == '__main__':
-    sys.exit(deployment.run('1', play))
+    plays = MAX_PLAYS if deployment.has_trouble() else 1
+    status = 2
+    while plays and status != 1:
+        played = deployment.run('1', play)
+        status = 1 if played == 1 else min(status, played)
+        plays -= 1
+    sys.exit(status)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -5,6 +5,8 @@
 import json
 import os
 import pathlib
+import random
+import shutil
 import signal
 import socket
 import sys
@@ -17,7 +19,12 @@
 from . import platform_services
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-IP = '127.0.0.1'
+# Loopback addresses of this run alone: a port that a crashed worker leaves must
+# not become a port of another program while nodes still send there.
+NETWORK = f'127.{random.randint(10, 250)}.{random.randint(10, 250)}'
+IP = f'{NETWORK}.1'
+# All nodes use the same ports, so each has an address of its own.
+FIRST_OCTET = 20
 ZONE = 'levis-est'
 KEY = 'key-north'
 ENGINES = 'engines'
@@ -276,7 +283,7 @@
         """Start a node process."""
         ports, store, cloud = self._start_arguments
         front, ready, first, last = ports
-        ip = f'127.0.0.{20 + number}'
+        ip = f'{NETWORK}.{FIRST_OCTET + number}'
         settings = {
             'node': f'front-{ZONE}-{number + 1}',
             'role': 'node',
@@ -425,6 +432,7 @@
         for reader in self._readers:
             reader.cancel()
         self.record_path.write_text('\n'.join(self._lines) + '\n')
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 async def _is_ready(ip: str, port: int) -> bool:
@@ -442,7 +450,7 @@
 def _free_ports(count: int) -> list[int]:
     sockets = [socket.socket() for _ in range(count)]
     for opened in sockets:
-        opened.bind(('0.0.0.0', 0))
+        opened.bind((f'{NETWORK}.{FIRST_OCTET}', 0))
     ports = [opened.getsockname()[1] for opened in sockets]
     for opened in sockets:
         opened.close()
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -8,6 +8,7 @@
 import dataclasses
 import json
 import os
+import random
 import sys
 import time
 import uuid
@@ -174,7 +175,9 @@
         run = Run(request_id, run_id, last, int(self.settings['events']))
         if source is None:
             # Prompts are read in one after the other.
-            await asyncio.sleep(self.settings.get('first_s', 0.0))
+            await asyncio.sleep(
+                random.uniform(*self.settings.get('first_s', (0.0, 0.0)))
+            )
         if self._crashes_under(request):
             self.tell('crashes', id=request_id)
             os._exit(1)
