Log the copy and the servers behind a request that is sent again

Cause: from the log of a node alone it could not be told whether a request that is sent again had been moved with its memory, whether that copy was lost, and which servers may have run it.

Change: 'request is sent again' names the copy that the failed attempt held and the servers that may have run the request. No behaviour changes.

--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -182,6 +182,7 @@
                 self._fail(call, call.detail or 'no place in time')
                 return
             call.placement = placement
+            copy = call.stream.copy
             result = (
                 await self._follow(call, next_attempt)
                 if next_attempt
@@ -230,6 +231,8 @@
                 after=result.value,
                 detail=call.detail,
                 server=placement.record.entry.id,
+                lost_copy=copy,
+                may_have_run_at=sorted(call.may_have_run_at),
                 **call.progress(clock.now()),
             )
 
