Start no moved run anew when its destination fails (TWICE)

Cause: a destination that was not reached, or that refused the copy, was treated like a first server: the copy was dropped and the request sent to any engine, although its source had run it and had been told to stop.

Change: Call.may_start_anew decides before each further attempt whether a server may begin the request from nothing, whatever the way in which the last one failed. Sends that may have run are counted by server, so that a refusal takes back the refused send alone.

Conclusion: the rule follows from the route and from what was sent, so no further path needs a check of its own. The stream is cut where it can't go on; that it could go on at its source is not used yet.

--- a/hornbeamrudder/gateway/calls.py
+++ b/hornbeamrudder/gateway/calls.py
@@ -1,6 +1,7 @@
 """State of client requests in progress."""
 
 import asyncio
+import collections
 import dataclasses
 import enum
 
@@ -123,9 +124,9 @@
         Number of these to which a server answered that it did not run it.
     tried : set of WorkerId
         Backend servers that the request was sent to.
-    may_have_run_at : set of WorkerId
-        Those of them that may have run it. Unless there are none, it can't be
-        reported to the client as not run.
+    may_have_run_at : Counter of WorkerId
+        Sends that may have run it, by server. Unless there are none, it can't
+        be reported to the client as not run.
     excluded : set of WorkerId
         Servers that failed it, refused it or were not reached.
     counted : bool
@@ -155,7 +156,9 @@
     unreachable: int = 0
     refusals: int = 0
     tried: set[ids.WorkerId] = dataclasses.field(default_factory=set)
-    may_have_run_at: set[ids.WorkerId] = dataclasses.field(default_factory=set)
+    may_have_run_at: collections.Counter[ids.WorkerId] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     counted: bool = False
     waited_s: float = 0.0
     first_at: float | None = None
@@ -175,12 +178,24 @@
         """Count one more send."""
         self.sends += 1
         self.tried.add(server)
-        self.may_have_run_at.add(server)
+        self.may_have_run_at[server] += 1
 
     def record_refusal(self, server: ids.WorkerId) -> None:
-        """Record that a server has not run the request that it was sent."""
+        """Record that a server has not run the last send to it.
+
+        It may still have run an earlier one.
+        """
         self.refusals += 1
-        self.may_have_run_at.discard(server)
+        self.may_have_run_at -= collections.Counter([server])
+
+    @property
+    def may_start_anew(self) -> bool:
+        """Whether a server may begin the request from nothing.
+
+        One that must not be repeated, and may have run, can only go on from
+        the memory of its run. What later servers answer changes nothing.
+        """
+        return self.admitted.route.retryable or not self.may_have_run_at
 
     def take_next_attempt(self) -> Attempt | None:
         """Take the attempt to which the request was failed over."""
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -219,6 +219,10 @@
             if not retry:
                 self._fail(call, call.detail)
                 return
+            if not call.may_start_anew:
+                self._log_lost_run(call, placement, copy)
+                self._fail(call, f'run is lost: {call.detail}')
+                return
             # Nothing was sent to a server that was not reached; its health
             # makes others preferred.
             if result is not calls.Result.NOT_SENT:
@@ -236,6 +240,22 @@
                 **call.progress(clock.now()),
             )
 
+    def _log_lost_run(
+        self,
+        call: calls.Call,
+        placement: server_registry.Placement,
+        copy: str | None,
+    ) -> None:
+        self.state.log.info(
+            'run is lost and not started anew',
+            request=call.request_id,
+            server=placement.record.entry.id,
+            detail=call.detail,
+            copy=copy,
+            may_have_run_at=sorted(call.may_have_run_at),
+            **call.progress(clock.now()),
+        )
+
     def may_retry(self, call: calls.Call) -> bool:
         """Whether attempt limit, deadline and retry budget allow a retry.
 
--- a/hornbeamrudder/gateway/sending.py
+++ b/hornbeamrudder/gateway/sending.py
@@ -73,6 +73,7 @@
         opened: OpenedConnection,
     ) -> calls.Attempt:
         """Send a request, or what remains of its stream."""
+        assert call.may_start_anew or call.stream.copy is not None
         self._record_send(call, placement.record.entry.id)
         sent_at = clock.now()
         opened.connection.request_ids.add(call.request_id)
--- a/hornbeamrudder/standins/platform_server.py
+++ b/hornbeamrudder/standins/platform_server.py
@@ -113,6 +113,9 @@
     behaviours : list of Behaviour or Answer
         Behaviour for each of the next requests, in order; `NORMAL` after
         the last one.
+    first_event_delay_s : float
+        Time from the head of a stream to its first event, unless the stream
+        goes on.
     next_delay_s : callable
         Delay of the next response, in addition to `response_delay_s`.
     load_figures : str
@@ -133,6 +136,7 @@
         self.events = events
         self.event_interval_s = 0.01
         self.response_delay_s = 0.0
+        self.first_event_delay_s = 0.0
         self.next_delay_s: Callable[[], float] = lambda: 0.0
         self.load_figures = ''
         self.behaviours: list[Behaviour | endless.Answer] = []
@@ -476,6 +480,8 @@
             request.client_disconnected = True
             return False
         first = int(request.headers.get('last-event-id') or 0) + 1
+        if 'kv-from' not in request.headers:
+            await asyncio.sleep(self.first_event_delay_s)
         for number in range(first, self.events + 1):
             event = f'id: {number}\ndata: piece {number}\n\n'.encode()
             is_second_half = number > self.events // 2
