Give each process of the gateway's tests a loopback address of its own

Cause: all test processes used 127.0.0.1. An engine of a test that crashes leaves its port to whichever process binds next, and the node of another test still sends there. Seen once, in a run of all features of the gateway: an engine of moved_runs.feature was sent request for engine e-10 of prompt_parts.feature, which it answered with 421, and a check that counts received requests failed.

Change: the address is derived from the id of the process, as the scripts of review/ do. Checks are unchanged.

--- a/hornbeamrudder/gateway/features/node_harness.py
+++ b/hornbeamrudder/gateway/features/node_harness.py
@@ -1,6 +1,7 @@
 """Runs a node in the test process, with stand-ins of the platform."""
 
 import asyncio
+import os
 import time
 from typing import Any
 
@@ -15,7 +16,9 @@
 from hornbeamrudder.standins import ports
 from hornbeamrudder.standins import row_store
 
-IP = '127.0.0.1'
+# A loopback address of this process alone: a node of another test may still
+# send to a port that an engine of that test has left.
+IP = '127.{}.{}.2'.format(1 + os.getpid() // 256 % 250, os.getpid() % 256)
 ENGINE_SERVICE = 'engines'
 PLAIN_SERVICE = 'plain'
 READY_TIMEOUT_S = 8.0
