Let a run whose copy is lost go on at the engine that keeps it

What callers saw: a stream that may not be repeated was cut, or ended with 502, if the engine that it was moved to failed, although its source still had its memory and was serving.

Cause: the handle in a 503 of the stopping call was dropped, and the request path knew of no way back.

Change: a move keeps the handle and the server of its source. If the destination is not reached or refuses the copy, so that it has not run the request, the run goes on at the source until 0.85 of the drain time or until the source ends, whichever is first, and is moved once more from there, not to the same destination. What may have run at the destination ends as before.

--- a/hornbeamrudder/gateway/calls.py
+++ b/hornbeamrudder/gateway/calls.py
@@ -32,12 +32,27 @@
     FAILED_OVER = 'failed over'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptRun:
+    """KV cache of a stopped run at the engine that ran it."""
+
+    copy: str
+    record: server_registry.ServerRecord
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Moved:
-    """A copied KV cache, and the slot reserved to continue the run."""
+    """A copied KV cache, and the slot reserved to continue the run.
+
+    Attributes
+    ----------
+    kept : KeptRun or None
+        Where the run can go on if it can't at the slot.
+    """
 
     copy: str
     placement: server_registry.Placement
+    kept: KeptRun | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +105,10 @@
         Whether the present attempt goes on with a stream that has started.
     moving : Task or None
         Task that copies the run's KV cache to another backend server.
+    kept : KeptRun or None
+        The run at the engine that it was moved off.
+    lost_at : set of WorkerId
+        Engines at which a copy of the run was lost.
     """
 
     splitter: events.EventSplitter
@@ -99,8 +118,10 @@
     moving: 'asyncio.Task[Moved | None] | None' = None
     moved: Moved | None = None
     copy: str | None = None
+    kept: KeptRun | None = None
     last_record: server_registry.ServerRecord | None = None
     is_resumed: bool = False
+    lost_at: set[ids.WorkerId] = dataclasses.field(default_factory=set)
 
     def take_moved(self) -> server_registry.Placement | None:
         """Take the placement of a finished move; its copy is sent next."""
@@ -108,6 +129,7 @@
             return None
         placement = self.moved.placement
         self.copy = self.moved.copy
+        self.kept = self.moved.kept
         self.moved = None
         return placement
 
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -1,7 +1,7 @@
 """Request path of a node: admission, server selection, forwarding, retries."""
 
 import asyncio
-from typing import Any
+from typing import Any, Callable
 
 from . import admit
 from . import calls
@@ -41,7 +41,12 @@
 # Batches capacity changes, to avoid a scan of the queue for each one.
 DISPATCH_DELAY_S = 0.004
 CLIENT_DISCONNECTED = 'client disconnected'
+# Share of the drain time in which a run may go on at the engine that it was
+# moved off.
+RETURN_DRAIN_SHARE = 0.85
 HELD_BACK = 'servers have crashed under a part of the prompt'
+# Results of a server that has not run the request.
+_NOT_RUN = frozenset({calls.Result.NOT_SENT, calls.Result.NOT_EXECUTED})
 
 
 class Forwarder:
@@ -51,6 +56,10 @@
         self.state = state
         self.translation = translation
         self.calls: set[calls.Call] = set()
+        # Called when a run goes on at the engine that it was moved off.
+        self.on_run_returned: Callable[
+            [calls.Call, server_registry.Placement], None
+        ] = lambda call, placement: None
         self._scheduled_services: set[ids.ServiceName] = set()
         self._sender = sending.Sender(state, translation)
         self._relay = relay.Relay(
@@ -216,13 +225,16 @@
                     )
                 case calls.Result.HELD:
                     retry = False
+            if result in _NOT_RUN and not call.may_start_anew:
+                call.stream.lost_at.add(placement.record.entry.id)
+                self._log_lost_copy(call, placement, copy)
+                if self._return_run(call):
+                    continue
+                self._fail(call, f'run is lost: {call.detail}')
+                return
             if not retry:
                 self._fail(call, call.detail)
                 return
-            if not call.may_start_anew:
-                self._log_lost_run(call, placement, copy)
-                self._fail(call, f'run is lost: {call.detail}')
-                return
             # Nothing was sent to a server that was not reached; its health
             # makes others preferred.
             if result is not calls.Result.NOT_SENT:
@@ -240,18 +252,48 @@
                 **call.progress(clock.now()),
             )
 
-    def _log_lost_run(
+    def _return_run(self, call: calls.Call) -> bool:
+        """Let a run go on at the engine that it was moved off, if possible."""
+        kept, call.stream.kept = call.stream.kept, None
+        if kept is None or not self._may_return(kept.record):
+            return False
+        placement = self.state.servers.reserve_at(kept.record)
+        call.stream.moved = calls.Moved(kept.copy, placement)
+        self.on_run_returned(call, placement)
+        return True
+
+    def _may_return(self, record: server_registry.ServerRecord) -> bool:
+        """Whether a run may still go on at the engine that it was moved off.
+
+        A leaving engine takes requests until the drain time is over.
+        """
+        now = clock.now()
+        until = record.leaves_at
+        if record.leaving_since is not None:
+            drained_at = (
+                record.leaving_since
+                + RETURN_DRAIN_SHARE * self.state.settings.bounds.drain_s
+            )
+            until = min(drained_at, until or drained_at)
+        return now >= record.directives.paused_until and (
+            until is None or now < until
+        )
+
+    def _log_lost_copy(
         self,
         call: calls.Call,
         placement: server_registry.Placement,
         copy: str | None,
     ) -> None:
+        kept = call.stream.kept
         self.state.log.info(
-            'run is lost and not started anew',
+            'copy of a run is lost',
             request=call.request_id,
             server=placement.record.entry.id,
             detail=call.detail,
             copy=copy,
+            kept_at=kept.record.entry.id if kept else None,
+            may_return=kept is not None and self._may_return(kept.record),
             may_have_run_at=sorted(call.may_have_run_at),
             **call.progress(clock.now()),
         )
--- a/hornbeamrudder/gateway/messages.py
+++ b/hornbeamrudder/gateway/messages.py
@@ -37,6 +37,20 @@
     last_event_id: str | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoppedRun:
+    """Answer of an engine that has stopped a run, but not copied the rest.
+
+    Attributes
+    ----------
+    copy : str
+        Handle of its KV cache, which the engine keeps.
+    """
+
+    copy: str
+    detail: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dispatch:
     """Metadata that is added to a request sent to a backend server.
--- a/hornbeamrudder/gateway/moves.py
+++ b/hornbeamrudder/gateway/moves.py
@@ -15,6 +15,7 @@
 from ..core import ids
 from ..core import types
 from . import forward
+from . import messages
 from . import records
 from . import server_registry
 
@@ -29,10 +30,13 @@
 # copying the rest.
 COPY_TIMEOUT_S = 0.6
 STOP_TIMEOUT_S = 0.4
+# Time for an engine to go on with a run that was moved off it, before the run
+# is moved again.
+RETURN_S = 0.1
 
 MoveRun = Callable[
     [types.Address, ids.RequestId, types.Address, float, bool],
-    Awaitable['str | errors.Failure'],
+    Awaitable['str | messages.StoppedRun | errors.Failure'],
 ]
 
 
@@ -45,6 +49,7 @@
         self._forwarder = forwarder
         self._move_run = move_run
         self._tasks: set[asyncio.Task[None]] = set()
+        forwarder.on_run_returned = self._move_again
 
     def set_move_run(self, move_run: MoveRun) -> None:
         """Replace the call that copies a run; for tests."""
@@ -73,13 +78,9 @@
                     terminates_at - RESUME_LEAD_TIME_S
                 )
             elif call.service.engine.can_move:
-                task = asyncio.get_running_loop().create_task(
-                    self._move_at(
-                        call, call.placement, terminates_at - MOVE_LEAD_TIME_S
-                    )
+                self._schedule(
+                    call, call.placement, terminates_at - MOVE_LEAD_TIME_S
                 )
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
 
     def returned(self, record: server_registry.ServerRecord) -> None:
         """Leave the streams of a backend server that does not leave there."""
@@ -87,6 +88,23 @@
             if call.placement is not None and call.placement.record is record:
                 call.stream.resume_elsewhere_at = None
 
+    def _move_again(
+        self, call: calls.Call, placement: server_registry.Placement
+    ) -> None:
+        self._schedule(call, placement, clock.now() + RETURN_S)
+
+    def _schedule(
+        self,
+        call: calls.Call,
+        placement: server_registry.Placement,
+        at: float,
+    ) -> None:
+        task = asyncio.get_running_loop().create_task(
+            self._move_at(call, placement, at)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _move_at(
         self,
         call: calls.Call,
@@ -110,7 +128,9 @@
     ) -> calls.Moved | None:
         forwarder = self._forwarder
         source = placement.record.entry
-        destination = forwarder.reserve(call, {source.id})
+        destination = forwarder.reserve(
+            call, {source.id, *call.stream.lost_at}
+        )
         if destination is None:
             forwarder.state.log.info(
                 'run is not moved: no engine has room',
@@ -120,22 +140,22 @@
             return None
         # The copied KV cache includes the whole prompt: nothing to prefill.
         forwarder.state.servers.mark_prefilled(destination)
-        copy = None
+        moved = None
         try:
-            copy = await self._copy_and_stop(
-                call, source, destination.record.entry
+            moved = await self._copy_and_stop(
+                call, placement.record, destination
             )
         finally:
-            if copy is None:
+            if moved is None:
                 forwarder.state.servers.release(destination)
-        return None if copy is None else calls.Moved(copy, destination)
+        return moved
 
     async def _copy_and_stop(
         self,
         call: calls.Call,
-        source: records.BackendServer,
-        target: records.BackendServer,
-    ) -> str | None:
+        source: server_registry.ServerRecord,
+        destination: server_registry.Placement,
+    ) -> calls.Moved | None:
         """Copy a run, then stop it; None if it goes on, without a copy.
 
         Without a copy elsewhere the run is not stopped, as it could go on
@@ -143,34 +163,43 @@
         """
         fields = {
             'request': call.request_id,
-            'server': source.id,
-            'destination': target.id,
+            'server': source.entry.id,
+            'destination': destination.record.entry.id,
         }
         log = self._forwarder.state.log
-        copied = await self._move_run(
-            source.address,
-            call.request_id,
-            target.address,
-            COPY_TIMEOUT_S,
-            False,
-        )
-        if isinstance(copied, errors.Failure):
+
+        async def copy_run(
+            timeout_s: float, last: bool
+        ) -> str | messages.StoppedRun | errors.Failure:
+            return await self._move_run(
+                source.entry.address,
+                call.request_id,
+                destination.record.entry.address,
+                timeout_s,
+                last,
+            )
+
+        copied = await copy_run(COPY_TIMEOUT_S, last=False)
+        if not isinstance(copied, str):
             log.info('run is not moved', **fields, failure=str(copied))
             return None
-        rest = await self._move_run(
-            source.address,
-            call.request_id,
-            target.address,
-            STOP_TIMEOUT_S,
-            True,
-        )
+        stopped = await copy_run(STOP_TIMEOUT_S, last=True)
+        failure = None
         # If the engine has stopped the run all the same, the destination
         # computes again what its copy lacks.
-        failure = str(rest) if isinstance(rest, errors.Failure) else None
+        copy = kept = copied
+        match stopped:
+            case str():
+                copy = kept = stopped
+            case messages.StoppedRun():
+                kept = stopped.copy
+                failure = stopped.detail
+            case errors.Failure():
+                failure = str(stopped)
         log.info(
             'run is moved',
             **fields,
             events=call.stream.splitter.count,
             failure=failure,
         )
-        return copied if isinstance(rest, errors.Failure) else rest
+        return calls.Moved(copy, destination, calls.KeptRun(kept, source))
--- a/hornbeamrudder/gateway/server_registry.py
+++ b/hornbeamrudder/gateway/server_registry.py
@@ -359,6 +359,11 @@
             self.by_id[chosen.id], service, metadata, chosen, now
         )
 
+    def reserve_at(self, record: ServerRecord) -> Placement:
+        """Reserve a slot at a server that holds the KV cache of a request."""
+        record.running += 1
+        return Placement(record, 0.0)
+
     def _occupy_slot(
         self,
         record: ServerRecord,
--- a/hornbeamrudder/platform/engine_calls.py
+++ b/hornbeamrudder/platform/engine_calls.py
@@ -5,6 +5,7 @@
 from ..core import types
 from ..gateway import byte_limits
 from ..gateway import json_client
+from ..gateway import messages
 
 
 async def move_request(
@@ -13,7 +14,7 @@
     destination: types.Address,
     timeout_s: float,
     last: bool,
-) -> str | errors.Failure:
+) -> str | messages.StoppedRun | errors.Failure:
     """Copy the KV cache of a running request to another engine.
 
     Parameters
@@ -25,8 +26,9 @@
 
     Returns
     -------
-    str or Failure
+    str, StoppedRun or Failure
         Reference to the copy, with which the destination resumes the request.
+        A stopped run can be resumed at its engine.
     """
     caller = json_client.JsonClient(
         engine, errors.Step.ORDER_ENGINE, byte_limits.MAX_ACK_BODY_BYTES
@@ -43,11 +45,15 @@
         return response
     body = response.body if isinstance(response.body, dict) else {}
     handle = body.get('handle')
-    if response.status != 200 or not handle:
-        return errors.Failure(
-            errors.FailureKind.REFUSED,
-            errors.Step.ORDER_ENGINE,
-            str(engine),
-            f'/kv-move answered with status {response.status}: {body}',
-        )
-    return f'{engine}/{handle}'
+    detail = f'/kv-move answered with status {response.status}: {body}'
+    match response.status:
+        case 200 if handle:
+            return f'{engine}/{handle}'
+        case 503 if handle and last:
+            return messages.StoppedRun(f'{engine}/{handle}', detail)
+    return errors.Failure(
+        errors.FailureKind.REFUSED,
+        errors.Step.ORDER_ENGINE,
+        str(engine),
+        detail,
+    )
