Check the handles of copied runs before they are sent on

Cause: the handle in an engine's answer was put into a header of the request to the next engine unchecked. A faulty engine could add headers with it.

Change: a handle is a text of up to 200 visible ASCII characters; any other answer counts as a failed call.

Conclusion: found by reading, while the answers to that call were listed.

--- a/hornbeamrudder/gateway/features/moved_runs.feature
+++ b/hornbeamrudder/gateway/features/moved_runs.feature
@@ -67,7 +67,8 @@
       | some   | full          |
 
   Scenario Outline: The answer to the call that moves a run is read
-    # Guards against runs that are given up although their engine keeps them.
+    # Guards against runs that are given up although their engine keeps them,
+    # and against handles that change the request they are sent with.
     When an engine answers the call that <call> a run with <status> and the handle <handle>
     Then the run is <result>
 
@@ -80,3 +81,5 @@
       | stops  | 503    | null     | neither        |
       | stops  | 404    | "h-1"    | neither        |
       | copies | 200    | null     | neither        |
+      | copies | 200    | ["h-1"]  | neither        |
+      | copies | 200    | "h\r\nx" | neither        |
--- a/hornbeamrudder/platform/engine_calls.py
+++ b/hornbeamrudder/platform/engine_calls.py
@@ -1,5 +1,7 @@
 """Control calls to model engines, other than client requests."""
 
+import re
+
 from ..core import errors
 from ..core import ids
 from ..core import types
@@ -7,6 +9,9 @@
 from ..gateway import json_client
 from ..gateway import messages
 
+# Characters of a handle; it becomes part of a header.
+_HANDLE = re.compile(r'[!-~]{1,200}')
+
 
 async def move_request(
     engine: types.Address,
@@ -45,6 +50,8 @@
         return response
     body = response.body if isinstance(response.body, dict) else {}
     handle = body.get('handle')
+    if not isinstance(handle, str) or not _HANDLE.fullmatch(handle):
+        handle = None
     detail = f'/kv-move answered with status {response.status}: {body}'
     match response.status:
         case 200 if handle:
