Limit the bytes of incomplete answers over all connections

What callers saw (report of an operator): a faulty worker sends bytes that are no answer, without end; the machine runs out of memory, and the requests of all its clients end with it.

Cause: each answer had its own limit, all together had none. An answer that goes on slowly below its limit is held until its deadline, and a header takes ten times its bytes in memory.

Change: the node counts the body bytes that it holds for answers of backend servers. Over a fifth of its memory (limits.memoryMb of the settings file, 300 if absent) the connection that holds most is ended as endless, so that sound answers, which are small, go on. Headers count with what they take in memory.

--- a/hornbeamrudder/gateway/byte_limits.py
+++ b/hornbeamrudder/gateway/byte_limits.py
@@ -3,8 +3,12 @@
 A server in trouble may send bytes without end, in a head or in a body.
 """
 
+from typing import Protocol
+
 # Bytes of an answer outside its body: heads, chunk framing and trailers.
 MAX_NON_BODY_BYTES = 64 * 1024
+# Memory that a header takes in addition to its bytes.
+HEADER_OVERHEAD_BYTES = 150
 # Body of a plain answer.
 MAX_PLAIN_BODY_BYTES = 2 * 1024 * 1024
 # Incomplete event of a stream.
@@ -18,6 +22,65 @@
 # Bytes of chunk framing that one byte of a body accounts for.
 FRAMING_BYTES_PER_BODY_BYTE = 8
 
+# Share of a node's memory that incomplete answers of backend servers may take.
+HELD_SHARE = 0.2
+
+
+class Holder(Protocol):
+    """Connection that holds bytes of an answer."""
+
+    def end_endless(self, detail: str) -> None:
+        """Fail the answer over a limit."""
+
+
+class HeldBytes:
+    """Bytes of the answers that a node holds, over all connections.
+
+    Each answer may stay below its own limit while all of them together do
+    not. Over the limit, the connection that holds most is ended: a sound
+    answer holds little.
+
+    Parameters
+    ----------
+    limit : int
+        In bytes.
+
+    Attributes
+    ----------
+    total : int
+        Bytes held now.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self.total = 0
+        self._count_by_holder: dict[Holder, int] = {}
+
+    def add(self, holder: Holder, count: int) -> None:
+        """Add bytes that a connection holds; end those over the limit."""
+        self._count_by_holder[holder] = (
+            self._count_by_holder.get(holder, 0) + count
+        )
+        self.total += count
+        while self.total > self._limit:
+            largest = max(
+                self._count_by_holder, key=self._count_by_holder.__getitem__
+            )
+            self.discard(largest)
+            largest.end_endless('the node holds too many bytes')
+
+    def subtract(self, holder: Holder, count: int) -> None:
+        """Subtract bytes that a connection holds no longer."""
+        held = self._count_by_holder.get(holder, 0)
+        if held:
+            count = min(count, held)
+            self._count_by_holder[holder] = held - count
+            self.total -= count
+
+    def discard(self, holder: Holder) -> None:
+        """Subtract all bytes that a connection holds."""
+        self.total -= self._count_by_holder.pop(holder, 0)
+
 
 def non_body_bytes(before: int, received: int, body: int) -> int:
     """Return how many received bytes no body accounts for.
--- a/hornbeamrudder/gateway/features/endless.feature
+++ b/hornbeamrudder/gateway/features/endless.feature
@@ -95,6 +95,50 @@
       | chunk extension | 1     |
       | trailer         | 1     |
 
+  Scenario Outline: Many answers without end at once do not use up the memory of a node
+    # Guards against a node that is ended because of answers that each stay
+    # below their own limits, together with the requests of all other clients.
+    When 400 requests at once to a node process get "<status>" and a "<kind>" that goes on slowly after <burst> kB
+    Then the process has used less than 300 MB
+    And it answers 20 further requests whole
+
+    Examples:
+      | status    | kind                | burst |
+      | 500 Error | sized body          | 1900  |
+      | 500 Error | chunked body        | 1900  |
+      | 500 Error | body without a length | 1900 |
+      | 404 None  | sized body          | 1900  |
+      | 200 OK    | header lines        | 60    |
+      | 200 OK    | header line         | 60    |
+      | 200 OK    | event               | 60    |
+
+  Scenario: The answer that holds most is ended first
+    # Guards against sound answers that are lost to those without end.
+    When connections that hold 10, 60 and 5 of 80 bytes receive 10 more each
+    Then only the second one is ended, and 35 bytes are held
+
+  Scenario Outline: No bytes stay counted after an answer has ended
+    # Guards against a limit that fills up while the node runs.
+    When requests on all routes are answered "<behaviour>" and clients disconnect
+    Then the node holds no bytes of answers
+
+    Examples:
+      | behaviour       |
+      | normal          |
+      | error text      |
+      | page            |
+      | cut             |
+      | reset           |
+      | garbled         |
+      | unframed reset  |
+      | extra           |
+      | late extra      |
+      | unsealed        |
+      | pause           |
+      | trickle         |
+      | unframed stream |
+      | unframed cut    |
+
   Scenario: An answer that is cut off counts as an error of its server
     # Guards against avoiding a server that still answers other requests.
     When a request on "book" is answered with a "header lines" without end and then normally
--- a/hornbeamrudder/gateway/http_client.py
+++ b/hornbeamrudder/gateway/http_client.py
@@ -147,6 +147,7 @@
         match event:
             case Body(data):
                 self.buffered += len(data)
+                self._connection.hold(len(data))
                 if self.buffered > READ_AHEAD_BYTES:
                     self._connection.pause()
             case End() | ConnectionBroken():
@@ -191,6 +192,8 @@
         event = self.events.popleft()
         if isinstance(event, Body):
             self.buffered -= len(event.data)
+            if self.max_body_bytes is None:
+                self._connection.unhold(len(event.data))
             if self.buffered <= READ_AHEAD_BYTES:
                 self._connection.resume()
         return event
@@ -212,6 +215,8 @@
         # them may be sent once more, so none of them is sent here again.
         self.request_ids: set[str] = set()
         self.keep_alive_s: float | None = None
+        # Counts what this connection holds; None for no common limit.
+        self.held_bytes: byte_limits.HeldBytes | None = None
         self.closed = False
         self._must_close = False
         self._transport: asyncio.Transport | None = None
@@ -273,22 +278,39 @@
     def release(self) -> None:
         """End the exchange after its response; the connection is idle."""
         self._exchange = None
+        self._unhold_all()
         self.idle_since = clock.now()
 
     def abort(self) -> None:
         """Close immediately, so that the server stops its work."""
         self.closed = True
         self._exchange = None
+        self._unhold_all()
         if self._transport is not None:
             self._transport.abort()
 
     def end_endless(self, detail: str) -> None:
         """Fail the open exchange over a limit, and read no further."""
         self._must_close = True
+        self._unhold_all()
         self._end_broken(f'endless answer: {detail}', True)
         if self._transport is not None:
             self._transport.abort()
 
+    def hold(self, count: int) -> None:
+        """Count bytes of an answer that are held until it is complete."""
+        if self.held_bytes is not None:
+            self.held_bytes.add(self, count)
+
+    def unhold(self, count: int) -> None:
+        """Count bytes that were passed on."""
+        if self.held_bytes is not None:
+            self.held_bytes.subtract(self, count)
+
+    def _unhold_all(self) -> None:
+        if self.held_bytes is not None:
+            self.held_bytes.discard(self)
+
     def pause(self) -> None:
         """Stop reading until the buffered bytes are consumed."""
         if self._transport is not None and not self._paused:
@@ -388,7 +410,9 @@
         """Collect a header; trailers are ignored."""
         if not self._in_head:
             return
-        self._head_bytes += len(name) + len(value)
+        self._head_bytes += (
+            len(name) + len(value) + byte_limits.HEADER_OVERHEAD_BYTES
+        )
         if self._head_bytes > byte_limits.MAX_NON_BODY_BYTES:
             self.end_endless('head is too large')
             self._skipping = True
--- a/hornbeamrudder/gateway/node_state.py
+++ b/hornbeamrudder/gateway/node_state.py
@@ -6,6 +6,7 @@
 from typing import Any, Mapping
 
 from . import admit
+from . import byte_limits
 from . import clock
 from ..core import ids
 from . import metrics
@@ -69,6 +70,13 @@
         )
     )
 
+    held_bytes: byte_limits.HeldBytes = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.held_bytes = byte_limits.HeldBytes(
+            int(byte_limits.HELD_SHARE * self.settings.memory_bytes)
+        )
+
     def confirmed_age(self) -> float:
         """Return seconds since the configuration was confirmed as current."""
         return clock.now() - self.confirmed_at
--- a/hornbeamrudder/gateway/records.py
+++ b/hornbeamrudder/gateway/records.py
@@ -292,6 +292,8 @@
         Path of the settings file.
     link_mbps : float
         Link speed of the host; 0 if unknown.
+    memory_bytes : float
+        Memory that the node may use.
     """
 
     node: ids.NodeId
@@ -309,6 +311,7 @@
     bounds: Bounds
     boot_path: str = ''
     link_mbps: float = 0.0
+    memory_bytes: float = 300e6
 
 
 def urgency_by_service(
--- a/hornbeamrudder/gateway/sending.py
+++ b/hornbeamrudder/gateway/sending.py
@@ -64,6 +64,7 @@
                 record, health.Outcome.UNREACHABLE, opened.detail
             )
             return opened
+        opened.held_bytes = self._state.held_bytes
         return OpenedConnection(opened, False)
 
     def send(
--- a/hornbeamrudder/platform/settings.py
+++ b/hornbeamrudder/platform/settings.py
@@ -15,6 +15,7 @@
 USAGE_DUTY = 'usage_report'
 SCALING_DUTY = 'autoscale'
 MAX_PORT = 65535
+DEFAULT_MEMORY_MB = 300.0
 _Loader = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 
 
@@ -73,6 +74,8 @@
     cloud = fields.get('cloudApi') or {}
     zones = fields.get('zones') or {fields['zone']: ''}
     ports = fields['internalPorts']
+    limits = fields.get('limits') or {}
+    memory_mb = float(limits.get('memoryMb') or DEFAULT_MEMORY_MB)
     return records.NodeSettings(
         node=ids.NodeId(str(fields['node'])),
         ip=str(fields['ip']),
@@ -88,7 +91,8 @@
         row_bytes=int(fields['platform'].get('rowBytes') or 65536),
         bounds=_decode_bounds(fields.get('bounds') or {}),
         boot_path=path,
-        link_mbps=float((fields.get('limits') or {}).get('linkMbps') or 0.0),
+        link_mbps=float(limits.get('linkMbps') or 0.0),
+        memory_bytes=memory_mb * 1e6,
     )
 
 
--- a/hornbeamrudder/standins/endless.py
+++ b/hornbeamrudder/standins/endless.py
@@ -8,6 +8,9 @@
 PIECE_BYTES = 16 * 1024
 # Pause between the pieces of `Endless.DRIP`.
 DRIP_INTERVAL_S = 0.002
+# What an answer that has become slow sends, and the pause between.
+SLOW_BYTES = 1
+SLOW_INTERVAL_S = 0.1
 _FILLER = b'x' * PIECE_BYTES
 
 
@@ -42,6 +45,10 @@
     ----------
     events : bytes or None
         Complete events to be sent first; None if the answer is no stream.
+    status : str
+        Status code and reason.
+    burst_bytes : int or None
+        Bytes after which it goes on slowly; None for never.
     elapsed_s : float or None
         Seconds until the other side closed the connection; None if it has
         not.
@@ -50,6 +57,8 @@
     kind: Endless
     events: bytes | None = None
     byte_count: int = 0
+    status: str = '200 OK'
+    burst_bytes: int | None = None
     elapsed_s: float | None = None
 
     async def send(self, head: bytes, writer: asyncio.StreamWriter) -> None:
@@ -66,13 +75,15 @@
         started_at = time.monotonic()
         start, piece = _parts(self.kind, head, _chunk(self.events or b''))
         writer.write(start)
-        is_drip = self.kind is Endless.DRIP
+        pause_s = DRIP_INTERVAL_S if self.kind is Endless.DRIP else 0.0
         try:
             while not writer.transport.is_closing():
+                if self.burst_bytes and self.byte_count >= self.burst_bytes:
+                    piece, pause_s = piece[:SLOW_BYTES], SLOW_INTERVAL_S
                 writer.write(piece)
                 self.byte_count += len(piece)
                 await writer.drain()
-                await asyncio.sleep(DRIP_INTERVAL_S if is_drip else 0.0)
+                await asyncio.sleep(pause_s)
         except ConnectionError:
             pass
         self.elapsed_s = time.monotonic() - started_at
--- a/hornbeamrudder/standins/platform_server.py
+++ b/hornbeamrudder/standins/platform_server.py
@@ -283,7 +283,7 @@
                 await asyncio.sleep(LATE_RESPONSE_DELAY_S)
             case endless.Answer():
                 await behaviour.send(
-                    self._head(request, '200 OK', seal), writer
+                    self._head(request, behaviour.status, seal), writer
                 )
                 return False
             case Behaviour.HANG:
