Go on with a run that was moved before its response began

What callers saw: 502 for a stream whose engine was reclaimed before the head of its response, although the copy of its run was at another engine.

Cause: the end of the connection was asked for a move only after the head.

Change: the same question before the head.

--- a/hornbeamrudder/gateway/features/moved_runs.feature
+++ b/hornbeamrudder/gateway/features/moved_runs.feature
@@ -47,6 +47,12 @@
       | 0      | lost the run   | status 502          |
       | some   | lost the run   | a cut stream        |
 
+  Scenario: A run that is moved before its response begins goes on
+    # Guards against answers of 502 although another engine has the run.
+    When a run is moved before the head of its response
+    Then no engine starts it anew
+    And the client receives the complete stream
+
   Scenario: A run that has returned to its engine is moved again before that ends
     # Guards against streams cut although another engine has room.
     When a run returns to its engine, which then ends
--- a/hornbeamrudder/gateway/features/steps/moved_run_steps.py
+++ b/hornbeamrudder/gateway/features/steps/moved_run_steps.py
@@ -192,6 +192,32 @@
     _run_moved_stream(context, events, **options)
 
 
+@behave.when('a run is moved before the head of its response')
+def move_before_head(context):
+    async def scenario(harness):
+        for engine in harness.engines:
+            engine.response_delay_s = LATE_FIRST_EVENT_S
+        pending = asyncio.create_task(
+            harness.send_request('/chat/x', remaining_ms=REMAINING_MS)
+        )
+        source = await _wait_for_engine(harness)
+        await asyncio.sleep(POLL_S)
+        for engine in harness.engines:
+            engine.response_delay_s = 0.0
+        harness.node.mover.set_move_run(
+            _moving_call(harness, source, 'confirmed', lambda engine: None)
+        )
+        harness.put_entry(source, state='draining', leaves_ms=LEAVES_MS)
+        return await pending, harness.received_requests(), harness.log.lines
+
+    context.event_count = EVENT_COUNT
+    context.response, context.requests, context.log_lines = (
+        node_harness.run_scenario(
+            scenario, event_count=EVENT_COUNT, engine_count=ENGINE_COUNT
+        )
+    )
+
+
 @behave.when('a run returns to its engine, which then ends')
 def return_before_end(context):
     _run_moved_stream(context, 'some', leaves=True)
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -90,6 +90,8 @@
                 detail, answered, endless
             ) as broken:
                 attempt.connection.abort()
+                if await self._was_moved(call):
+                    return _moved_result()
                 self._record_broken_beginning(call, attempt, broken, False)
                 return ExchangeResult(
                     calls.Result.FAILED,
@@ -386,9 +388,7 @@
                 case http_client.End():
                     _keep_connection(attempt)
                     if head.until_close and await self._was_moved(call):
-                        return ExchangeResult(
-                            calls.Result.MOVED, 'run was moved'
-                        )
+                        return _moved_result()
                     if _is_broken_off(call, head):
                         broken = http_client.ConnectionBroken(
                             'ended within an event', True, closed=True
@@ -489,7 +489,7 @@
         self, call: calls.Call, broken: http_client.ConnectionBroken
     ) -> ExchangeResult:
         if await self._was_moved(call):
-            return ExchangeResult(calls.Result.MOVED, 'run was moved')
+            return _moved_result()
         leaving = (
             call.placement is not None
             and call.placement.record.leaving_since is not None
@@ -533,6 +533,10 @@
     attempt.placement.record.keep_connection(attempt.connection)
 
 
+def _moved_result() -> ExchangeResult:
+    return ExchangeResult(calls.Result.MOVED, 'run was moved')
+
+
 def _failed_over_result(what: str) -> ExchangeResult:
     return ExchangeResult(
         calls.Result.FAILED_OVER,
