Hold parts back that crash servers before the head of an answer (BUDGET)

Cause: each such request was repeated and crashed two engines; crashes 0.1 s apart were counted by chains, nine of them as two to four; the chance of an innocent part was computed with that count and few answers, so that no hold was found until the engines were back.

Change: a request with a part that was never answered and was in an earlier crash is not repeated if its server has crashed too. Crashes are counted in windows that do not chain. For a part that was never answered, once there are crashes at three times, each server counts.

--- a/hornbeamrudder/gateway/calls.py
+++ b/hornbeamrudder/gateway/calls.py
@@ -162,7 +162,7 @@
     part_keys : tuple of PartKey
         Parts of the prompt that other requests may share.
     crash_check : Task or None
-        Whether a server that broke off as an answer began has crashed.
+        Whether its server has crashed, if it must not be repeated then.
     task : Task or None
         Task that serves it.
     is_trial : bool
--- a/hornbeamrudder/gateway/crash_evidence.py
+++ b/hornbeamrudder/gateway/crash_evidence.py
@@ -242,6 +242,26 @@
         self._forget(crash.learned_at)
         return True
 
+    def was_in_earlier_crash(
+        self, parts: Iterable[PartKey], at: float
+    ) -> bool:
+        """Whether a part that was never answered was in an earlier crash.
+
+        Parameters
+        ----------
+        at : float
+            Time of the present crash, on `clock.now`; crashes simultaneous
+            with it have a common cause.
+        """
+        suspects = frozenset(
+            part for part in parts if part not in self.answered_at
+        )
+        return any(
+            at - crash.at >= SIMULTANEOUS_S
+            and not suspects.isdisjoint(crash.parts)
+            for crash in self.crash_by_lifetime.values()
+        )
+
     def _limited(
         self, parts: frozenset[PartKey], limit: int
     ) -> frozenset[PartKey]:
@@ -409,8 +429,14 @@
     ) -> bool:
         """Whether chance does not explain that a part is in these crashes."""
         count = _distinct(run)
+        if count < MIN_CRASHES:
+            return False
+        # Once there are crashes at several times, simultaneous ones count too
+        # for a part that was never answered: each had a request with it.
+        if not begun_only and part not in self.answered_at:
+            count = len(run)
         doubtful = not begun_only or part in self.answered_at
-        if count < (MIN_DOUBTFUL_CRASHES if doubtful else MIN_CRASHES):
+        if doubtful and count < MIN_DOUBTFUL_CRASHES:
             return False
         since, until, service = run[0].at, run[-1].at, run[0].service
         others = _distinct(
@@ -443,10 +469,14 @@
 
 
 def _distinct(crashes: list[Crash]) -> int:
-    """Count crashes in order, without those simultaneous with another."""
-    if not crashes:
-        return 0
-    return 1 + sum(
-        later.at - earlier.at >= SIMULTANEOUS_S
-        for earlier, later in itertools.pairwise(crashes)
-    )
+    """Count crashes in order, without those simultaneous with a counted one.
+
+    A chain of crashes, each close to the next one, is no common cause.
+    """
+    count = 0
+    counted_at = float('-inf')
+    for crash in crashes:
+        if crash.at - counted_at >= SIMULTANEOUS_S:
+            counted_at = crash.at
+            count += 1
+    return count
--- a/hornbeamrudder/gateway/features/crash_simulation.py
+++ b/hornbeamrudder/gateway/features/crash_simulation.py
@@ -86,6 +86,8 @@
         Parts under which each server crashes when its answer begins.
     crashed_at : list of float
         Times of the crashes under these.
+    head_s : float
+        Time from sending a request to its response head.
     """
 
     def __init__(self, fleet, server_count):
@@ -96,6 +98,7 @@
         self.crashed_at = []
         self.calls = []
         self.fails_all = False
+        self.head_s = HEAD_S
         self._tasks = set()
 
     def run_later(self, coroutine):
@@ -187,9 +190,10 @@
         """Run a request at a server; return whether an answer began."""
         call.has_head = False
         server.calls.append((call, guard))
-        await asyncio.sleep(HEAD_S)
-        call.has_head = True
-        await asyncio.sleep(FIRST_EVENT_S - HEAD_S)
+        head_s = min(self.head_s, FIRST_EVENT_S)
+        await asyncio.sleep(head_s)
+        call.has_head = self.head_s < FIRST_EVENT_S
+        await asyncio.sleep(FIRST_EVENT_S - head_s)
         if not server.is_alive or (call, guard) not in server.calls:
             return False
         if self.fails_all or not self.crashing_parts.isdisjoint(call.parts):
--- a/hornbeamrudder/gateway/features/prompt_parts.feature
+++ b/hornbeamrudder/gateway/features/prompt_parts.feature
@@ -34,6 +34,25 @@
       | 81    | nodes cut        |
       | 195   | none             |
 
+  Scenario Outline: All nodes stop sending a part that crashes servers before the head of an answer
+    # Guards against repeats that take a second server down each time, so that
+    # all are down before the crashes can be told from a common cause.
+    Given <count> nodes of one fleet
+    When requests with a part that crashes <servers> servers before the head of the answer come <rate> times a second
+    Then at most 3 of them are sent by nodes in touch later than 3 s after the fifth crash
+    And no sound request is held back
+
+    Examples: sizes
+      | count | servers | rate |
+      | 1     | 9       | 6    |
+      | 3     | 9       | 4    |
+      | 3     | 9       | 6    |
+      | 3     | 9       | 12   |
+      | 7     | 9       | 6    |
+      | 7     | 22      | 6    |
+      | 12    | 9       | 6    |
+      | 81    | 22      | 6    |
+
   Scenario: Two parts that crash servers are both held back
     # Guards against a second cause that hides behind the first.
     Given 7 nodes of one fleet
@@ -54,6 +73,8 @@
       | 7     | resets                      |
       | 7     | a cut                       |
       | 7     | a release                   |
+      | 7     | racks in turn, before heads |
+      | 7     | quick crashes, before heads |
       | 81    | a rack                      |
       | 81    | crashes one after the other |
       | 81    | a whole service             |
--- a/hornbeamrudder/gateway/features/steps/crash_steps.py
+++ b/hornbeamrudder/gateway/features/steps/crash_steps.py
@@ -34,6 +34,9 @@
 VICTIM_PER_S = 1.0
 TRIAL_TIME_S = 900.0
 BAD_INTERVAL_S = 1.0
+RACK_SIZE = 5
+# Somewhat longer than crashes with a common cause are apart.
+QUICK_S = 0.12
 
 
 def _keys(*names):
@@ -114,6 +117,20 @@
     _play(context, scenario, count)
 
 
+@behave.when(
+    'requests with a part that crashes {servers:d} servers before the head of'
+    ' the answer come {rate:g} times a second'
+)
+def send_headless_requests(context, servers, rate):
+    context.out_of_touch = {}
+
+    async def scenario(simulation):
+        simulation.head_s = crash_simulation.FIRST_EVENT_S
+        await simulation.send_requests(BAD_S, SOUND_PER_S, rate)
+
+    _play(context, scenario, servers)
+
+
 @behave.then(
     'at most {count:d} of them are sent by nodes in touch later than 3 s after'
     ' the fifth crash'
@@ -181,6 +198,17 @@
                 for number in range(len(simulation.servers)):
                     simulation.crash(simulation.servers[number])
                     await asyncio.sleep(0.3)
+            case 'racks in turn, before heads':
+                simulation.head_s = crash_simulation.FIRST_EVENT_S
+                for first in range(0, len(simulation.servers), RACK_SIZE):
+                    for server in simulation.servers[first:][:RACK_SIZE]:
+                        simulation.crash(server)
+                    await asyncio.sleep(QUICK_S)
+            case 'quick crashes, before heads':
+                simulation.head_s = crash_simulation.FIRST_EVENT_S
+                for number in range(len(simulation.servers)):
+                    simulation.crash(simulation.servers[number])
+                    await asyncio.sleep(QUICK_S)
             case 'a whole service':
                 simulation.fails_all = True
                 await asyncio.sleep(6.0)
--- a/hornbeamrudder/gateway/part_guard.py
+++ b/hornbeamrudder/gateway/part_guard.py
@@ -183,7 +183,8 @@
             hashing.stable_hash(entry.id, str(entry.started))
         )
         check = self._check(lifetime, record)
-        if begun:
+        at = clock.now()
+        if begun or self.evidence.was_in_earlier_crash(call.part_keys, at):
             call.crash_check = check
         for part in call.admitted.metadata.prompt_parts[:-1][
             : crash_evidence.MAX_PARTS_PER_REQUEST
@@ -192,7 +193,6 @@
             self._name_by_key[key] = part.name
         while len(self._name_by_key) > MAX_PART_NAMES:
             self._name_by_key.popitem(last=False)
-        at = clock.now()
         check.add_done_callback(
             lambda done: (
                 self._record_crash(call, record, lifetime, begun, at)
@@ -262,7 +262,8 @@
         """Return whether a request may be sent to another server.
 
         A request whose answer was beginning when its server crashed is not,
-        unless answers with all of its parts have got past their beginning.
+        nor one with a part that was in an earlier crash, unless answers with
+        all of its parts have got past their beginning.
         """
         if self.held(call) is not None:
             return False
