Send no body in answers to HEAD (MIXED)

Cause: the writer of responses wrote the body whatever the method was; a stream ended with the last chunk of a chunked body.

Change: the writer asks the method and the status whether there is a body. A server's answer to HEAD has no length now, where it said 0.

--- a/hornbeamrudder/gateway/features/path.feature
+++ b/hornbeamrudder/gateway/features/path.feature
@@ -192,3 +192,20 @@
       | chat  | unframed empty | an error                  |
       | plan  | unframed cut   | the complete stream       |
       | plan  | unframed empty | the complete stream       |
+
+  Scenario Outline: An answer to HEAD has no body
+    # Guards against bytes that a client takes for the beginning of its next
+    # answer (rule MIXED).
+    When a HEAD request gets "<answer>" and a GET request follows on its connection
+    Then the first is answered with <status> and no body, and the second whole
+
+    Examples: answers
+      | answer                | status |
+      | a plain answer        | 200    |
+      | a stream              | 200    |
+      | an error of a server  | 500    |
+      | no route              | 404    |
+      | a wrong key           | 401    |
+      | no answer of a server | 502    |
+      | silence of a server   | 504    |
+      | no server             | 503    |
--- a/hornbeamrudder/gateway/http_server.py
+++ b/hornbeamrudder/gateway/http_server.py
@@ -26,6 +26,8 @@
 NON_BODY_FACTOR = 2
 # Time between half-close and close, for the client to read the response.
 LINGER_S = 1.0
+# Statuses of responses without a body.
+_NO_BODY = frozenset({*range(100, 200), 204, 304})
 TIMEOUT_CHECK_INTERVAL_S = 0.5
 _REASON_BY_STATUS = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
@@ -61,6 +63,8 @@
         'started',
         'ended',
         'complete',
+        '_is_head',
+        '_has_body',
         '_chunked',
         '_keep_alive',
     )
@@ -72,6 +76,8 @@
         self.started = False
         self.ended = False
         self.complete = False
+        self._is_head = request.method == b'HEAD'
+        self._has_body = True
         self._chunked = False
         self._keep_alive = request.keep_alive
 
@@ -103,7 +109,13 @@
             % (status, _REASON_BY_STATUS.get(status, b'Unknown'))
         ]
         lines.extend(name + b': ' + value for name, value in headers)
-        if status not in (204, 304):
+        self._has_body = not self._is_head and status not in _NO_BODY
+        if self._is_head:
+            # The length that GET would have got; unknown if a server has
+            # answered.
+            if length:
+                lines.append(b'Content-Length: %d' % length)
+        elif self._has_body:
             if length is not None:
                 lines.append(b'Content-Length: %d' % length)
             elif self._connection.chunked_allowed:
@@ -117,8 +129,8 @@
         self._connection.write(b'\r\n'.join(lines) + b'\r\n\r\n')
 
     def write(self, data: bytes) -> None:
-        """Send a piece of the body."""
-        if not data:
+        """Send a piece of the body, if the response may have one."""
+        if not data or not self._has_body:
             return
         if self._chunked:
             data = b'%x\r\n%s\r\n' % (len(data), data)
