--- a/hornbeamrudder/platform/features/steps/adapter_steps.py
+++ b/hornbeamrudder/platform/features/steps/adapter_steps.py
@@ -39,6 +39,7 @@
     },
     'platform': {'address': '10.200.1.7:8225', 'rowBytes': 1024},
     'cloudApi': {'address': '10.200.0.35:8225', 'duties': ['autoscale']},
+    'limits': {'memoryMb': 500, 'linkMbps': 100.0},
     'somethingNew': {'x': 1},
 }
 _ENTRY = {
@@ -75,6 +76,7 @@
     assert str(loaded.store) == '10.200.1.7:8225'
     assert str(loaded.cloud) == '10.200.0.35:8225'
     assert (loaded.peer_port, loaded.metrics_port) == (7600, 7615)
+    assert (loaded.memory_bytes, loaded.link_mbps) == (500e6, 100.0)
     assert loaded.bounds.revoke_s == 4.0
     assert loaded.bounds.grace_s == 6.0
     assert loaded.bounds.strict_revoke is False
