Start the requests of the memory test one after the other

Traced with 12 busy processes: 268 sends of a node ended with 'no connection within 0.175 s', as the stand-ins and their proxies share one process and had 400 connections to accept at once.

Change: 5 ms between the requests, which last 6 s so that all are held at the same time; engines without the proxies; clients repeat what is refused with 503. The bounds (all 400 arrive, 300 MB, 20 further requests whole) stay.

--- a/hornbeamrudder/gateway/features/steps/held_bytes_steps.py
+++ b/hornbeamrudder/gateway/features/steps/held_bytes_steps.py
@@ -17,7 +17,13 @@
 # Added so that the engines have slots for all requests.
 FURTHER_ENGINES = 5
 KNOWN_S = 1.0
-REMAINING_MS = 4000
+REMAINING_MS = 6000
+# Between the requests, so that the stand-ins, which share one process, accept
+# all connections in time; all answers last longer than all of them take.
+SEND_INTERVAL_S = 0.005
+# Until a client repeats a request that was refused, and how often.
+REPEAT_S = 0.2
+MAX_REPEATS = 20
 MB = 1e6
 EVENT_COUNT = 6
 # After the head of an answer, before its end.
@@ -44,6 +50,15 @@
         writer.close()
 
 
+async def _send_until_run(placed, node):
+    """Send a request, again after each refusal, as clients do."""
+    for _ in range(MAX_REPEATS):
+        response = await _send(placed, node)
+        if response.status != 503:
+            return
+        await asyncio.sleep(REPEAT_S)
+
+
 @behave.when(
     '{count:d} requests at once to a node process get "{status}" and a'
     ' "{kind}" that goes on slowly after {burst:d} kB'
@@ -68,11 +83,18 @@
             await placed.start()
             for _ in range(FURTHER_ENGINES):
                 await placed.add_backend(deployment.ENGINE_SERVICE)
+            for backend in placed.backends:
+                # Without the proxy, which would be busy with all the bytes.
+                placed.register(backend, address=backend.server.address)
             await asyncio.sleep(KNOWN_S)
             (node,) = placed.nodes
             for backend in placed.backends:
                 backend.server.behaviours = answers()
-            await asyncio.gather(*(_send(placed, node) for _ in range(count)))
+            sent = []
+            for _ in range(count):
+                sent.append(asyncio.create_task(_send_until_run(placed, node)))
+                await asyncio.sleep(SEND_INTERVAL_S)
+            await asyncio.gather(*sent)
             arrived = sum(
                 len(backend.server.requests) for backend in placed.backends
             )
