Pass news of crashes on through nodes that others report to

Traced with each node's hubs and reports. Nodes that were cut for 2.5 s replace their hubs at the end of the cut by the next candidates and avoid the former ones for 6 s. The new ones get their reports and answer with digests, but don't count themselves as hubs, as they hear from the usual ones; PartGuard passed news on at hubs only. The cut nodes so learned of a hold 5 s after the end of the cut.

Change: a node to which others report passes news on like a hub.

Conclusion: what is passed on must not depend on whether a node counts itself as a hub, since nodes differ on that after a cut.

--- a/hornbeamrudder/gateway/features/prompt_parts.feature
+++ b/hornbeamrudder/gateway/features/prompt_parts.feature
@@ -34,6 +34,10 @@
       | 81    | nodes cut        |
       | 195   | none             |
 
+    Examples: hubs of some nodes only
+      | count | fault                                 |
+      | 81    | nodes cut until they report to others |
+
   Scenario Outline: All nodes stop sending a part that crashes servers before the head of an answer
     # Guards against repeats that take a second server down each time, so that
     # all are down before the crashes can be told from a common cause.
--- a/hornbeamrudder/gateway/features/steps/crash_steps.py
+++ b/hornbeamrudder/gateway/features/steps/crash_steps.py
@@ -12,6 +12,7 @@
 from hornbeamrudder.gateway.features import fleet_simulation
 from hornbeamrudder.gateway.features import node_network
 from hornbeamrudder.gateway import held_parts
+from hornbeamrudder.gateway import hubs
 from hornbeamrudder.gateway import messages
 from hornbeamrudder.gateway import reports
 from hornbeamrudder.gateway import table_relay
@@ -27,6 +28,8 @@
 # Times after the first bad request at which a fault begins and ends.
 FAULT_AT_S = 0.4
 FAULT_S = 2.5
+# Time after a time-out in which each node has noticed it.
+LATE_S = 0.6
 FATAL_CRASH = 5
 CUT_SHARE = 0.4
 OTHER_BAD_PART = 'bad too'
@@ -91,10 +94,34 @@
                 fleet.start(number)
                 out_of_touch[number] = clock.now()
         case 'nodes cut':
-            fleet.cut = frozenset(some)
-            await asyncio.sleep(FAULT_S)
-            fleet.cut = frozenset()
-            out_of_touch.update(dict.fromkeys(some, clock.now()))
+            await _cut(fleet, some, FAULT_S, out_of_touch)
+        case 'nodes cut until they report to others':
+            # The others do not count these as hubs.
+            peers_ = fleet.running_by_number[numbers[0]].node.state.peers
+            ranked = hubs.rank_candidates(
+                {
+                    node: known.link_mbps
+                    for node, known in peers_.known_by_id.items()
+                }
+            )
+            never_cut = {
+                int(node.removeprefix('n'))
+                for node in ranked[: 2 * hubs.HUB_COUNT]
+            }
+            await _cut(
+                fleet,
+                [number for number in numbers if number not in never_cut],
+                hubs.HUB_TIMEOUT_S + LATE_S,
+                out_of_touch,
+            )
+
+
+async def _cut(fleet, numbers, seconds, out_of_touch):
+    """Cut nodes off from all others for some time."""
+    fleet.cut = frozenset(numbers)
+    await asyncio.sleep(seconds)
+    fleet.cut = frozenset()
+    out_of_touch.update(dict.fromkeys(numbers, clock.now()))
 
 
 @behave.when(
--- a/hornbeamrudder/gateway/part_guard.py
+++ b/hornbeamrudder/gateway/part_guard.py
@@ -312,12 +312,12 @@
         """Apply what another node knows."""
         now = clock.now()
         evidence = self.evidence
-        is_hub = self._is_hub()
+        is_relay = self._relays()
         for crash in message.crashes:
             own = crash_news.decode_crash(crash, now)
             if not evidence.add_crash(own):
                 continue
-            if is_hub:
+            if is_relay:
                 self.announce_crash(own.lifetime)
             # The sender adds what it knows of the parts' answers.
             for part in own.parts:
@@ -327,12 +327,12 @@
                     self._answer_news[part] = known
         for key, age_s in message.answer_age_by_part.items():
             part = crash_evidence.PartKey(key)
-            if evidence.vouch(part, now - age_s) and is_hub:
+            if evidence.vouch(part, now - age_s) and is_relay:
                 self._answer_news[part] = now - age_s
         for news in message.holds:
             hold = crash_news.decode_hold(news, now)
             if evidence.add_hold(hold):
-                self._hold_news = self._hold_news or is_hub
+                self._hold_news = self._hold_news or is_relay
                 self._log_hold(hold, message.node)
             for part in hold.parts:
                 answered = evidence.answered_at.get(part, float('-inf'))
@@ -355,8 +355,16 @@
                 source=source,
             )
 
-    def _is_hub(self) -> bool:
-        return self._peers.uses_hubs and self._node in self._peers.hubs()
+    def _relays(self) -> bool:
+        """Whether nodes learn the news of others through this one.
+
+        After a cut, nodes may report to one that is no hub to the others; it
+        then stands between them and the hubs.
+        """
+        return self._peers.uses_hubs and (
+            self._node in self._peers.hubs()
+            or bool(self._peers.direct_reports())
+        )
 
     def _send_news(self) -> None:
         now = clock.now()
@@ -423,7 +431,7 @@
     def _send(self, message: reports.Suspicions) -> None:
         if not self._peers.uses_hubs:
             targets: Iterable[ids.NodeId] = self._peers.known_by_id
-        elif self._is_hub():
+        elif self._relays():
             targets = {*self._peers.hubs(), *self._peers.direct_reports()}
         else:
             targets = self._peers.hubs()
