Suspect the last part of a prompt too when servers crash

All crashes share its last part, which was left out of the evidence; the parts before it are in sound requests too, whose answers clear them. Seen by logging all parts of each crash and each answer: 15 crashes have the last part and no answer has it; three answers have the part before it.

Change: the last part is suspected like the others. An answer with it is remembered only while it is suspected. A request whose other parts were answered is still repeated after a crash, unless its last part was in an earlier crash and was never answered.

Crashes without a part were counted by windows of time and those with it by servers, and ten crashes were enough on a node without any answer. Both are now counted in the same way, and where a quarter or more of the crashes are without the part, three answers in between are needed.

Conclusion: what a crash has in common with others decides, whichever part of the prompt it is.

--- a/hornbeamrudder/gateway/calls.py
+++ b/hornbeamrudder/gateway/calls.py
@@ -160,9 +160,11 @@
     tried_at : float
         Time at which another server was last tried in vain.
     part_keys : tuple of PartKey
-        Parts of the prompt that other requests may share.
+        Parts of the prompt, in order.
     crash_check : Task or None
         Whether its server has crashed, if it must not be repeated then.
+    broken_at : float
+        Time at which that server broke off its answer.
     task : Task or None
         Task that serves it.
     is_trial : bool
@@ -193,6 +195,7 @@
     tried_at: float = float('-inf')
     part_keys: tuple[crash_evidence.PartKey, ...] = ()
     crash_check: 'asyncio.Task[bool] | None' = None
+    broken_at: float = float('-inf')
     is_trial: bool = False
     task: 'asyncio.Task[None] | None' = None
 
--- a/hornbeamrudder/gateway/crash_evidence.py
+++ b/hornbeamrudder/gateway/crash_evidence.py
@@ -32,7 +32,7 @@
 # that the part is in. With a smaller one, most have another cause.
 MIN_SHARE = 0.25
 # Answers that show that a service works otherwise, for a part under which
-# answers have begun before.
+# answers have begun before, and if at least that share is without the part.
 MIN_ANSWERS = 3
 # Highest chance that a part is in all of its crashes without being the cause.
 MAX_CHANCE = 0.001
@@ -153,22 +153,30 @@
     def record_answer(
         self,
         service: ServiceKey,
-        parts: Iterable[PartKey],
+        shared_parts: Iterable[PartKey],
+        last_part: PartKey,
         now: float,
     ) -> list[PartKey]:
         """Record an answer of this node's that got past its beginning.
 
+        Parameters
+        ----------
+        last_part : PartKey
+            Last part of the prompt. Few requests share it, so it is only
+            remembered if it is suspected.
+
         Returns
         -------
         list of PartKey
             Those of the parts that this clears of a suspicion.
         """
         self._answers_by_service[service].append(now)
-        return [
-            part
-            for part in itertools.islice(parts, MAX_PARTS_PER_REQUEST)
-            if self.vouch(part, now)
-        ]
+        parts = [*itertools.islice(shared_parts, MAX_PARTS_PER_REQUEST)]
+        if last_part in self._suspected_at or any(
+            last_part in hold for hold in self.hold_by_parts
+        ):
+            parts.append(last_part)
+        return [part for part in parts if self.vouch(part, now)]
 
     def vouch(self, part: PartKey, at: float) -> bool:
         """Record that a part was sound at a time; return if that clears it."""
@@ -428,18 +436,15 @@
         learned_before: float,
     ) -> bool:
         """Whether chance does not explain that a part is in these crashes."""
-        count = _distinct(run)
-        if count < MIN_CRASHES:
+        if _distinct(run) < MIN_CRASHES:
             return False
         # Once there are crashes at several times, simultaneous ones count too
         # for a part that was never answered: each had a request with it.
-        if not begun_only and part not in self.answered_at:
-            count = len(run)
-        doubtful = not begun_only or part in self.answered_at
-        if doubtful and count < MIN_DOUBTFUL_CRASHES:
-            return False
+        count_all = not begun_only and part not in self.answered_at
+        count_crashes = len if count_all else _distinct
+        count = count_crashes(run)
         since, until, service = run[0].at, run[-1].at, run[0].service
-        others = _distinct(
+        others = count_crashes(
             [
                 crash
                 for crash in self._unexplained()
@@ -451,11 +456,18 @@
         )
         if count < MIN_SHARE * (count + others):
             return False
+        doubtful = not begun_only or part in self.answered_at
+        if doubtful and count < MIN_DOUBTFUL_CRASHES:
+            return False
         # Later answers may only show that the service has recovered.
         answers = sum(
             since < at < until for at in self._answers_by_service[service]
         )
-        if part in self.answered_at and answers < MIN_ANSWERS:
+        # With crashes of other requests, the service may fail as a whole.
+        needs_answers = part in self.answered_at or others >= MIN_SHARE * (
+            count + others
+        )
+        if needs_answers and answers < MIN_ANSWERS:
             return False
         failures = sum(
             since <= failure.at <= until
--- a/hornbeamrudder/gateway/features/crash_simulation.py
+++ b/hornbeamrudder/gateway/features/crash_simulation.py
@@ -58,18 +58,21 @@
     node_number: int
     request_id: str
     is_bad: bool
+    last_part: str = 'last'
     part_keys: tuple = ()
     is_trial: bool = False
     crash_check: object = None
+    broken_at: float = float('-inf')
     has_head: bool = False
     sends: list = dataclasses.field(default_factory=list)
     outcome: str = ''
 
     def __post_init__(self):
         prompt_parts = tuple(
-            messages.PromptPart(name, 100) for name in (*self.parts, 'last')
+            messages.PromptPart(name, 100)
+            for name in (*self.parts, self.last_part)
         )
-        self.part_keys = crash_evidence.part_keys(SERVICE, prompt_parts[:-1])
+        self.part_keys = crash_evidence.part_keys(SERVICE, prompt_parts)
         self.service = python_types.SimpleNamespace(name=SERVICE)
         self.admitted = python_types.SimpleNamespace(
             metadata=python_types.SimpleNamespace(prompt_parts=prompt_parts),
@@ -124,13 +127,17 @@
 
     # Requests
 
-    async def send_requests(self, seconds, sound_per_s, bad_per_s, bad=None):
+    async def send_requests(
+        self, seconds, sound_per_s, bad_per_s, bad=None, bad_last=None
+    ):
         """Send sound and bad requests to random nodes for some time.
 
         Parameters
         ----------
         bad : callable, optional
-            Returns the parts of a bad request.
+            Returns the parts of a bad request but the last one.
+        bad_last : str, optional
+            Last part of all bad requests.
         """
         end = clock.now() + seconds
         while clock.now() < end:
@@ -138,11 +145,17 @@
                 count = int(rate * TICK_S)
                 count += self.rng.random() < rate * TICK_S - count
                 for _ in range(count):
-                    self.send(is_bad, bad and bad() if is_bad else None)
+                    if is_bad:
+                        self.send(True, bad and bad(), last_part=bad_last)
+                    else:
+                        self.send(False)
             await asyncio.sleep(TICK_S)
 
-    def send(self, is_bad, parts=None, number=None):
-        """Send one request; its parts and its node are random unless given."""
+    def send(self, is_bad, parts=None, number=None, last_part=None):
+        """Send one request; its parts and its node are random unless given.
+
+        The last part of one in four is the same, of the others their own.
+        """
         first = f'first{self.rng.randrange(FIRST_PARTS)}'
         own = f'own{self.rng.randrange(OWN_PARTS)}'
         call = SimulatedCall(
@@ -152,6 +165,8 @@
             else number,
             f'{len(self.calls):x}',
             is_bad,
+            last_part
+            or ('last' if self.rng.random() < 0.25 else f'{len(self.calls)}'),
         )
         self.calls.append(call)
         self.run_later(self._serve(call))
@@ -196,7 +211,9 @@
         await asyncio.sleep(FIRST_EVENT_S - head_s)
         if not server.is_alive or (call, guard) not in server.calls:
             return False
-        if self.fails_all or not self.crashing_parts.isdisjoint(call.parts):
+        if self.fails_all or not self.crashing_parts.isdisjoint(
+            (*call.parts, call.last_part)
+        ):
             self.crashed_at.append(clock.now())
             self.crash(server)
             return False
--- a/hornbeamrudder/gateway/features/prompt_parts.feature
+++ b/hornbeamrudder/gateway/features/prompt_parts.feature
@@ -57,6 +57,23 @@
       | 12    | 9       | 6    |
       | 81    | 22      | 6    |
 
+  Scenario Outline: All nodes stop sending a prompt that crashes servers
+    # Guards against a cause that is only in the last part: the parts before
+    # it are in sound requests too, whose answers clear them.
+    Given <count> nodes of one fleet
+    When requests with one prompt that crashes <servers> servers <moment> the head of the answer come
+    Then at most 3 of them are sent by nodes in touch later than 3 s after the fifth crash
+    And no sound request is held back
+
+    Examples: sizes
+      | count | servers | moment |
+      | 1     | 22      | after  |
+      | 7     | 22      | after  |
+      | 7     | 22      | before |
+      | 12    | 22      | after  |
+      | 81    | 22      | after  |
+      | 81    | 22      | before |
+
   Scenario: Two parts that crash servers are both held back
     # Guards against a second cause that hides behind the first.
     Given 7 nodes of one fleet
@@ -79,6 +96,7 @@
       | 7     | a release                   |
       | 7     | racks in turn, before heads |
       | 7     | quick crashes, before heads |
+      | 7     | quick crashes, after heads  |
       | 81    | a rack                      |
       | 81    | crashes one after the other |
       | 81    | a whole service             |
--- a/hornbeamrudder/gateway/features/steps/crash_steps.py
+++ b/hornbeamrudder/gateway/features/steps/crash_steps.py
@@ -33,6 +33,9 @@
 FATAL_CRASH = 5
 CUT_SHARE = 0.4
 OTHER_BAD_PART = 'bad too'
+BAD_PROMPT = 'bad prompt'
+# Rate of sound requests with the same parts before the last one.
+SHARED_PER_S = 2.0
 VICTIM_PART = 'part of another'
 VICTIM_PER_S = 1.0
 TRIAL_TIME_S = 900.0
@@ -40,6 +43,8 @@
 RACK_SIZE = 5
 # Somewhat longer than crashes with a common cause are apart.
 QUICK_S = 0.12
+# Time from sending to a head long before the first event.
+EARLY_HEAD_S = 0.01
 
 
 def _keys(*names):
@@ -190,6 +195,31 @@
     assert sum(call.outcome == 'answered' for call in simulation.calls) > 900
 
 
+@behave.when(
+    'requests with one prompt that crashes {servers:d} servers {moment} the'
+    ' head of the answer come'
+)
+def send_bad_prompt(context, servers, moment):
+    context.out_of_touch = {}
+    shared = ('first0', 'own0')
+
+    async def keep_shared_parts_in_use(simulation):
+        while True:
+            simulation.send(False, shared)
+            await asyncio.sleep(1 / SHARED_PER_S)
+
+    async def scenario(simulation):
+        simulation.crashing_parts = {BAD_PROMPT}
+        if moment == 'before':
+            simulation.head_s = crash_simulation.FIRST_EVENT_S
+        simulation.run_later(keep_shared_parts_in_use(simulation))
+        await simulation.send_requests(
+            BAD_S, SOUND_PER_S, BAD_PER_S, lambda: shared, BAD_PROMPT
+        )
+
+    _play(context, scenario, servers)
+
+
 @behave.when('requests with two parts that crash servers come')
 def send_two_bad_parts(context):
     async def scenario(simulation):
@@ -236,6 +266,11 @@
                 for number in range(len(simulation.servers)):
                     simulation.crash(simulation.servers[number])
                     await asyncio.sleep(QUICK_S)
+            case 'quick crashes, after heads':
+                simulation.head_s = EARLY_HEAD_S
+                for number in range(len(simulation.servers)):
+                    simulation.crash(simulation.servers[number])
+                    await asyncio.sleep(QUICK_S)
             case 'a whole service':
                 simulation.fails_all = True
                 await asyncio.sleep(6.0)
@@ -436,7 +471,10 @@
     evidence = context.evidence = crash_evidence.CrashEvidence()
     service = crash_evidence.service_key(crash_simulation.SERVICE)
     for number in range(answers):
-        evidence.record_answer(service, _keys(f'answered {number}'), 1.0)
+        (last_part,) = _keys(f'last {number}')
+        evidence.record_answer(
+            service, _keys(f'answered {number}'), last_part, 1.0
+        )
     for number in range(crashes):
         at = 2.0 + number / 10
         names = [f'part {number} {part}' for part in range(parts)]
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -120,7 +120,7 @@
             service,
             calls.Stream(events.EventSplitter(metadata.last_event_id)),
             part_keys=crash_evidence.part_keys(
-                service.name, metadata.prompt_parts[:-1]
+                service.name, metadata.prompt_parts
             ),
         )
         call.task = asyncio.current_task()
--- a/hornbeamrudder/gateway/part_guard.py
+++ b/hornbeamrudder/gateway/part_guard.py
@@ -142,9 +142,11 @@
         held = frozenset(
             itertools.chain.from_iterable(self.evidence.hold_by_parts)
         )
+        *shared_parts, last_part = call.part_keys
         cleared = self.evidence.record_answer(
             crash_evidence.service_key(call.service.name),
-            call.part_keys,
+            shared_parts,
+            last_part,
             clock.now(),
         )
         for part in cleared:
@@ -185,11 +187,13 @@
         check = self._check(lifetime, record)
         at = clock.now()
         if begun or self.evidence.was_in_earlier_crash(call.part_keys, at):
-            call.crash_check = check
-        for part in call.admitted.metadata.prompt_parts[:-1][
-            : crash_evidence.MAX_PARTS_PER_REQUEST
-        ]:
-            (key,) = crash_evidence.part_keys(call.service.name, (part,))
+            call.crash_check, call.broken_at = check, at
+        last_parts = slice(-crash_evidence.MAX_PARTS_PER_REQUEST, None)
+        for part, key in zip(
+            call.admitted.metadata.prompt_parts[last_parts],
+            call.part_keys[last_parts],
+            strict=True,
+        ):
             self._name_by_key[key] = part.name
         while len(self._name_by_key) > MAX_PART_NAMES:
             self._name_by_key.popitem(last=False)
@@ -262,13 +266,20 @@
         """Return whether a request may be sent to another server.
 
         A request whose answer was beginning when its server crashed is not,
-        nor one with a part that was in an earlier crash, unless answers with
-        all of its parts have got past their beginning.
+        unless answers with all of its parts but the last have got past their
+        beginning; nor one with a part that was never answered and was in an
+        earlier crash.
         """
         if self.held(call) is not None:
             return False
-        if call.crash_check is None or all(
-            part in self.evidence.answered_at for part in call.part_keys
+        if call.crash_check is None or (
+            all(
+                part in self.evidence.answered_at
+                for part in call.part_keys[:-1]
+            )
+            and not self.evidence.was_in_earlier_crash(
+                call.part_keys[-1:], call.broken_at
+            )
         ):
             return True
         return not await asyncio.shield(call.crash_check)
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -321,8 +321,8 @@
         begun : bool
             Whether its head had arrived.
         """
-        shared_parts = call.admitted.metadata.prompt_parts[:-1]
-        if not shared_parts:
+        prompt_parts = call.admitted.metadata.prompt_parts
+        if not prompt_parts:
             return
         self._state.part_guard.record_broken(
             call, attempt.placement.record, broken, begun
@@ -339,7 +339,7 @@
             begun=begun,
             detail=broken.detail,
             prompt_parts=[
-                part.name for part in shared_parts[:MAX_LOGGED_PARTS]
+                part.name for part in prompt_parts[-MAX_LOGGED_PARTS:]
             ],
         )
 
