Test servers that crash under one prompt with real nodes

Cause: the scenarios in virtual time build the keys of a request's parts themselves, so none showed that forwarding passes the last part on.

Change: the scenario of real nodes has a second example, in which all bad requests have one prompt, and sound ones share all of its parts but the last. Bound as before.

--- a/hornbeamrudder/gateway/features/prompt_parts.feature
+++ b/hornbeamrudder/gateway/features/prompt_parts.feature
@@ -1,11 +1,16 @@
 Feature: Prompt parts under which servers crash
 
-  Scenario: Requests with a part that crashes servers do not reach one after the other
+  Scenario Outline: Requests that crash servers do not reach one after the other
     # Guards against a fleet of engines lost to requests of one kind.
-    When requests with a part that crashes its server come at 3 nodes beside sound ones
+    When requests with a <cause> that crashes its server come at 3 nodes beside sound ones
     Then at most 3 of them reach servers later than the contact bound after the fifth crash
     And sound requests begin at the first attempt at least 0.9 times as often as before
 
+    Examples: what they have in common
+      | cause  |
+      | part   |
+      | prompt |
+
   Scenario Outline: All nodes stop sending a part that crashes servers
     # Guards against nodes that each learn for themselves, at the price of
     # several servers a node.
--- a/hornbeamrudder/gateway/features/steps/prompt_part_steps.py
+++ b/hornbeamrudder/gateway/features/steps/prompt_part_steps.py
@@ -41,10 +41,18 @@
 
 
 class CrashTraffic:
-    """Sound and bad requests at all nodes, and servers that start again."""
+    """Sound and bad requests at all nodes, and servers that start again.
 
-    def __init__(self, harness):
+    Attributes
+    ----------
+    has_one_prompt : bool
+        Whether all bad requests have the same prompt, of which only the last
+        part is not in sound ones.
+    """
+
+    def __init__(self, harness, has_one_prompt):
         self.harness = harness
+        self.has_one_prompt = has_one_prompt
         self.sent = []
         self.crashed_at = []
         self._tasks = []
@@ -77,13 +85,19 @@
             platform_caller.new_request_id(), is_bad, time.monotonic()
         )
         self.sent.append(request)
-        parts = [
+        self._tasks.append(
+            asyncio.create_task(
+                self._send(request, number, self._parts(number, is_bad))
+            )
+        )
+
+    def _parts(self, number, is_bad):
+        if is_bad and self.has_one_prompt:
+            return (FIRST_PARTS[0], OWN_PARTS[0], BAD_PART)
+        return (
             FIRST_PARTS[number % len(FIRST_PARTS)],
             BAD_PART if is_bad else OWN_PARTS[number % len(OWN_PARTS)],
             f'last{number}',
-        ]
-        self._tasks.append(
-            asyncio.create_task(self._send(request, number, parts))
         )
 
     async def _send(self, request, number, parts):
@@ -135,12 +149,12 @@
 
 
 @behave.when(
-    'requests with a part that crashes its server come at {count:d} nodes'
+    'requests with a {cause} that crashes its server come at {count:d} nodes'
     ' beside sound ones'
 )
-def send_bad_requests(context, count):
+def send_bad_requests(context, cause, count):
     async def scenario(harness):
-        traffic = CrashTraffic(harness)
+        traffic = CrashTraffic(harness, cause == 'prompt')
         await traffic.run()
         return traffic
 
