Explain when answers are needed, and who relays news of crashes

Cause: read as a newcomer, "that share" pointed to nothing, and the docstring of _relays named a node that stands between others, not what it is.

Change: comments and the name of one local variable.

--- a/hornbeamrudder/gateway/crash_evidence.py
+++ b/hornbeamrudder/gateway/crash_evidence.py
@@ -31,8 +31,9 @@
 # Least share of the crashes of the service, since the first one with a part,
 # that the part is in. With a smaller one, most have another cause.
 MIN_SHARE = 0.25
-# Answers that show that a service works otherwise, for a part under which
-# answers have begun before, and if at least that share is without the part.
+# Answers that show that a service works otherwise. They are needed for a part
+# under which answers have begun before, and where at least MIN_SHARE of the
+# crashes are without the part.
 MIN_ANSWERS = 3
 # Highest chance that a part is in all of its crashes without being the cause.
 MAX_CHANCE = 0.001
@@ -440,8 +441,8 @@
             return False
         # Once there are crashes at several times, simultaneous ones count too
         # for a part that was never answered: each had a request with it.
-        count_all = not begun_only and part not in self.answered_at
-        count_crashes = len if count_all else _distinct
+        counts_all = not begun_only and part not in self.answered_at
+        count_crashes = len if counts_all else _distinct
         count = count_crashes(run)
         since, until, service = run[0].at, run[-1].at, run[0].service
         others = count_crashes(
--- a/hornbeamrudder/gateway/part_guard.py
+++ b/hornbeamrudder/gateway/part_guard.py
@@ -369,8 +369,8 @@
     def _relays(self) -> bool:
         """Whether nodes learn the news of others through this one.
 
-        After a cut, nodes may report to one that is no hub to the others; it
-        then stands between them and the hubs.
+        Hubs relay. So does a node that others report to after a cut, though
+        it does not count itself as a hub.
         """
         return self._peers.uses_hubs and (
             self._node in self._peers.hubs()
