Restart nodes killed by the soak once their processes are gone

Cause: soak seed 2705 reported once that 7 of 12 nodes had exited unexpectedly with code -9. Its plan kills all nodes. kill_and_restart sent SIGKILL, slept for 0.2 to 1 s and started the nodes whose process was gone; one that was still there was not started, ended later, and was reported as an exit of its own. That they delayed the ends of these processes is inferred. No process was killed for memory (kernel log).

Change: the soak waits until a killed process is gone; so does the restart of a node that does not stop in time. No check is changed.

Conclusion: a fault of the soak, not of the nodes.

--- a/hornbeamrudder/soak/features/soak.feature
+++ b/hornbeamrudder/soak/features/soak.feature
@@ -15,6 +15,11 @@
       | seed | seconds | cause                                            |
       | 120  | 12      | SIGHUP ended a node that was still starting      |
 
+  Scenario: A killed node whose process ends late is started again
+    # Guards against a node reported as exited that the soak has killed itself.
+    When a node is killed whose process ends only after the restart is due
+    Then the node has been started again
+
   Scenario Outline: The checks detect a violated invariant
     # Guards against a soak test that passes because its checks detect nothing.
     When the observations of one request are changed: "<change>"
--- a/hornbeamrudder/soak/features/steps/soak_steps.py
+++ b/hornbeamrudder/soak/features/steps/soak_steps.py
@@ -1,16 +1,20 @@
 """Steps for the soak test."""
 
+import asyncio
 import dataclasses
 import itertools
 import pathlib
 import tempfile
+import types
 
 import behave
 
 from hornbeamrudder.soak import __main__ as soak_main
 from hornbeamrudder.soak import checks
+from hornbeamrudder.soak import deployment
 from hornbeamrudder.soak import observed
 from hornbeamrudder.soak import plan
+from hornbeamrudder.soak import run
 
 
 @behave.when('a soak of {seconds:d} seconds is run with seed {seed:d}')
@@ -21,6 +25,50 @@
         )
 
 
+class _LateProcess:
+    """Process that is still there at some polls after it was killed."""
+
+    def __init__(self, polls):
+        self.polls = polls
+        self.returncode = None
+        self.is_killed = False
+
+    def poll(self):
+        if self.is_killed:
+            self.polls -= 1
+            if self.polls < 0:
+                self.returncode = -9
+        return self.returncode
+
+    def send_signal(self, number):
+        self.is_killed = True
+
+
+@behave.when(
+    'a node is killed whose process ends only after the restart is due'
+)
+def kill_late(context):
+    with tempfile.TemporaryDirectory() as folder:
+        soak_run = run.SoakRun(plan.generate_plan(1, 6), pathlib.Path(folder))
+        node = deployment.Node(
+            0,
+            '127.0.0.20',
+            types.SimpleNamespace(),
+            types.SimpleNamespace(),
+            pathlib.Path(folder),
+            _LateProcess(polls=3),
+        )
+        context.started = []
+        soak_run.system.start_node = context.started.append
+        asyncio.run(soak_run.kill_and_restart([node], 0.0))
+        context.node = node
+
+
+@behave.then('the node has been started again')
+def check_started_again(context):
+    assert context.started == [context.node], context.started
+
+
 @behave.then('no invariant was violated and all kinds of requests were served')
 def check_soak(context):
     assert not context.report['problems'], context.report
--- a/hornbeamrudder/soak/run.py
+++ b/hornbeamrudder/soak/run.py
@@ -100,10 +100,10 @@
         kind = plan.FaultKind
         match fault.kind:
             case kind.KILL:
-                await self._kill_and_restart([node], fault.duration_s)
+                await self.kill_and_restart([node], fault.duration_s)
                 return node.number
             case kind.KILL_ALL:
-                await self._kill_and_restart(system.nodes, fault.duration_s)
+                await self.kill_and_restart(system.nodes, fault.duration_s)
             case kind.TERMINATE:
                 await self._terminate_and_restart(node)
                 return node.number
@@ -141,13 +141,18 @@
                 await self._inject_backend_fault(fault)
         return None
 
-    async def _kill_and_restart(
+    async def kill_and_restart(
         self, nodes: list[deployment.Node], down_s: float
     ) -> None:
+        """Kill nodes, and start them again once their processes are gone."""
+        killed = [(node, node.process) for node in nodes]
         for node in nodes:
             node.signal(signal.SIGKILL)
         await asyncio.sleep(down_s)
-        for node in nodes:
+        for node, process in killed:
+            # On a stalled machine a process ends long after its signal.
+            while process is not None and process.poll() is None:
+                await asyncio.sleep(STOP_POLL_INTERVAL_S)
             if node.process is not None and not node.is_running:
                 self.system.start_node(node)
 
@@ -159,7 +164,8 @@
             while node.is_running and self.callers.now() < until:
                 await asyncio.sleep(STOP_POLL_INTERVAL_S)
             if node.is_running:
-                node.signal(signal.SIGKILL)
+                await self.kill_and_restart([node], RESTART_DELAY_S)
+                return
             await asyncio.sleep(RESTART_DELAY_S)
             self.system.start_node(node)
 
