--- a/hornbeamrudder/gateway/features/steps/crash_steps.py
+++ b/hornbeamrudder/gateway/features/steps/crash_steps.py
@@ -101,7 +101,8 @@
         case 'nodes cut':
             await _cut(fleet, some, FAULT_S, out_of_touch)
         case 'nodes cut until they report to others':
-            # The others do not count these as hubs.
+            # The hubs and those that replace them are not cut, so that the
+            # latter do not count themselves as hubs.
             peers_ = fleet.running_by_number[numbers[0]].node.state.peers
             ranked = hubs.rank_candidates(
                 {
