Let parts of a node share sums of figures over all nodes

Cause: parts that decide over all nodes (shares of accounts, speeds of hosts, counts of a roll-out) each need sums of what the nodes see, and the reports have fixed fields.

A part publishes figures under a topic and reads their sums over the other nodes; they travel with the reports and the digests of the hubs. Nothing is sent while no part publishes.

--- a/hornbeamrudder/gateway/exchange.py
+++ b/hornbeamrudder/gateway/exchange.py
@@ -13,6 +13,7 @@
 from . import peers
 from . import quota
 from . import reports
+from . import shared_sums
 from . import table_relay
 from . import usage
 
@@ -92,6 +93,8 @@
                 self._handle_confirmation(message)
             case reports.Suspicions():
                 self._state.part_guard.apply(message)
+            case shared_sums.Sums():
+                self._state.sums.apply(message)
             case reports.UsageCounts():
                 self.gatherer.add(
                     usage.Source(message.node, message.started),
@@ -246,6 +249,10 @@
         self._update_source()
         report = self._report(now, interval_s)
         state.peers.send(report)
+        state.sums.set_nodes(state.peers.live_nodes(), self._source)
+        sums = state.sums.report()
+        if sums is not None:
+            state.peers.send(sums)
         if state.peers.uses_hubs:
             self._send_digests(report, now, interval_s)
         state.servers.expire_reports(now, interval_s)
@@ -316,6 +323,10 @@
         digest_rounds = 1 if is_first_hub else STANDBY_DIGEST_ROUNDS
         if not received_by_node or self._round % digest_rounds:
             return
+        for node, sums in state.sums.digests(received_by_node):
+            state.peers.send_bytes(
+                received_by_node[node].address, reports.encode(sums)
+            )
         with_members = (
             self._round // digest_rounds % MEMBERS_DIGEST_ROUNDS == 0
         )
--- a/hornbeamrudder/gateway/node_state.py
+++ b/hornbeamrudder/gateway/node_state.py
@@ -16,6 +16,7 @@
 from . import records
 from . import retry_budget
 from . import server_registry
+from . import shared_sums
 from . import usage
 from . import waiting
 
@@ -71,8 +72,10 @@
     )
 
     held_bytes: byte_limits.HeldBytes = dataclasses.field(init=False)
+    sums: shared_sums.SharedSums = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
+        self.sums = shared_sums.SharedSums(self.settings.node, self.started)
         self.held_bytes = byte_limits.HeldBytes(
             int(byte_limits.HELD_SHARE * self.settings.memory_bytes)
         )
--- a/hornbeamrudder/gateway/peers.py
+++ b/hornbeamrudder/gateway/peers.py
@@ -375,8 +375,8 @@
 
     # Sending
 
-    def send(self, report: reports.Report) -> None:
-        """Send a report to the hubs, or to all nodes in a full mesh."""
+    def send(self, report: reports.Message) -> None:
+        """Send a message to the hubs, or to all nodes in a full mesh."""
         targets = self.hubs() if self.uses_hubs else list(self.known_by_id)
         data = reports.encode(report)
         for node in targets:
--- a/hornbeamrudder/gateway/reports.py
+++ b/hornbeamrudder/gateway/reports.py
@@ -11,6 +11,7 @@
 
 from ..core import hashing
 from ..core import ids
+from . import shared_sums
 
 # Message type: the first field of each datagram.
 REPORT_FORMAT = 3
@@ -19,6 +20,7 @@
 CONFIRMATION_FORMAT = 6
 USAGE_FORMAT = 7
 SUSPICIONS_FORMAT = 8
+SUMS_FORMAT = 9
 # Backlogs are encoded as multiples of this number of tokens.
 BACKLOG_UNIT_TOKENS = 64
 
@@ -232,6 +234,7 @@
     | Confirmation
     | UsageCounts
     | Suspicions
+    | shared_sums.Sums
 )
 
 
@@ -299,6 +302,8 @@
                 list(message.answer_age_by_part.items()),
                 [dataclasses.astuple(hold) for hold in message.holds],
             ]
+        case shared_sums.Sums():
+            fields = [SUMS_FORMAT, *message.pack()]
     packed: bytes = msgpack.packb(fields)
     return packed
 
@@ -427,6 +432,7 @@
     CONFIRMATION_FORMAT: _decode_confirmation,
     USAGE_FORMAT: _decode_usage,
     SUSPICIONS_FORMAT: _decode_suspicions,
+    SUMS_FORMAT: shared_sums.unpack,
 }
 
 
