Decide on roll-outs by evidence over all nodes

Change: A package of its own holds the steps of a roll-out (state), the comparison of two versions on the same routes (evidence, judgement), the part of the requests that each node may send to a version on trial (split, choice), the figures that nodes exchange (shared), the holder that writes the steps under a condition and its fencing number, and the node's part (tracker). Entries of backend servers carry their version, and a reservation can be limited to some of the servers. Deployments without the bound on exposure know no roll-outs.

--- a/hornbeamrudder/gateway/metrics.py
+++ b/hornbeamrudder/gateway/metrics.py
@@ -55,6 +55,11 @@
             'Responses of engines that broke before their first event, by'
             ' service.',
         )
+        self.version_answers = self._counter(
+            'hornbeamrudder_version_answers_total',
+            'Answers of services with a roll-out by software version and'
+            ' quality.',
+        )
         self.calls = self._counter(
             'hornbeamrudder_platform_calls_total',
             'Calls to the platform by kind and result.',
--- a/hornbeamrudder/gateway/node_state.py
+++ b/hornbeamrudder/gateway/node_state.py
@@ -15,6 +15,8 @@
 from . import quota
 from . import records
 from . import retry_budget
+from ..rollouts import split
+from ..rollouts import tracker
 from . import server_registry
 from . import shared_sums
 from . import usage
@@ -73,12 +75,31 @@
 
     held_bytes: byte_limits.HeldBytes = dataclasses.field(init=False)
     sums: shared_sums.SharedSums = dataclasses.field(init=False)
+    rollouts: tracker.RollOuts = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.sums = shared_sums.SharedSums(self.settings.node, self.started)
         self.held_bytes = byte_limits.HeldBytes(
             int(byte_limits.HELD_SHARE * self.settings.memory_bytes)
         )
+        self.rollouts = tracker.RollOuts(
+            self.sums,
+            self.servers,
+            self._permitted_exposure,
+            lambda: self.peers.node_count,
+            self.peers.cluster_time,
+            self.rng,
+            self.log,
+            lambda service, version, quality: self.metrics.version_answers.inc(
+                {'service': service, 'version': version, 'quality': quality}
+            ),
+        )
+
+    def _permitted_exposure(self) -> split.Permitted | None:
+        bounds = self.settings.bounds
+        if bounds.exposure_share is None:
+            return None
+        return split.Permitted(bounds.exposure_share, bounds.exposure_slack)
 
     def confirmed_age(self) -> float:
         """Return seconds since the configuration was confirmed as current."""
--- a/hornbeamrudder/gateway/records.py
+++ b/hornbeamrudder/gateway/records.py
@@ -6,6 +6,7 @@
 
 from ..core import ids
 from ..core import types
+from ..rollouts import state as rollout_state
 
 RouteName = NewType('RouteName', str)
 # Process start of a backend server, in Unix milliseconds. It distinguishes
@@ -238,6 +239,8 @@
     leaves_in_s : float or None
         Time until a reclaimed backend server stops, when its entry was
         written.
+    version : SoftwareVersion
+        Version of its software; empty if it states none.
     """
 
     id: ids.WorkerId
@@ -250,6 +253,7 @@
     cold_s: float = 0.0
     reclaimable: bool = False
     leaves_in_s: float | None = None
+    version: rollout_state.SoftwareVersion = rollout_state.SoftwareVersion('')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -258,6 +262,13 @@
 
     Attributes
     ----------
+    exposure_share : float or None
+        Share of the requests that a bad version may get; None if the
+        deployment knows no roll-outs.
+    exposure_slack : float
+        Requests that it may get besides.
+    rollback_s : float
+        Time after the 50th bad answer at which it must get none any more.
     require_fence : bool
         Whether the cloud API refuses calls of the duties below the highest
         fencing number that it has seen.
@@ -278,6 +289,9 @@
     reuse_window_s: float = 10.0
     strict_revoke: bool = True
     require_fence: bool = False
+    exposure_share: float | None = None
+    exposure_slack: float = 0.0
+    rollback_s: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamrudder/gateway/server_registry.py
+++ b/hornbeamrudder/gateway/server_registry.py
@@ -299,9 +299,15 @@
         excluded: Container[ids.WorkerId],
         rng: random.Random,
         now: float,
+        accepts: Callable[[ServerRecord], bool] = lambda record: True,
     ) -> Placement | None:
         """Choose a backend server and reserve a slot there.
 
+        Parameters
+        ----------
+        accepts : callable
+            Whether the request may go to a server.
+
         Returns
         -------
         Placement or None
@@ -313,6 +319,7 @@
             if record.usable
             and record.entry.id not in excluded
             and now >= record.directives.paused_until
+            and accepts(record)
         ]
         # A server whose entry lapsed during a store outage may be gone, so it
         # is used only if no other server has an entry.
--- a/hornbeamrudder/platform/server_entries.py
+++ b/hornbeamrudder/platform/server_entries.py
@@ -5,6 +5,7 @@
 from ..core import errors
 from ..core import ids
 from ..gateway import records
+from ..rollouts import state as rollout_state
 from . import settings
 
 TABLE = 'servers'
@@ -66,6 +67,9 @@
         cold_s=_decode_ms(fields.get('coldRemainingMs') or 0) / 1e3,
         reclaimable=bool(fields.get('spot')),
         leaves_in_s=None if leaves_ms is None else _decode_ms(leaves_ms) / 1e3,
+        version=rollout_state.SoftwareVersion(
+            str(fields.get('version') or '')
+        ),
     )
 
 
--- a/hornbeamrudder/platform/settings.py
+++ b/hornbeamrudder/platform/settings.py
@@ -103,6 +103,7 @@
         value = fields.get(name)
         return fallback if value is None else float(value) * scale
 
+    share = fields.get('exposureShare')
     return records.Bounds(
         revoke_s=number('revokeMs', default.revoke_s, 1e-3),
         drain_s=number('drainMs', default.drain_s, 1e-3),
@@ -119,6 +120,9 @@
         reuse_window_s=number('reuseWindowS', default.reuse_window_s),
         strict_revoke=bool(fields.get('strictRevoke', True)),
         require_fence=bool(fields.get('requireFence', False)),
+        exposure_share=None if share is None else float(share),
+        exposure_slack=number('exposureSlack', default.exposure_slack),
+        rollback_s=number('rollbackMs', default.rollback_s, 1e-3),
     )
 
 
