Follow the states of roll-outs by hubs, and rest while there are none

Cause: Only three nodes had rolled out a service, and idle nodes looked for work of a roll-out fifteen times a second.

Change: Twelve nodes, which report through hubs, roll out in the test; a node without a roll-out looks after 0.4 and 0.5 s.

Conclusion: States reach nodes that do not follow the store themselves.

--- a/hornbeamrudder/gateway/features/roll_outs_of_nodes.feature
+++ b/hornbeamrudder/gateway/features/roll_outs_of_nodes.feature
@@ -1,20 +1,22 @@
 Feature: Roll-outs by real nodes
 
-  Scenario Outline: Three nodes roll a service out
+  Scenario Outline: Nodes roll a service out
     # Guards against an order, a state or a count that does not pass between
-    # the store, the holder and the other nodes.
-    Given three nodes, and an order of a <kind> version with a time budget of 9 s
+    # the store, the holder and the other nodes; 12 nodes have hubs.
+    Given <nodes> nodes, and an order of a <kind> version with a time budget of 9 s
     When <trouble> while requests are sent
     Then the state of the roll-out is <state>
     And the new version got <share> requests
     And each request was answered
 
     Examples:
-      | kind | trouble                              | state       | share  |
-      | good | nothing happens                      | completed   | all    |
-      | bad  | nothing happens                      | rolled_back | few    |
-      | good | the holder is cut off from the store | completed   | all    |
-      | bad  | the holder is cut off from the store | rolled_back | few    |
+      | nodes | kind | trouble                              | state       | share |
+      | 3     | good | nothing happens                      | completed   | all   |
+      | 3     | bad  | nothing happens                      | rolled_back | few   |
+      | 3     | good | the holder is cut off from the store | completed   | all   |
+      | 3     | bad  | the holder is cut off from the store | rolled_back | few   |
+      | 12    | good | nothing happens                      | completed   | all   |
+      | 12    | bad  | nothing happens                      | rolled_back | few   |
 
   Scenario: Versions play no role without bounds on roll-outs
     # Guards against deployments without roll-outs that are served otherwise.
--- a/hornbeamrudder/gateway/features/steps/node_roll_out_steps.py
+++ b/hornbeamrudder/gateway/features/steps/node_roll_out_steps.py
@@ -27,9 +27,11 @@
 
 
 @behave.given(
-    'three nodes, and an order of a {kind} version with a time budget of 9 s'
+    '{nodes:d} nodes, and an order of a {kind} version with a time budget of'
+    ' 9 s'
 )
-def given_order(context, kind):
+def given_order(context, nodes, kind):
+    context.nodes = nodes
     context.kind = kind
 
 
@@ -85,7 +87,7 @@
         context.sent,
         context.lines,
     ) = node_harness.run_scenario(
-        scenario, plain_count=SERVERS, node_count=3, bounds=BOUNDS
+        scenario, plain_count=SERVERS, node_count=context.nodes, bounds=BOUNDS
     )
 
 
--- a/hornbeamrudder/gateway/watch.py
+++ b/hornbeamrudder/gateway/watch.py
@@ -26,6 +26,8 @@
 SNAPSHOT_PAUSE_S = 0.1
 # Interval between checks for this time-out.
 RELAY_POLL_S = 0.2
+# The same for whether a table is needed.
+UNNEEDED_POLL_S = 0.4
 
 
 class TableReader(Protocol):
@@ -103,7 +105,10 @@
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
-            if self.is_relayed() or not self.is_needed():
+            if not self.is_needed():
+                await asyncio.sleep(UNNEEDED_POLL_S)
+                continue
+            if self.is_relayed():
                 await asyncio.sleep(RELAY_POLL_S)
                 continue
             if not self._health.try_turn():
--- a/hornbeamrudder/rollouts/holder.py
+++ b/hornbeamrudder/rollouts/holder.py
@@ -18,6 +18,7 @@
 from . import tracker
 
 POLL_INTERVAL_S = 0.1
+IDLE_INTERVAL_S = 0.5
 CALL_TIMEOUT_S = 0.8
 # Pause after a write that failed or whose outcome is unknown. The state is
 # followed meanwhile, as the row may have been written.
@@ -66,7 +67,10 @@
     async def run(self) -> None:
         """Make the steps while this node holds the duties."""
         while True:
-            await asyncio.sleep(POLL_INTERVAL_S)
+            is_active = self._rollouts.is_active()
+            await asyncio.sleep(
+                POLL_INTERVAL_S if is_active else IDLE_INTERVAL_S
+            )
             await self.step_all()
 
     async def step_all(self) -> None:
