Use what is left of the exposure under full load before the transfer

The last step before the transfer spread its requests over all new servers, which gave none of them the load of the transfer.

Change: A trial begins with up to 1.4 times its part, and the step before the transfer sends up to 3.5 times its part to as many more servers.

Conclusion: Load is found by the trial. What turns bad within the last seconds before the transfer can still get more than its share.

--- a/hornbeamrudder/rollouts/choice.py
+++ b/hornbeamrudder/rollouts/choice.py
@@ -22,7 +22,7 @@
     phase: state.Phase,
 ) -> Accepts:
     """Return the servers of one side; in a trial those that take part."""
-    if side is state.Side.NEW and phase is state.Phase.TRIAL:
+    if side is state.Side.NEW and phase in state.TRIALS:
         return lambda record: record.entry.id in known.trial_servers
     return lambda record: rollout.side(record.entry.version) is side
 
--- a/hornbeamrudder/rollouts/features/roll_out_simulation.py
+++ b/hornbeamrudder/rollouts/features/roll_out_simulation.py
@@ -102,6 +102,8 @@
         self.server_count = servers
         self.is_bad = lambda route, after_s, running: False
         self.is_slow = False
+        self.bad_share = BAD_SHARE
+        self.slow_by = SLOW_BY
         self.faulty = {}
         self.gone = set()
         self.loop = asyncio.new_event_loop()
@@ -321,9 +323,9 @@
         ) or (self.rng.random() < self.faulty.get(entry.id, 0.0))
         if is_new:
             self.new_sends.append(now)
-        is_bad = is_bad and self.rng.random() < BAD_SHARE
+        is_bad = is_bad and self.rng.random() < self.bad_share
         if is_bad and self.is_slow:
-            first_s *= SLOW_BY
+            first_s *= self.slow_by
         if is_bad and is_new:
             self.at(first_s, lambda: self.bad_at.append(self.network.now))
         if is_bad and not self.is_slow:
--- a/hornbeamrudder/rollouts/features/roll_outs.feature
+++ b/hornbeamrudder/rollouts/features/roll_outs.feature
@@ -48,6 +48,21 @@
       | slow                 | 2    |
       | slow and late        | 1    |
 
+  Scenario Outline: A version that turns a little slow late is rolled back
+    # Guards against a version that gets more than its share because its
+    # fault shows only once it gets all requests.
+    Given a roll-out of a version that is bad slow and late with seed <seed>
+    And three in ten answers are slow, by a factor of four
+    When the roll-out is ordered and its time budget passes
+    Then the roll-out is rolled back
+    And the bad version got no more than its share
+    And the bad version got nothing long after its 50th bad answer
+
+    Examples: seeds
+      | seed |
+      | 20   |
+      | 21   |
+
   Scenario Outline: A holder that is killed after a step is followed by another
     # Guards against a step that is skipped or made twice, and against a
     # roll-out that stays where its holder left it.
--- a/hornbeamrudder/rollouts/features/steps/roll_out_steps.py
+++ b/hornbeamrudder/rollouts/features/steps/roll_out_steps.py
@@ -34,6 +34,12 @@
     }[how]
 
 
+@behave.given('three in ten answers are slow, by a factor of four')
+def given_slightly_slow(context):
+    context.simulation.bad_share = 0.3
+    context.simulation.slow_by = 4.0
+
+
 @behave.given('a time budget of {seconds:d} seconds')
 def given_time_budget(context, seconds):
     context.simulation.duration_s = float(seconds)
--- a/hornbeamrudder/rollouts/split.py
+++ b/hornbeamrudder/rollouts/split.py
@@ -19,8 +19,10 @@
 MIN_TRIAL_SERVERS = 2
 # A trial begins with more than the permitted share, which uses what was left
 # over while the servers started, so that faults are found early.
-EARLY_FACTOR = 1.8
+EARLY_FACTOR = 1.4
 EARLY_S = 6.0
+# The last trial uses what is left, on more servers under the same load.
+LOAD_FACTOR = 3.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,16 +63,22 @@
     )
 
 
-def trial_part(permitted: Permitted, age_s: float) -> float:
+def trial_part(
+    permitted: Permitted, phase: state.Phase, age_s: float
+) -> float:
     """Return the part of the requests that a trial is to get.
 
     Parameters
     ----------
     age_s : float
-        Time since the trial began.
+        Time since the phase began.
     """
-    factor = EARLY_FACTOR if age_s < EARLY_S else 1.0
-    return factor * USED_SHARE * permitted.share
+    factor = 1.0
+    if phase is state.Phase.LOAD:
+        factor = LOAD_FACTOR
+    elif age_s < EARLY_S:
+        factor = EARLY_FACTOR
+    return min(1.0, factor * USED_SHARE * permitted.share)
 
 
 def trial_size(part: float, new: int, old: int) -> int:
--- a/hornbeamrudder/rollouts/state.py
+++ b/hornbeamrudder/rollouts/state.py
@@ -43,7 +43,7 @@
     """Step of a roll-out.
 
     `TRIAL` sends a share of the requests to a few servers of the new version,
-    `LOAD` as many as the version may get, `TRANSFER` all.
+    `LOAD` as many as the version may get to more of them, `TRANSFER` all.
     """
 
     WAITING = 'waiting'
@@ -59,6 +59,10 @@
         return self in (Phase.COMPLETED, Phase.ROLLED_BACK)
 
 
+# Phases in which the new version gets a share of the requests.
+TRIALS = (Phase.TRIAL, Phase.LOAD)
+
+
 class Side(enum.Enum):
     """What a software version is to a roll-out.
 
--- a/hornbeamrudder/rollouts/tracker.py
+++ b/hornbeamrudder/rollouts/tracker.py
@@ -240,13 +240,10 @@
         node = known.totals.node
         if node.sent >= permitted.share * node.requests + permitted.slack:
             return False
-        match rollout.phase:
-            case state.Phase.TRIAL:
-                return self._rng.random() < known.trial_share
-            case state.Phase.LOAD:
-                return True
-            case _:
-                return False
+        return (
+            rollout.phase in state.TRIALS
+            and self._rng.random() < known.trial_share
+        )
 
     # Counting
 
@@ -342,7 +339,9 @@
         usable = self._usable_by_side(known.rollout)
         new, old = usable[state.Side.NEW], usable[state.Side.OLD]
         part = split.trial_part(
-            permitted, self._cluster_time() - known.rollout.since
+            permitted,
+            known.rollout.phase,
+            self._cluster_time() - known.rollout.since,
         )
         size = split.trial_size(part, len(new), len(old))
         # All nodes agree on the servers, so that these get their load.
@@ -373,7 +372,7 @@
             return
         servers = (
             len(known.trial_servers)
-            if rollout.phase is state.Phase.TRIAL
+            if rollout.phase in state.TRIALS
             else len(self._usable_by_side(rollout)[state.Side.NEW])
         )
         failure = judgement.judge(known, servers)
