--- a/hornbeamrudder/gateway/watch.py
+++ b/hornbeamrudder/gateway/watch.py
@@ -26,6 +26,8 @@
 SNAPSHOT_PAUSE_S = 0.1
 # Interval between checks for this time-out.
 RELAY_POLL_S = 0.2
+# The same for whether a table is needed.
+UNNEEDED_POLL_S = 0.4
 
 
 class TableReader(Protocol):
@@ -76,6 +78,8 @@
         self.content_version = 0
         self.confirmed_at: float = float('-inf')
         self.follows_store: Callable[[], bool] = lambda: True
+        # Whether anything depends on this table now.
+        self.is_needed: Callable[[], bool] = lambda: True
         # Whether other nodes do not follow the store themselves.
         self.is_relied_on: Callable[[], bool] = lambda: False
         self.on_changes: (
@@ -104,6 +108,9 @@
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
+            if not self.is_needed():
+                await asyncio.sleep(UNNEEDED_POLL_S)
+                continue
             if self.is_relayed():
                 await asyncio.sleep(RELAY_POLL_S)
                 continue
