Show that crowds of clients end a node for its memory

Cause: the bytes of clients are limited by connection only. Nothing limits their sum, the number of connections, or what pipelined requests hold. Change: a feature with a crowd for each kind of client that doesn't keep to the limits, against a real node process between stand-ins. The bound is the memory and the descriptors that the node's settings state; 80 MB leaves the interpreter its own (34 MB). The feature runs after all others, alone.

--- /dev/null
+++ b/hornbeamrudder/crowds/__init__.py
@@ -0,0 +1,1 @@
+"""Clients outside the limits, played against real node processes."""
--- /dev/null
+++ b/hornbeamrudder/crowds/features/crowds.feature
@@ -0,0 +1,45 @@
+@alone
+Feature: Clients outside the limits end no process
+
+  # Each scenario starts a node of its own between stand-ins, with the smallest
+  # memory that leaves room for the interpreter, and small limits on bodies.
+  # The crowd is spread over a path with a route, one without, the readiness
+  # check and the metrics.
+
+  Scenario Outline: A crowd of clients leaves the node alive and within its host
+    # Guards against a process that is ended for its memory, with the requests
+    # of all other clients; the load is a crowd whose bytes are several times
+    # the memory of the host.
+    Given a node with 80 MB of memory and 1200 descriptors
+    When <count> clients send "<kind>"
+    Then the node answers a small and the largest request while they hold on
+    And the node lives, within its memory and descriptors
+    And the node answers a small and the largest request when they have left
+
+    Examples:
+      | kind                       | count |
+      | whole bodies               | 120   |
+      | bodies in pieces           | 120   |
+      | bodies in chunks           | 120   |
+      | chunks of one byte         | 60    |
+      | bodies over the limit      | 240   |
+      | chunks over the limit      | 120   |
+      | heads of many fields       | 250   |
+      | heads of many fields ahead | 60    |
+      | bodies ahead               | 60    |
+      | answers unread             | 160   |
+      | trickled bodies            | 160   |
+
+  Scenario Outline: A crowd of connections leaves descriptors to the node
+    # Guards against a node that can't reach its store or servers, or accept an
+    # ordinary client, because a crowd holds all descriptors.
+    Given a node with 80 MB of memory and 300 descriptors
+    When <count> clients send "<kind>"
+    Then the node answers a small and the largest request while they hold on
+    And the node lives, within its memory and descriptors
+    And the node answers a small and the largest request when they have left
+
+    Examples:
+      | kind       | count |
+      | half heads | 400   |
+      | silent     | 400   |
--- a/hornbeamrudder/soak/deployment.py
+++ b/hornbeamrudder/soak/deployment.py
@@ -8,7 +8,7 @@
 import subprocess
 import sys
 import time
-from typing import Any
+from typing import Any, Mapping
 
 import yaml
 
@@ -100,8 +100,17 @@
 class Deployment:
     """All processes and stand-ins of one run."""
 
-    def __init__(self, folder: pathlib.Path, nodes: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        nodes: int,
+        host_limits: Mapping[str, Any] | None = None,
+        caller_limits: Mapping[str, Any] | None = None,
+    ) -> None:
         self.folder = folder
+        # Limits in the settings of the nodes and in the configuration.
+        self._host_limits = {'linkMbps': 100.0, **(host_limits or {})}
+        self._caller_limits = caller_limits
         self.store = row_store.RowStore()
         self.cloud = platform_cloud.PlatformCloud()
         self.backends: list[Backend] = []
@@ -115,9 +124,9 @@
         self.nodes: list[Node] = []
         (
             self.front_port,
-            self._ready_port,
+            self.ready_port,
             self._peer_port,
-            self._metrics_port,
+            self.metrics_port,
         ) = ports.reserve(4)
 
     async def start(self) -> None:
@@ -154,10 +163,10 @@
             'zones': {DATA_CENTRE: 'capitale-qc'},
             'listen': {
                 'front': f'{node.ip}:{self.front_port}',
-                'readiness': f'{node.ip}:{self._ready_port}',
+                'readiness': f'{node.ip}:{self.ready_port}',
             },
-            'internalPorts': [self._peer_port, self._metrics_port],
-            'limits': {'linkMbps': 100.0},
+            'internalPorts': [self._peer_port, self.metrics_port],
+            'limits': self._host_limits,
             'bounds': NODE_BOUNDS,
             'platform': {'address': node.store_proxy.address},
             'cloudApi': {
@@ -201,7 +210,7 @@
         try:
             async with asyncio.timeout(READY_CHECK_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(
-                    node.ip, self._ready_port
+                    node.ip, self.ready_port
                 )
                 writer.write(b'GET /ready HTTP/1.1\r\nHost: node\r\n\r\n')
                 line = await reader.readline()
@@ -267,6 +276,8 @@
         document = platform_server.configuration(
             self.version, (ENGINE_SERVICE, PLAIN_SERVICE)
         )
+        if self._caller_limits is not None:
+            document['limits'] = self._caller_limits
         for tenant in document['tenants']:
             tenant['ratePerS'] = tenant['burst'] = 0
             tenant['apiKeys'] = [
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -14,6 +15,9 @@
 PARALLEL_PACKAGES = 4
 # Packages whose features run in processes of their own.
 SPLIT_PACKAGES = frozenset({'gateway'})
+# Packages whose features run after all others, one at a time, because they
+# measure what the processes they start take from the machine.
+ALONE_PACKAGES = frozenset({'crowds'})
 # Scenarios with this tag run only in the extended failure tests.
 LONG_TAG = 'long'
 INCLUDE_LONG = os.environ.get('HORNBEAMRUDDER_PROOFS') == 'long'
@@ -101,6 +105,11 @@
     return PackageResult(name, passed, failed, completed.stdout)
 
 
+def _runs_alone(path: pathlib.Path) -> bool:
+    folder = path.parent if path.is_file() else path
+    return folder.parent.name in ALONE_PACKAGES
+
+
 def main() -> int:
     """Run all packages, or those named on the command line."""
     requested = frozenset(sys.argv[1:])
@@ -120,8 +129,12 @@
             else (folder,)
         )
     ]
+    alone = [path for path in paths if _runs_alone(path)]
     with futures.ThreadPoolExecutor(PARALLEL_PACKAGES) as pool:
-        results = list(pool.map(run_package, paths))
+        results = list(
+            pool.map(run_package, itertools.filterfalse(_runs_alone, paths))
+        )
+    results.extend(map(run_package, alone))
     known_red = known_red_names()
     unexpected = [
         (result, title)
