Account for all bytes that clients make a node hold

Cause: a node limited the bytes of each connection, but not their sum, the number of connections or what pipelined requests hold; it read on whatever it held, and answered whatever was not read. Change: one account of heads, fields, bodies, pipelined requests, unread responses and unread receive buffers. A large body is read once room for it is granted; stalled connections are closed first, requests that were read whole are kept. Limits on connections, fields, the time of a body and the work on very small pieces; the same at the front, readiness and metrics listeners. Bodies are kept once, in blocks, and sent from there.

--- a/hornbeamrudder/gateway/features/steps/stop_steps.py
+++ b/hornbeamrudder/gateway/features/steps/stop_steps.py
@@ -301,7 +301,7 @@
         (connection,) = harness.node.server.connections
         idle_s = harness.node.server.limits.idle_timeout_s
         with mock.patch.object(
-            http_server.clock, 'now', return_value=clock.now() + idle_s + 1
+            clock, 'now', return_value=clock.now() + idle_s + 1
         ):
             # Written at once, before the node reads again.
             kept[1].write(platform_caller.request_bytes('/look/x'))
--- a/hornbeamrudder/gateway/http_client.py
+++ b/hornbeamrudder/gateway/http_client.py
@@ -9,7 +9,7 @@
 import collections
 import dataclasses
 import socket
-from typing import Callable, Union
+from typing import Callable, Sequence, Union
 
 import httptools
 
@@ -231,6 +231,10 @@
         self._non_body_bytes = 0
         self._body_bytes = 0
         self._body_parts: list[bytes] = []
+        # Blocks of the body that is being sent, and whether the transport's
+        # buffer is full.
+        self._unsent: collections.deque[bytearray] = collections.deque()
+        self._is_full = False
 
     @property
     def reusable(self) -> bool:
@@ -243,6 +247,7 @@
             and self._transport is not None
             and not self._transport.is_closing()
             and self._transport.get_write_buffer_size() == 0
+            and not self._unsent
         )
 
     def send(
@@ -251,11 +256,14 @@
         matches: Matcher | None = None,
         head_only: bool = False,
         max_body_bytes: int = byte_limits.MAX_PLAIN_BODY_BYTES,
+        blocks: Sequence[bytearray] = (),
     ) -> Exchange:
         """Send one request; its response arrives as events of the exchange.
 
         Parameters
         ----------
+        data : bytes
+            The head, or the whole request.
         matches : callable, optional
             Tells from status and headers whether a response belongs to this
             request; other responses are skipped.
@@ -264,6 +272,8 @@
             for HEAD.
         max_body_bytes : int
             Size above which a body counts as endless.
+        blocks : sequence of bytearray
+            Body; not copied unless it is small.
         """
         exchange = Exchange(self, matches, head_only, max_body_bytes)
         self._exchange = exchange
@@ -272,9 +282,19 @@
         if self.closed or self._transport is None:
             exchange.add_event(ConnectionBroken('connection was closed'))
             return exchange
+        if len(blocks) == 1:
+            data, blocks = data + blocks[0], ()
+        self._unsent = collections.deque(blocks)
         self._transport.write(data)
+        self._send_blocks()
         return exchange
 
+    def _send_blocks(self) -> None:
+        """Send the rest of a body as far as the transport's buffer takes."""
+        while self._unsent and not self._is_full and not self.closed:
+            assert self._transport is not None
+            self._transport.write(self._unsent.popleft())
+
     def release(self) -> None:
         """End the exchange after its response; the connection is idle."""
         self._exchange = None
@@ -284,6 +304,7 @@
     def abort(self) -> None:
         """Close immediately, so that the server stops its work."""
         self.closed = True
+        self._unsent.clear()
         self._exchange = None
         self._unhold_all()
         if self._transport is not None:
@@ -337,6 +358,15 @@
             TCP_USER_TIMEOUT_MS,
         )
 
+    def pause_writing(self) -> None:
+        """Send no further; called by the event loop on a full buffer."""
+        self._is_full = True
+
+    def resume_writing(self) -> None:
+        """Send on; called by the event loop on a drained buffer."""
+        self._is_full = False
+        self._send_blocks()
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; called by the event loop."""
         if self._exchange is None:
@@ -376,6 +406,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the open exchange; called by the event loop."""
         self.closed = True
+        self._unsent.clear()
         # A path that is cut ends with a time-out instead.
         self._end_broken(
             f'connection lost: {error}' if error else 'closed',
--- a/hornbeamrudder/gateway/listener.py
+++ b/hornbeamrudder/gateway/listener.py
@@ -1,10 +1,50 @@
-"""Orderly close of a listening socket."""
+"""Opens and closes listening sockets."""
 
 import asyncio
 import contextlib
+import socket
 
+from . import client_limits
+from ..core import types
 from . import http_server
 
+# Connections that the kernel completes before they are accepted.
+BACKLOG = 512
+# Connections that are accepted before those that are open have their turn, so
+# that the limit on their number is kept.
+ACCEPT_BATCH = 8
+
+
+async def open_listener(
+    address: types.Address, server: http_server.CallerServer
+) -> asyncio.Server:
+    """Listen for connections of clients.
+
+    Raises
+    ------
+    OSError
+        The address cannot be used.
+    """
+    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit the sizes of the buffers.
+        for option, size in (
+            (socket.SO_RCVBUF, client_limits.RECEIVE_BUFFER_BYTES),
+            (socket.SO_SNDBUF, client_limits.SEND_BUFFER_BYTES),
+        ):
+            with contextlib.suppress(OSError):
+                listening.setsockopt(socket.SOL_SOCKET, option, size)
+        listening.bind((address.ip, address.port))
+    except OSError:
+        listening.close()
+        raise
+    opened = await asyncio.get_running_loop().create_server(
+        server.make_connection, sock=listening, backlog=ACCEPT_BATCH
+    )
+    listening.listen(BACKLOG)
+    return opened
+
 
 async def close_listener(
     listener: asyncio.Server, server: http_server.CallerServer
--- a/hornbeamrudder/gateway/metrics.py
+++ b/hornbeamrudder/gateway/metrics.py
@@ -59,6 +59,11 @@
             'hornbeamrudder_platform_calls_total',
             'Calls to the platform by kind and result.',
         )
+        self.client_limits = self._counter(
+            'hornbeamrudder_client_limits_total',
+            'Connections of clients closed, and requests refused before they'
+            ' were read, by reason.',
+        )
         self.first_byte_s = self._histogram(
             'hornbeamrudder_first_byte_seconds',
             'Time from the first byte of a request to that of its answer.',
--- a/hornbeamrudder/gateway/node.py
+++ b/hornbeamrudder/gateway/node.py
@@ -6,8 +6,11 @@
 from typing import Any, Coroutine, Iterable, Mapping
 
 from . import admit
+from . import client_gate
+from . import client_limits
 from . import clock
 from ..core import errors
+from ..core import types
 from . import duties
 from . import exchange
 from . import forward
@@ -64,7 +67,6 @@
 # Time for which a connection of a stopping node may be idle, so that a request
 # that is on its way is still answered.
 STOP_IDLE_S = 1.0
-LISTEN_BACKLOG = 512
 
 
 class Node:
@@ -111,7 +113,18 @@
         self._store_health = store_health.StoreHealth(self.state.rng)
         self.forwarder = forward.Forwarder(self.state, platform.headers)
         self.mover = moves.Mover(self.forwarder, platform.move_request)
-        self.server = http_server.CallerServer(self.forwarder.handle)
+        gate = client_gate.ClientGate(
+            settings.memory_bytes, settings.max_fds, node_metrics, log
+        )
+        self.server = http_server.CallerServer(self.forwarder.handle, gate)
+        self._readiness_server, self._metrics_server = (
+            http_server.CallerServer(
+                handler,
+                gate,
+                client_limits.max_other_connections(gate.max_fds),
+            )
+            for handler in (self._serve_readiness, self._serve_metrics)
+        )
         self.duties = duties.Duties(
             self.state,
             self._store,
@@ -199,24 +212,15 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         settings = self.settings
         listeners = [
-            await loop.create_server(
-                self.server.make_connection,
-                settings.front.ip,
-                settings.front.port,
-                backlog=LISTEN_BACKLOG,
-            ),
-            await loop.create_server(
-                http_server.CallerServer(
-                    self._serve_readiness
-                ).make_connection,
-                settings.readiness.ip,
-                settings.readiness.port,
-            ),
-            await loop.create_server(
-                http_server.CallerServer(self._serve_metrics).make_connection,
-                settings.ip,
-                settings.metrics_port,
-            ),
+            await listener.open_listener(address, server)
+            for address, server in (
+                (settings.front, self.server),
+                (settings.readiness, self._readiness_server),
+                (
+                    types.Address(settings.ip, settings.metrics_port),
+                    self._metrics_server,
+                ),
+            )
         ]
         await loop.create_datagram_endpoint(
             lambda: self.state.peers,
@@ -331,7 +335,13 @@
         if current is not None and configuration.version <= current.version:
             return
         self.state.configuration = configuration
-        self.server.limits = configuration.limits
+        limits = configuration.client_limits()
+        for server in (
+            self.server,
+            self._readiness_server,
+            self._metrics_server,
+        ):
+            server.limits = limits
         self.state.create_buckets()
         self._log.info(
             'configuration is applied',
--- a/hornbeamrudder/gateway/records.py
+++ b/hornbeamrudder/gateway/records.py
@@ -166,12 +166,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """Limits on the size and the duration of client requests."""
+    """Limits on the size and the duration of client requests.
+
+    Attributes
+    ----------
+    body_timeout_s : float
+        Longest time in which a body is read.
+    """
 
     max_header_bytes: int = 16384
     max_body_bytes: int = 4194304
     header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
+    body_timeout_s: float = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -215,6 +222,22 @@
         default_factory=dict
     )
 
+    def client_limits(self) -> CallerLimits:
+        """Return the limits, with the time that a body may take.
+
+        A request is not served after the time-out of its route, which counts
+        from its first byte.
+        """
+        longest_s = max(
+            (
+                route.timeout_s
+                for routes in self.routes_by_host.values()
+                for route in routes
+            ),
+            default=self.limits.body_timeout_s,
+        )
+        return dataclasses.replace(self.limits, body_timeout_s=longest_s)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix."""
         return next(
@@ -294,6 +317,8 @@
         Link speed of the host; 0 if unknown.
     memory_bytes : float
         Memory that the node may use.
+    max_fds : int
+        Descriptors that the node may use; 0 for the limit of the process.
     """
 
     node: ids.NodeId
@@ -312,6 +337,7 @@
     boot_path: str = ''
     link_mbps: float = 0.0
     memory_bytes: float = 300e6
+    max_fds: int = 0
 
 
 def urgency_by_service(
--- a/hornbeamrudder/gateway/sending.py
+++ b/hornbeamrudder/gateway/sending.py
@@ -79,17 +79,18 @@
         sent_at = clock.now()
         opened.connection.request_ids.add(call.request_id)
         exchange = opened.connection.send(
-            self._request_bytes(call, placement, sent_at),
+            self._request_head(call, placement, sent_at),
             lambda status, headers: self._matches_request(
                 call, opened.reused, status, headers
             ),
             call.request.method == b'HEAD',
+            blocks=call.request.body.blocks,
         )
         return calls.Attempt(
             placement, opened.connection, exchange, sent_at, opened.reused
         )
 
-    def _request_bytes(
+    def _request_head(
         self,
         call: calls.Call,
         placement: server_registry.Placement,
@@ -117,7 +118,7 @@
         )
         if request.body or request.method in (b'POST', b'PUT', b'PATCH'):
             lines.append(b'Content-Length: %d' % len(request.body))
-        return b'\r\n'.join(lines) + b'\r\n\r\n' + request.body
+        return b'\r\n'.join(lines) + b'\r\n\r\n'
 
     def _matches_request(
         self,
--- a/hornbeamrudder/platform/settings.py
+++ b/hornbeamrudder/platform/settings.py
@@ -93,6 +93,7 @@
         boot_path=path,
         link_mbps=float(limits.get('linkMbps') or 0.0),
         memory_bytes=memory_mb * 1e6,
+        max_fds=int(limits.get('maxFds') or 0),
     )
 
 
--- a/hornbeamrudder/standins/platform_cloud.py
+++ b/hornbeamrudder/standins/platform_cloud.py
@@ -92,7 +92,7 @@
             request.target.decode(),
             headers.get('x-hornbeamrudder-duty-holder', ''),
             int(headers.get('x-hornbeamrudder-fencing-token') or 0),
-            orjson.loads(request.body),
+            orjson.loads(request.body.joined()),
         )
         self.arrived.append(call)
         if call.wants_reclaimable and self.late_s is not None:
--- a/hornbeamrudder/standins/row_store.py
+++ b/hornbeamrudder/standins/row_store.py
@@ -117,7 +117,7 @@
             case '/rows-feed':
                 await self._feed(query, reply)
             case '/rows-tx':
-                self._transact(orjson.loads(request.body), reply)
+                self._transact(orjson.loads(request.body.joined()), reply)
             case _:
                 reply.send(404, (), b'')
 
