--- a/hornbeamrudder/crowds/features/crowds.feature
+++ b/hornbeamrudder/crowds/features/crowds.feature
@@ -43,3 +43,29 @@
       | kind       | count |
       | half heads | 400   |
       | silent     | 400   |
+
+  @long
+  Scenario Outline: A crowd at the limits of the sheets leaves room on the smallest host
+    # Guards against limits that hold in small only; bodies of 4 MB and heads
+    # of 16 KB, the smallest host of the sheets.
+    Given a node with 160 MB of memory and 4100 descriptors, for bodies of 4194304 bytes
+    When 150 clients send "<kind>"
+    Then the node answers a small and the largest request while they hold on
+    And the node lives, within 120 MB and its descriptors
+    And the node answers a small and the largest request when they have left
+
+    Examples:
+      | kind                       |
+      | whole bodies               |
+      | bodies in pieces           |
+      | bodies in chunks           |
+      | chunks of one byte         |
+      | bodies over the limit      |
+      | chunks over the limit      |
+      | heads of many fields       |
+      | heads of many fields ahead |
+      | bodies ahead               |
+      | answers unread             |
+      | half heads                 |
+      | trickled bodies            |
+      | silent                     |
--- a/hornbeamrudder/crowds/features/steps/crowd_steps.py
+++ b/hornbeamrudder/crowds/features/steps/crowd_steps.py
@@ -12,14 +12,10 @@
 from hornbeamrudder.soak import deployment
 from hornbeamrudder.standins import platform_caller
 
-LIMITS = crowd.Limits(body_bytes=1_000_000, head_bytes=16_384)
+BODY_BYTES = 1_000_000
+HEAD_BYTES = 16_384
 # Longer than a scenario, so that no time-out ends a crowd that holds on.
-CALLER_LIMITS = {
-    'maxHeaderBytes': LIMITS.head_bytes,
-    'maxBodyBytes': LIMITS.body_bytes,
-    'headerTimeoutMs': 20_000,
-    'idleTimeoutMs': 40_000,
-}
+TIMEOUTS = {'headerTimeoutMs': 20_000, 'idleTimeoutMs': 40_000}
 SETTLE_S = 2.5
 SAMPLE_INTERVAL_S = 0.02
 # An ordinary client retries a request that was refused or not answered.
@@ -35,11 +31,24 @@
     'a node with {memory:d} MB of memory and {descriptors:d} descriptors'
 )
 def start_crowd_node(context, memory, descriptors):
+    _start_node(context, memory, descriptors, BODY_BYTES)
+
+
+@behave.given(
+    'a node with {memory:d} MB of memory and {descriptors:d} descriptors, for'
+    ' bodies of {body_bytes:d} bytes'
+)
+def start_crowd_node_for_bodies(context, memory, descriptors, body_bytes):
+    _start_node(context, memory, descriptors, body_bytes)
+
+
+def _start_node(context, memory, descriptors, body_bytes):
     runner = asyncio.Runner()
     context.add_cleanup(runner.close)
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.runner = runner
+    context.limits = crowd.Limits(body_bytes, HEAD_BYTES)
     context.memory_bytes = memory * 1_000_000
     context.descriptors = descriptors
     context.peak_descriptors = 0
@@ -47,7 +56,11 @@
         pathlib.Path(folder.name),
         nodes=1,
         host_limits={'memoryMb': memory, 'maxFds': descriptors},
-        caller_limits=CALLER_LIMITS,
+        caller_limits={
+            'maxHeaderBytes': HEAD_BYTES,
+            'maxBodyBytes': body_bytes,
+            **TIMEOUTS,
+        },
     )
     context.add_cleanup(context.system.stop)
     runner.run(context.system.start())
@@ -68,7 +81,9 @@
             (system.metrics_port, '/metrics'),
         )
     )
-    context.crowd = crowd.Crowd(crowd.Kind(kind), count, targets, LIMITS)
+    context.crowd = crowd.Crowd(
+        crowd.Kind(kind), count, targets, context.limits
+    )
     context.runner.run(_play(context, context.crowd))
 
 
@@ -135,7 +150,7 @@
 
 
 async def _check_answers(context):
-    for body in (SMALL_BODY, b'x' * LIMITS.body_bytes):
+    for body in (SMALL_BODY, b'x' * context.limits.body_bytes):
         seen = await _request(context, body)
         assert seen[-1:] == [200], (len(body), seen, _usage(context))
 
@@ -145,6 +160,13 @@
     _check_usage(context)
 
 
+@behave.then('the node lives, within {memory:d} MB and its descriptors')
+def check_within_memory(context, memory):
+    context.memory_bytes = memory * 1_000_000
+    print(_usage(context))
+    _check_usage(context)
+
+
 def _check_usage(context):
     assert context.node.is_running, _usage(context)
     peak = process_usage.peak_memory_bytes(context.node.process.pid)
