Test the account of clients' bytes without a network

Cause: the tests with processes show the sum; not who is closed, how bodies take turns, or that the account returns to nothing.

--- a/hornbeamrudder/gateway/caller_connection.py
+++ b/hornbeamrudder/gateway/caller_connection.py
@@ -132,8 +132,12 @@
         if self._closing or self._transport is None:
             return
         self._begin_close()
-        if self._transport.can_write_eof():
+        try:
             self._transport.write_eof()
+        except OSError:
+            # The client has reset the connection.
+            self._transport.abort()
+            return
         asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
 
     def abort(self) -> None:
--- /dev/null
+++ b/hornbeamrudder/gateway/features/steps/client_limits_steps.py
@@ -0,0 +1,272 @@
+"""Steps for the limits on what clients make a node hold."""
+
+import asyncio
+import random
+
+import behave
+
+from hornbeamrudder.core import types
+from hornbeamrudder.gateway import client_gate
+from hornbeamrudder.gateway import client_limits
+from hornbeamrudder.gateway import http_server
+from hornbeamrudder.gateway import listener
+from hornbeamrudder.standins import ports
+
+NOW = 1000.0
+MB = 1_000_000
+SEED = 11
+BATCH = 50
+IP = '127.0.0.1'
+
+
+class _Client:
+    """Client that records what the account decides, and gives up its bytes."""
+
+    def __init__(self, name, account=None):
+        self.name = name
+        self.account = account
+        self.reason = None
+        self.is_granted = False
+
+    def evict(self, reason):
+        self.reason = reason
+        self.account.discard(self)
+
+    def grant(self):
+        self.is_granted = True
+
+
+def _holding(text):
+    phase, part, size, idle_s = text.split()
+    holding = client_limits.Holding(
+        NOW - float(idle_s), client_limits.Phase(phase)
+    )
+    holding.bytes_by_part[client_limits.Part(part)] = int(size)
+    return holding
+
+
+@behave.given('clients that hold "{one}" and "{two}"')
+def set_holdings(context, one, two):
+    context.holdings = {'one': _holding(one), 'two': _holding(two)}
+
+
+@behave.when('the order of closing for bytes is asked for')
+def ask_eviction_order(context):
+    context.order = client_limits.eviction_order(context.holdings.items(), NOW)
+
+
+@behave.then('"{name}" goes first')
+def check_first(context, name):
+    assert context.order[0] == name, context.order
+
+
+@behave.given('an account of {size:d} MB')
+def create_account(context, size):
+    context.account = client_limits.ClientBytes(size * MB)
+    context.now = NOW
+
+
+@behave.given(
+    'an account of 1 MB that a client exceeds with a request in progress'
+)
+def create_exceeded_account(context):
+    create_account(context, 1)
+    context.busy = _Client('busy', context.account)
+    holding = context.account.open(context.busy, NOW - 50)
+    holding.phase = client_limits.Phase.ANSWERING
+    context.account.charge(holding, client_limits.Part.RUNNING, 2 * MB)
+
+
+@behave.when('another client has read 2000 bytes of a head')
+def read_head_of_another(context):
+    context.other = _Client('other', context.account)
+    holding = context.account.open(context.other, NOW - 1)
+    holding.phase = client_limits.Phase.READING
+    context.account.charge(holding, client_limits.Part.READING, 2000)
+    context.account.settle(NOW)
+
+
+@behave.then('only the other client is closed')
+def check_only_other(context):
+    assert context.busy.reason is None
+    assert context.other.reason is client_limits.Reason.TOO_MANY_BYTES
+
+
+@behave.given('connections "{one}" and "{two}"')
+def set_connections(context, one, two):
+    context.connections = {}
+    for name, text in (('one', one), ('two', two)):
+        phase, idle_s, completed = text.split()
+        context.connections[name] = client_limits.Holding(
+            NOW - float(idle_s),
+            client_limits.Phase(phase),
+            has_completed=completed == 'yes',
+        )
+
+
+@behave.when('one of them has to be closed')
+def choose_connection(context):
+    context.closed = client_limits.connections_to_close(
+        context.connections.items(), limit=16
+    )
+
+
+@behave.then('"{name}" is closed')
+def check_closed(context, name):
+    assert context.closed == ([] if name == 'neither' else [name])
+
+
+@behave.when('{count:d} clients each want to send {size:d} MB')
+def want_grants(context, count, size):
+    context.clients = [
+        _Client(number, context.account) for number in range(count)
+    ]
+    context.holdings = {}
+    for client in context.clients:
+        holding = context.account.open(client, context.now)
+        holding.phase = client_limits.Phase.READING
+        context.holdings[client] = holding
+        client.is_granted = context.account.request_grant(
+            client, size * MB, context.now
+        )
+        if client.is_granted:
+            context.account.charge(
+                holding, client_limits.Part.READING, size * MB
+            )
+
+
+@behave.then('{granted:d} are granted and {waiting:d} wait')
+def check_grants(context, granted, waiting):
+    assert sum(c.is_granted for c in context.clients) == granted
+    assert context.account.waiting == waiting
+    assert not any(client.reason for client in context.clients)
+
+
+@behave.then('one that waits is granted when a body has been answered')
+def check_next_grant(context):
+    context.account.return_grant(context.holdings[context.clients[0]], 4 * MB)
+    context.account.sweep(context.now)
+    assert [
+        client.name for client in context.clients if client.is_granted
+    ] == [*range(7)]
+
+
+@behave.when('{seconds:f} seconds pass')
+def pass_time(context, seconds):
+    context.now += seconds
+    context.account.sweep(context.now)
+
+
+@behave.when('they make progress for {seconds:f} seconds')
+def make_progress(context, seconds):
+    for _ in range(round(seconds / 0.1)):
+        context.now += 0.1
+        for holding in context.holdings.values():
+            holding.since = context.now
+        context.account.sweep(context.now)
+
+
+@behave.then('the 2 that waited are granted and 2 others are closed')
+def check_stalled_closed(context):
+    assert all(client.is_granted for client in context.clients[6:])
+    closed = [client for client in context.clients[:6] if client.reason]
+    assert len(closed) == 2, closed
+
+
+@behave.then(
+    'the 2 that waited are refused for want of a grant and none is closed'
+)
+def check_waiting_refused(context):
+    assert [client.reason for client in context.clients] == [None] * 6 + [
+        client_limits.Reason.NO_GRANT
+    ] * 2
+
+
+@behave.given('a server in memory whose handler answers')
+def create_answering_server(context):
+    async def handle(request, reply):
+        await asyncio.sleep(0)
+        reply.send(200, (), b'y' * 300)
+
+    context.gate = client_gate.ClientGate(memory_bytes=100 * MB, max_fds=900)
+    context.server = http_server.CallerServer(handle, context.gate)
+
+
+@behave.when(
+    '{count:d} clients send requests, halves of requests and bodies of'
+    ' {size:d} bytes, and leave'
+)
+def play_mixed_clients(context, count, size):
+    rng = random.Random(SEED)
+    whole = b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n' % size
+    body = b'x' * size
+    chunked = b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+    texts = (
+        b'GET / HTTP/1.1\r\n\r\n' * 40,
+        whole + body,
+        whole + body[:-1],
+        whole + body + whole + body[: size // 2],
+        chunked + b'%x\r\n%s\r\n' % (size, body),
+        chunked + b'1\r\nx\r\n' * 3000 + b'0\r\n\r\n',
+        b'GET / HTTP/1.1\r\nHo',
+        b'nonsense\r\n\r\n',
+    )
+
+    async def play(port, text):
+        reader, writer = await asyncio.open_connection(IP, port)
+        writer.write(text)
+        try:
+            async with asyncio.timeout(rng.uniform(0.0, 0.1)):
+                await reader.read(100)
+        except (TimeoutError, ConnectionError):
+            pass
+        writer.transport.abort()
+
+    async def run():
+        context.loop_errors = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, details: context.loop_errors.append(details)
+        )
+        (port,) = ports.reserve(1)
+        opened = await listener.open_listener(
+            types.Address(IP, port), context.server
+        )
+        for _ in range(count // BATCH):
+            await asyncio.gather(
+                *(play(port, rng.choice(texts)) for _ in range(BATCH))
+            )
+        opened.close()
+        async with asyncio.timeout(5):
+            while context.server.connections:
+                await asyncio.sleep(0.02)
+
+    asyncio.run(run())
+
+
+@behave.then('the account holds nothing')
+def check_empty_account(context):
+    account = context.gate.account
+    assert (account.total, account.granted, account.waiting) == (0, 0, 0)
+    assert not context.loop_errors, context.loop_errors
+
+
+@behave.then(
+    'of {fds:d} descriptors clients may take {front:d}, and {other:d} at each'
+    ' other listener'
+)
+def check_descriptor_shares(context, fds, front, other):
+    assert client_limits.max_connections(fds) == front
+    assert client_limits.max_other_connections(fds) == other
+
+
+@behave.when(
+    '{count:d} clients each lack {shortfall:d} bytes in their pieces at once'
+)
+def lack_bytes(context, count, shortfall):
+    pacer = client_limits.Pacer()
+    context.delays = [pacer.delay_s(shortfall, NOW) for _ in range(count)]
+
+
+@behave.then('the last of them is not read for {seconds:f} seconds')
+def check_last_delay(context, seconds):
+    assert abs(context.delays[-1] - seconds) < 1e-6, context.delays
