--- a/hornbeamrudder/cli.py
+++ b/hornbeamrudder/cli.py
@@ -19,6 +19,7 @@
 from .inventory import schema as inventory_schema
 from .operators import commands as operator_commands
 from .platform import settings as platform_settings
+from .settings import client_limits
 from .settings import load
 from .settings import reference
 from .settings import schema
@@ -37,6 +38,7 @@
     'Node settings': schema.NodeSettings,
     'Configuration document with its rules': inventory_schema.Document,
     'Mapping file of a register': mapping.RegisterMapping,
+    'Limits on clients of a node on the platform': client_limits.ClientLimits,
 }
 
 # Settings model of a command and the function that runs it.
