Serve ordinary clients at the limits whole, in a test

Cause: no test showed that clients inside the limits don't meet the new ones; the listener was told its queue twice. Change: scenarios with requests ahead, the largest bodies with a length, in chunks and after 100 Continue, and heads of many fields; a socket that keeps its queue while the loop accepts few connections at once.

--- a/hornbeamrudder/gateway/features/client_limits.feature
+++ b/hornbeamrudder/gateway/features/client_limits.feature
@@ -88,3 +88,19 @@
     # Guards against a crowd whose chunks of one byte take all processor time.
     When 10 clients each lack 64000 bytes in their pieces at once
     Then the last of them is not read for 0.04 seconds
+
+  Scenario Outline: Clients inside the limits are served whole
+    # Guards against limits that ordinary clients meet.
+    Given a server in memory whose handler answers
+    When an ordinary client sends "<input>"
+    Then it receives <count> whole responses with status 200
+
+    Examples:
+      | input                                   | count |
+      | 100 requests ahead                      | 100   |
+      | 20 requests ahead with bodies of 300000 | 20    |
+      | a body of 4194304                       | 1     |
+      | a body of 4194304 in chunks of 1000     | 1     |
+      | a body of 4194304 after 100 Continue    | 1     |
+      | a body of 20000 in chunks of 1          | 1     |
+      | a head of 200 fields                    | 1     |
--- a/hornbeamrudder/gateway/features/steps/client_limits_steps.py
+++ b/hornbeamrudder/gateway/features/steps/client_limits_steps.py
@@ -270,3 +270,80 @@
 @behave.then('the last of them is not read for {seconds:f} seconds')
 def check_last_delay(context, seconds):
     assert abs(context.delays[-1] - seconds) < 1e-6, context.delays
+
+
+def _sized(size, extra=b''):
+    return b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n%s\r\n' % (
+        size,
+        extra,
+    )
+
+
+def _inputs(text):
+    """Return what a client sends, the rest after 100, and its body bytes."""
+    numbers = [int(word) for word in text.split() if word.isdigit()]
+    match text.split()[0], numbers:
+        case _, [count] if 'ahead' in text:
+            return _sized(0) * count, b'', 0
+        case _, [count, size] if 'ahead' in text:
+            return (_sized(size) + b'x' * size) * count, b'', size * count
+        case _, [size, 100]:
+            head = _sized(size, b'Expect: 100-continue\r\n')
+            return head, b'x' * size, size
+        case _, [size, step]:
+            head = b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+            chunk = b'%x\r\n%s\r\n' % (step, b'x' * step)
+            last = size % step
+            rest = b'%x\r\n%s\r\n' % (last, b'x' * last) if last else b''
+            chunks = chunk * (size // step) + rest + b'0\r\n\r\n'
+            return head + chunks, b'', size
+        case _, [count] if 'fields' in text:
+            return _sized(0, b'ab: cd\r\n' * count), b'', 0
+        case _, [size]:
+            return _sized(size) + b'x' * size, b'', size
+
+
+@behave.when('an ordinary client sends "{text}"')
+def send_inside_limits(context, text):
+    context.bodies = []
+    answer = context.server.handler
+
+    async def handle(request, reply):
+        context.bodies.append(len(request.body))
+        await answer(request, reply)
+
+    context.server.handler = handle
+    before, after, context.body_bytes = _inputs(text)
+
+    async def run():
+        (port,) = ports.reserve(1)
+        opened = await listener.open_listener(
+            types.Address(IP, port), context.server
+        )
+        reader, writer = await asyncio.open_connection(IP, port)
+        writer.write(before)
+        if after:
+            line = await reader.readuntil(b'\r\n\r\n')
+            assert b' 100 ' in line, line
+            writer.write(after)
+        received = b''
+        async with asyncio.timeout(20):
+            while received.count(b'y' * 300) < max(1, len(context.bodies)) or (
+                context.server.busy
+            ):
+                piece = await reader.read(65536)
+                assert piece, received[-200:]
+                received += piece
+        writer.close()
+        opened.close()
+        return received
+
+    context.received = asyncio.run(run())
+
+
+@behave.then('it receives {count:d} whole responses with status 200')
+def check_whole_responses(context, count):
+    assert context.received.count(b'HTTP/1.1 200 OK\r\n') == count
+    assert context.received.count(b'y' * 300) == count
+    assert len(context.bodies) == count, context.bodies
+    assert sum(context.bodies) == context.body_bytes, context.bodies
--- a/hornbeamrudder/gateway/listener.py
+++ b/hornbeamrudder/gateway/listener.py
@@ -15,6 +15,17 @@
 ACCEPT_BATCH = 8
 
 
+class _ListeningSocket(socket.socket):
+    """Socket whose queue is longer than what the loop accepts at once.
+
+    The loop takes both from one parameter.
+    """
+
+    def listen(self, backlog: int = BACKLOG) -> None:
+        """Listen with the longer queue."""
+        super().listen(BACKLOG)
+
+
 async def open_listener(
     address: types.Address, server: http_server.CallerServer
 ) -> asyncio.Server:
@@ -25,7 +36,7 @@
     OSError
         The address cannot be used.
     """
-    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listening = _ListeningSocket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         # Accepted connections inherit the sizes of the buffers.
@@ -39,11 +50,9 @@
     except OSError:
         listening.close()
         raise
-    opened = await asyncio.get_running_loop().create_server(
+    return await asyncio.get_running_loop().create_server(
         server.make_connection, sock=listening, backlog=ACCEPT_BATCH
     )
-    listening.listen(BACKLOG)
-    return opened
 
 
 async def close_listener(
