Plan backend servers by data centre from arrivals over all nodes

Cause: on-demand servers were ordered one by one from requests in progress, which grow only once callers wait; after a reclaim the holder corrected single counts up to ten times a second, and capacity came 8 s late.

Change: nodes publish their arrivals by service and data centre; the holder plans reclaimable and on-demand servers from them, from the engine's slots and prefill speed and from the reclaims seen, and orders what is missing in one step (gateway/demand.py, fleet_plan.py, fleet_orders.py).

--- a/hornbeamrudder/gateway/duties.py
+++ b/hornbeamrudder/gateway/duties.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import collections
 import dataclasses
 from typing import Any, Callable, Mapping
 
@@ -13,9 +12,9 @@
 from ..core import ids
 from ..core import types
 from . import duty_lease
+from . import fleet_orders
 from . import fleet_policy
 from . import node_state
-from . import records
 from . import usage
 
 TABLE = 'duty'
@@ -30,8 +29,6 @@
 RETRY_DELAY_S = 1.5
 # An order is repeated if the servers are not available after this time.
 ORDER_RETRY_S = 6.0
-# Reclaimable servers count as unavailable for this long after a refused order.
-RECLAIMABLE_SHORTAGE_S = 3.0
 
 
 class Duties:
@@ -66,8 +63,7 @@
         self._final_counts: dict[int, Mapping[str, int]] = {}
         self._completed_windows: set[int] = set()
         self._unreported_windows: set[int] = set()
-        self._demand: dict[ids.ServiceName, fleet_policy.Demand] = {}
-        self._refused_at: dict[ids.ServiceName, float] = {}
+        self._fleet = fleet_orders.FleetOrders(state)
         self._in_progress: set[object] = set()
         # Highest number that must not be used any more: a call with it may
         # still be carried out, after later ones.
@@ -209,6 +205,7 @@
         self._next_read_at = 0.0
         if new:
             self._ordered.clear()
+            self._fleet.start_anew()
             self._final_counts.clear()
             self._completed_windows.clear()
             self._unreported_windows.clear()
@@ -242,7 +239,7 @@
             if pool is None:
                 self._spent = max(self._spent, term.number)
             else:
-                self._refused_at[pool.service] = clock.now()
+                self._fleet.record_refusal(pool.service, clock.now())
         self._in_doubt.clear()
 
     def _step_down(self, reason: str) -> None:
@@ -388,17 +385,17 @@
         configuration = self._state.configuration
         if configuration is None:
             return
+        now = clock.now()
         for service in configuration.services_by_name.values():
-            if service.scaling is None:
-                continue
-            target = fleet_policy.target_counts(
-                service, self._update_demand(service), self._fleet(service)
-            )
-            for pool, count in target.items():
+            for pool, count in self._fleet.target_counts(service, now).items():
                 ordered, at = self._ordered.get(pool, (None, 0.0))
                 if ordered == count and (
-                    self._usable_servers(pool) >= count
-                    or clock.now() - at < ORDER_RETRY_S
+                    self._fleet.serving(pool) >= count
+                    or now - at < ORDER_RETRY_S
+                ):
+                    continue
+                if pool.reclaimable and self._fleet.must_pause(
+                    pool.service, now
                 ):
                     continue
                 reclaimable_pool = dataclasses.replace(pool, reclaimable=True)
@@ -410,48 +407,6 @@
                     continue
                 self._start_action(pool, self._order(pool, count))
 
-    def _update_demand(
-        self, service: records.BackendService
-    ) -> fleet_policy.Demand:
-        running = sum(
-            record.running + record.peer_running
-            for record in self._state.servers.of_service(service.name)
-        )
-        waiting = len(
-            self._state.queue_by_service[service.name]
-        ) + self._state.peers.waiting(service.name)
-        demand = fleet_policy.update_demand(
-            self._demand.get(service.name, fleet_policy.Demand()),
-            running + waiting,
-            clock.now(),
-        )
-        self._demand[service.name] = demand
-        return demand
-
-    def _fleet(self, service: records.BackendService) -> fleet_policy.Fleet:
-        counts: dict[bool, collections.Counter[ids.DataCentreName]] = {
-            True: collections.Counter(),
-            False: collections.Counter(),
-        }
-        for record in self._state.servers.of_service(service.name):
-            if record.usable and record.missing_since is None:
-                counts[record.entry.reclaimable][record.entry.data_centre] += 1
-        refused_at = self._refused_at.get(service.name, float('-inf'))
-        return fleet_policy.Fleet(
-            counts[True],
-            counts[False],
-            clock.now() - refused_at < RECLAIMABLE_SHORTAGE_S,
-        )
-
-    def _usable_servers(self, pool: fleet_policy.ServerPool) -> int:
-        return sum(
-            1
-            for record in self._state.servers.of_service(pool.service)
-            if record.usable
-            and record.entry.data_centre == pool.data_centre
-            and record.entry.reclaimable == pool.reclaimable
-        )
-
     async def _order(self, pool: fleet_policy.ServerPool, count: int) -> None:
         holder = self.holder()
         if holder is None:
@@ -468,16 +423,27 @@
             data_centre=pool.data_centre,
             reclaimable=pool.reclaimable,
             count=count,
-            have=self._usable_servers(pool),
+            have=self._fleet.serving(pool),
             number=holder.fencing,
             failure=str(failure) if failure else None,
         )
         if failure is None:
+            if pool.reclaimable and count > self._fleet.serving(pool):
+                self._end_shortage(pool.service)
             self._ordered[pool] = (count, clock.now())
         else:
             self._retry_at[pool] = clock.now() + RETRY_DELAY_S
             self._handle_failed_order(pool, holder.fencing, failure)
 
+    def _end_shortage(self, service: ids.ServiceName) -> None:
+        """Order reclaimable servers at once where they were refused."""
+        self._fleet.record_availability(service)
+        for key in list(self._retry_at):
+            if isinstance(key, fleet_policy.ServerPool) and (
+                key.service == service and key.reclaimable
+            ):
+                del self._retry_at[key]
+
     def _handle_failed_order(
         self,
         pool: fleet_policy.ServerPool,
@@ -489,7 +455,7 @@
             if checks_numbers:
                 self._doubt_term(pool if pool.reclaimable else None)
             elif pool.reclaimable:
-                self._refused_at[pool.service] = clock.now()
+                self._fleet.record_refusal(pool.service, clock.now())
         elif checks_numbers and failure.outcome is types.Outcome.UNKNOWN:
             # It may be carried out after the next order, unless that one
             # has a higher number.
--- /dev/null
+++ b/hornbeamrudder/gateway/fleet_plan.py
@@ -0,0 +1,404 @@
+"""Plan of the backend servers of a service over its data centres; no I/O.
+
+Reclaimable servers carry the load: enough that those left by the reclaims that
+may come before new ones boot carry the urgent demand, and all of them a jump
+of callers. On-demand servers fill what is missing from the notice of a reclaim
+on, and stay until reclaimable ones serve again.
+"""
+
+import dataclasses
+import math
+from typing import Mapping
+
+from ..core import ids
+from . import demand as demand_
+from . import fleet_policy
+from . import records
+
+# Share of the strictest target time that a prompt may wait on average for the
+# prompts ahead of it: in calm, and while servers are missing.
+CALM_WAIT_SHARE = 1 / 8
+SHORTAGE_WAIT_SHARE = 1 / 4
+# Share of an engine's slots in use on average, likewise.
+CALM_SLOT_SHARE = 0.6
+SHORTAGE_SLOT_SHARE = 0.75
+# Bounds of the utilisation at which the mean wait is short enough.
+MIN_UTILISATION = 0.3
+MAX_UTILISATION = 0.8
+# Growth of the demand that the reclaimable servers carry until others boot.
+JUMP = 2.5
+# Data centres that may be reclaimed before ordered servers have booted.
+RECLAIMS_IN_A_ROW = 2
+# Least share of the operator's maximum kept as reclaimable servers, and the
+# share while the demand is not known.
+MIN_RECLAIMABLE_SHARE = 0.5
+UNKNOWN_DEMAND_SHARE = 0.8
+# The risk of another reclaim is covered for this long after one was seen.
+RECLAIM_RISK_S = 10.0
+# A reclaim leaves at most this share of the reclaimable servers of a data
+# centre, of at least as many, that served within this time.
+RECLAIMED_SHARE = 0.5
+MIN_RECLAIMED = 2
+SERVED_DECAY_S = 2.0
+# A lower count is ordered after the need was lower for this long, and by no
+# less than this share of the present count.
+RELEASE_DELAY_S = 2.5
+MIN_RELEASE_SHARE = 0.15
+# The same while no demand is seen: that of all nodes is heard by then.
+IDLE_RELEASE_DELAY_S = 1.0
+# Largest share of the on-demand servers in one data centre, where others have
+# room.
+MAX_ON_DEMAND_SHARE = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Capacity:
+    """What one backend server of a service carries.
+
+    Attributes
+    ----------
+    tokens_per_ms : float
+        Prompt tokens that it prefills; 0 for plain services.
+    slowness : float
+        Mean duration of work on the hosts relative to the usual one.
+    target_s : float
+        Strictest target time of the routes to the service.
+    """
+
+    slots: int
+    tokens_per_ms: float
+    target_s: float
+    slowness: float = 1.0
+
+
+def utilisation(
+    rates: demand_.Rates, capacity: Capacity, wait_share: float
+) -> float:
+    """Return the utilisation at which prompts wait no longer than allowed.
+
+    From the mean wait at a single server with random arrivals,
+    `u / (1 - u) * E[S ** 2] / (2 * E[S])` for work `S`.
+    """
+    residual_ms = (
+        capacity.slowness
+        * rates.token_squares
+        / (2 * rates.tokens * capacity.tokens_per_ms)
+    )
+    wait_ms = 1e3 * wait_share * capacity.target_s
+    return min(
+        max(MIN_UTILISATION, wait_ms / (wait_ms + residual_ms)),
+        MAX_UTILISATION,
+    )
+
+
+def _needed(
+    rates: demand_.Rates,
+    running: float,
+    capacity: Capacity,
+    wait_share: float,
+    running_per_server: float,
+) -> int:
+    by_slots = running / running_per_server
+    if not rates.tokens or not capacity.tokens_per_ms:
+        return math.ceil(by_slots)
+    busy = capacity.slowness * rates.tokens / capacity.tokens_per_ms / 1e3
+    by_prefill = busy / utilisation(rates, capacity, wait_share)
+    return math.ceil(max(by_slots, by_prefill))
+
+
+def needed_in_calm(demand: demand_.Demand, capacity: Capacity) -> int:
+    """Return the servers that carry the demand of all ranks."""
+    return _needed(
+        demand.peak,
+        demand.running,
+        capacity,
+        CALM_WAIT_SHARE,
+        min(
+            fleet_policy.RUNNING_PER_ENGINE,
+            CALM_SLOT_SHARE * capacity.slots,
+        ),
+    )
+
+
+def needed_in_shortage(demand: demand_.Demand, capacity: Capacity) -> int:
+    """Return the servers that still carry the urgent demand."""
+    return _needed(
+        demand.steady_peak,
+        demand.running,
+        capacity,
+        SHORTAGE_WAIT_SHARE,
+        min(
+            fleet_policy.RUNNING_PER_ENGINE_IN_SHORTAGE,
+            SHORTAGE_SLOT_SHARE * capacity.slots,
+        ),
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Servers to have, and what the next plan starts from.
+
+    Attributes
+    ----------
+    reclaimable, on_demand : mapping
+        Counts by data centre.
+    served : mapping
+        Reclaimable servers that served shortly before, by data centre.
+    at : float
+        Time of the plan.
+    reclaimed_at : float
+        Time of the last reclaim that was seen.
+    lower_since : float or None
+        Since when fewer on-demand servers would do.
+    fewer_since : float or None
+        Since when fewer reclaimable servers would do.
+    needed, in_shortage : int
+        Servers needed in calm and in a shortage, for the log.
+    """
+
+    reclaimable: Mapping[ids.DataCentreName, int] = dataclasses.field(
+        default_factory=dict
+    )
+    on_demand: Mapping[ids.DataCentreName, int] = dataclasses.field(
+        default_factory=dict
+    )
+    served: Mapping[ids.DataCentreName, float] = dataclasses.field(
+        default_factory=dict
+    )
+    at: float = float('-inf')
+    reclaimed_at: float = float('-inf')
+    lower_since: float | None = None
+    fewer_since: float | None = None
+    needed: int = 0
+    in_shortage: int = 0
+
+
+def counts_by_pool(
+    service: ids.ServiceName, plan: Plan
+) -> dict[fleet_policy.ServerPool, int]:
+    """Return the counts to order; reclaimable ones first.
+
+    The operator's minimum applies to the sum of both pools, so an order that
+    reduces the on-demand servers is only accepted after the reclaimable
+    servers are ordered.
+    """
+    return {
+        fleet_policy.ServerPool(service, data_centre, reclaimable): counts[
+            data_centre
+        ]
+        for data_centre in plan.reclaimable
+        for reclaimable, counts in (
+            (True, plan.reclaimable),
+            (False, plan.on_demand),
+        )
+    }
+
+
+def next_plan(
+    scaling: records.Scaling,
+    demand: demand_.Demand,
+    capacity: Capacity,
+    fleet: fleet_policy.Fleet,
+    before: Plan,
+    now: float,
+) -> Plan:
+    """Return the plan for what serves now.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Servers that serve now. A node that has just become responsible
+        begins with an empty plan and keeps the on-demand servers that it
+        finds until it knows that they can go.
+    """
+    in_shortage = needed_in_shortage(demand, capacity)
+    needed = needed_in_calm(demand, capacity)
+    served = _served(fleet, before, now)
+    reclaimed_at = now if _is_reclaimed(fleet, served) else before.reclaimed_at
+    at_risk = (
+        fleet.reclaimable_unavailable or now - reclaimed_at < RECLAIM_RISK_S
+    )
+    present = before.on_demand or dict(fleet.on_demand)
+    total, lower_since = _on_demand_total(
+        fleet, sum(present.values()), in_shortage, at_risk, before, now
+    )
+    on_demand = _place_on_demand(scaling, fleet, present, total)
+    reclaimable, fewer_since = _damped(
+        scaling,
+        before,
+        _reclaimable(scaling, demand, needed, in_shortage),
+        at_risk,
+        now,
+    )
+    return Plan(
+        {
+            data_centre: min(
+                count, scaling.max_servers - on_demand[data_centre]
+            )
+            for data_centre, count in reclaimable.items()
+        },
+        on_demand,
+        served,
+        now,
+        reclaimed_at,
+        lower_since,
+        fewer_since,
+        needed,
+        in_shortage,
+    )
+
+
+def _served(
+    fleet: fleet_policy.Fleet, before: Plan, now: float
+) -> dict[ids.DataCentreName, float]:
+    kept = math.exp(-(now - before.at) / SERVED_DECAY_S)
+    return {
+        data_centre: max(
+            fleet.reclaimable.get(data_centre, 0),
+            kept * before.served.get(data_centre, 0),
+        )
+        for data_centre in {*fleet.reclaimable, *before.served}
+    }
+
+
+def _is_reclaimed(
+    fleet: fleet_policy.Fleet, served: Mapping[ids.DataCentreName, float]
+) -> bool:
+    """Whether most reclaimable servers of a data centre have left at once.
+
+    Those that are still booting stay. Crashes take single servers, and
+    roll-outs replace one after another.
+    """
+    return any(
+        count >= MIN_RECLAIMED
+        and fleet.reclaimable.get(data_centre, 0) <= RECLAIMED_SHARE * count
+        for data_centre, count in served.items()
+    )
+
+
+def _on_demand_total(
+    fleet: fleet_policy.Fleet,
+    present: int,
+    in_shortage: int,
+    at_risk: bool,
+    before: Plan,
+    now: float,
+) -> tuple[int, float | None]:
+    """Return the on-demand servers to have, and since when fewer would do."""
+    serving = sum(fleet.reclaimable.values())
+    # Servers are only released once another reclaim would do no harm.
+    after_reclaim = serving - max(fleet.reclaimable.values(), default=0)
+    enough = max(0, in_shortage - after_reclaim)
+    # Without a shortage reclaimable servers come as soon and cost less.
+    if at_risk and present < enough:
+        return enough, None
+    if not _is_worth_release(enough, present):
+        return present, None
+    since = now if before.lower_since is None else before.lower_since
+    delay_s = RELEASE_DELAY_S if in_shortage else IDLE_RELEASE_DELAY_S
+    if now - since < delay_s:
+        return present, since
+    return enough, None
+
+
+def _is_worth_release(count: int, present: int) -> bool:
+    return count < present and (
+        not count or present - count >= MIN_RELEASE_SHARE * present
+    )
+
+
+def _place_on_demand(
+    scaling: records.Scaling,
+    fleet: fleet_policy.Fleet,
+    present: Mapping[ids.DataCentreName, int],
+    total: int,
+) -> dict[ids.DataCentreName, int]:
+    """Place on-demand servers: cheapest first, not all in one data centre.
+
+    Servers that are there stay, as a new one takes its time to boot.
+    """
+    by_price = sorted(
+        scaling.price_by_data_centre,
+        key=lambda data_centre: (
+            scaling.price_by_data_centre[data_centre],
+            data_centre,
+        ),
+    )
+    counts = {
+        data_centre: min(present.get(data_centre, 0), scaling.max_servers)
+        for data_centre in scaling.price_by_data_centre
+    }
+    for data_centre in reversed(by_price):
+        excess = max(0, sum(counts.values()) - total)
+        counts[data_centre] -= min(excess, counts[data_centre])
+    for limit in (
+        math.ceil(MAX_ON_DEMAND_SHARE * total),
+        scaling.max_servers,
+    ):
+        for data_centre in by_price:
+            room = min(
+                limit,
+                scaling.max_servers - fleet.reclaimable.get(data_centre, 0),
+            )
+            missing = max(0, total - sum(counts.values()))
+            counts[data_centre] += min(
+                missing, max(0, room - counts[data_centre])
+            )
+    return counts
+
+
+def _reclaimable(
+    scaling: records.Scaling,
+    demand: demand_.Demand,
+    needed: int,
+    in_shortage: int,
+) -> dict[ids.DataCentreName, int]:
+    """Return the reclaimable servers to have in each data centre."""
+    data_centres = list(scaling.price_by_data_centre)
+    least = max(
+        scaling.min_servers,
+        math.ceil(
+            scaling.max_servers
+            * (MIN_RECLAIMABLE_SHARE if demand.known else UNKNOWN_DEMAND_SHARE)
+        ),
+    )
+    # As many in each, so that the loss of any of them leaves the most.
+    survivors = max(1, len(data_centres) - RECLAIMS_IN_A_ROW)
+    even = max(least, math.ceil(in_shortage / survivors))
+    # The rest follows the callers, whose requests stay in their data centre.
+    rest = max(
+        0,
+        max(needed, math.ceil(JUMP * in_shortage)) - even * len(data_centres),
+    )
+    return {
+        data_centre: min(
+            scaling.max_servers,
+            even + math.ceil(rest * demand.share(data_centre)),
+        )
+        for data_centre in data_centres
+    }
+
+
+def _damped(
+    scaling: records.Scaling,
+    before: Plan,
+    counts: Mapping[ids.DataCentreName, int],
+    at_risk: bool,
+    now: float,
+) -> tuple[dict[ids.DataCentreName, int], float | None]:
+    """Return the counts without small or hasty reductions."""
+    raised = {
+        data_centre: max(
+            count,
+            min(scaling.max_servers, before.reclaimable.get(data_centre, 0)),
+        )
+        for data_centre, count in counts.items()
+    }
+    if at_risk or not _is_worth_release(
+        sum(counts.values()), sum(raised.values())
+    ):
+        return raised, None
+    since = now if before.fewer_since is None else before.fewer_since
+    if now - since < RELEASE_DELAY_S:
+        return raised, since
+    return dict(counts), None
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -188,6 +188,11 @@
                 or await self._acquire_placement(call)
             )
             if placement is None:
+                if not call.sends:
+                    self.state.arrivals.record(
+                        call.service.name,
+                        float(call.admitted.metadata.prompt_tokens),
+                    )
                 self._fail(call, call.detail or 'no place in time')
                 return
             call.placement = placement
@@ -321,7 +326,7 @@
         self, call: calls.Call, excluded: set[ids.WorkerId]
     ) -> server_registry.Placement | None:
         """Reserve a slot at a backend server that has capacity now."""
-        return self.state.servers.reserve(
+        placement = self.state.servers.reserve(
             call.service,
             call.admitted.metadata,
             self._requirements(call),
@@ -329,6 +334,11 @@
             self.state.rng,
             clock.now(),
         )
+        if placement is not None and not call.sends:
+            self.state.arrivals.record(
+                call.service.name, placement.uncached_tokens
+            )
+        return placement
 
     def _reserve_another(
         self, call: calls.Call
--- a/hornbeamrudder/gateway/node.py
+++ b/hornbeamrudder/gateway/node.py
@@ -405,6 +405,7 @@
                 self._store_health.is_failing,
             )
             self._poll_settings_file()
+            self.state.arrivals.publish(self.state.sums, clock.now())
             if self._exchange.step():
                 self.forwarder.schedule_dispatch_all()
             self._flush_usage()
--- a/hornbeamrudder/gateway/node_state.py
+++ b/hornbeamrudder/gateway/node_state.py
@@ -9,6 +9,7 @@
 from . import byte_limits
 from . import clock
 from ..core import ids
+from . import demand
 from . import metrics
 from . import part_guard
 from . import peers
@@ -73,9 +74,11 @@
 
     held_bytes: byte_limits.HeldBytes = dataclasses.field(init=False)
     sums: shared_sums.SharedSums = dataclasses.field(init=False)
+    arrivals: demand.Arrivals = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.sums = shared_sums.SharedSums(self.settings.node, self.started)
+        self.arrivals = demand.Arrivals(self.settings.data_centre)
         self.held_bytes = byte_limits.HeldBytes(
             int(byte_limits.HELD_SHARE * self.settings.memory_bytes)
         )
@@ -174,7 +177,8 @@
     ) -> None:
         """Update the prefill rate of a service with one sample."""
         known = self.prefill_rate_by_service[service]
+        sample = min(max(tokens_per_ms, MIN_TOKENS_PER_MS), MAX_TOKENS_PER_MS)
         self.prefill_rate_by_service[service] = known + PREFILL_RATE_WEIGHT * (
-            min(max(tokens_per_ms, MIN_TOKENS_PER_MS), MAX_TOKENS_PER_MS)
-            - known
+            sample - known
         )
+        self.arrivals.record_prefill(service, sample)
