Plan all scaled services by data centre; one policy instead of two

Cause: the earlier policy was left for services without reclaimable servers, and its scenarios tested what nothing used.

Change: fleet_policy is gone; its scenarios run on fleet_plan with the same checks. That no on-demand server is kept once reclaimable ones are available is checked 2.5 s after these serve, the time for which the plan waits: they are only released once others serve.

--- a/hornbeamrudder/gateway/demand.py
+++ b/hornbeamrudder/gateway/demand.py
@@ -9,7 +9,7 @@
 import collections
 import dataclasses
 import math
-from typing import Iterable, Mapping
+from typing import Iterable, Mapping, NamedTuple
 
 from ..core import ids
 from . import shared_sums
@@ -31,8 +31,7 @@
 MAX_GROWTH = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Rates:
+class Rates(NamedTuple):
     """Arrivals of a service per second.
 
     Attributes
@@ -60,17 +59,19 @@
 
     def scaled(self, factor: float) -> 'Rates':
         """Return the rates multiplied by a factor."""
-        return Rates(*(factor * rate for rate in dataclasses.astuple(self)))
+        return Rates(*(factor * rate for rate in self))
 
 
 def add(items: Iterable[Rates]) -> Rates:
     """Return the sum of rates."""
-    return Rates(*map(sum, zip(*map(dataclasses.astuple, items))))
+    return Rates(*map(sum, zip(*items)))
 
 
 def mix(first: Rates, second: Rates, weight: float) -> Rates:
     """Return the average of two rates; `weight` is that of the second."""
-    return add((first.scaled(1.0 - weight), second.scaled(weight)))
+    return Rates(
+        *(known + weight * (new - known) for known, new in zip(first, second))
+    )
 
 
 class Arrivals:
@@ -251,13 +252,11 @@
         return add((Rates(), *(level.slow for level in levels))).tokens_per_ms
 
     def share(self, data_centre: ids.DataCentreName) -> float:
-        """Return the share of a data centre in the arrivals."""
+        """Return the share of a data centre in the arrivals, if known."""
         own, total = self.level_by_data_centre[data_centre].peak, self.peak
         if total.tokens:
             return own.tokens / total.tokens
-        if total.requests:
-            return own.requests / total.requests
-        return 1.0 / len(self.level_by_data_centre)
+        return own.requests / total.requests
 
 
 def observe(
--- a/hornbeamrudder/gateway/duties.py
+++ b/hornbeamrudder/gateway/duties.py
@@ -13,7 +13,7 @@
 from ..core import types
 from . import duty_lease
 from . import fleet_orders
-from . import fleet_policy
+from . import fleet_plan
 from . import node_state
 from . import usage
 
@@ -58,7 +58,7 @@
         self._may_contend = may_contend
         self._observed: duty_lease.ObservedTerm | None = None
         self._next_read_at = 0.0
-        self._ordered: dict[fleet_policy.ServerPool, tuple[int, float]] = {}
+        self._ordered: dict[fleet_plan.ServerPool, tuple[int, float]] = {}
         self._retry_at: dict[object, float] = {}
         self._final_counts: dict[int, Mapping[str, int]] = {}
         self._completed_windows: set[int] = set()
@@ -70,7 +70,7 @@
         self._spent = ids.FencingNumber(0)
         # Reclaimable pools and other calls that were refused, while it is
         # not known whether another node holds the term.
-        self._in_doubt: set[fleet_policy.ServerPool | None] = set()
+        self._in_doubt: set[fleet_plan.ServerPool | None] = set()
         self._holder_heard_at = clock.now()
 
     @property
@@ -221,7 +221,7 @@
             self.term is not None and self.term.number <= self._spent
         )
 
-    def _doubt_term(self, refused: fleet_policy.ServerPool | None) -> None:
+    def _doubt_term(self, refused: fleet_plan.ServerPool | None) -> None:
         """Make no call until the row tells whether the term is still held.
 
         Parameters
@@ -407,7 +407,7 @@
                     continue
                 self._start_action(pool, self._order(pool, count))
 
-    async def _order(self, pool: fleet_policy.ServerPool, count: int) -> None:
+    async def _order(self, pool: fleet_plan.ServerPool, count: int) -> None:
         holder = self.holder()
         if holder is None:
             return
@@ -439,14 +439,14 @@
         """Order reclaimable servers at once where they were refused."""
         self._fleet.record_availability(service)
         for key in list(self._retry_at):
-            if isinstance(key, fleet_policy.ServerPool) and (
+            if isinstance(key, fleet_plan.ServerPool) and (
                 key.service == service and key.reclaimable
             ):
                 del self._retry_at[key]
 
     def _handle_failed_order(
         self,
-        pool: fleet_policy.ServerPool,
+        pool: fleet_plan.ServerPool,
         number: ids.FencingNumber,
         failure: errors.Failure,
     ) -> None:
--- a/hornbeamrudder/gateway/features/fleet_plan_run.py
+++ b/hornbeamrudder/gateway/features/fleet_plan_run.py
@@ -5,7 +5,6 @@
 from hornbeamrudder.core import ids
 from hornbeamrudder.gateway import demand as demand_
 from hornbeamrudder.gateway import fleet_plan
-from hornbeamrudder.gateway import fleet_policy
 from hornbeamrudder.gateway import records
 
 STEP_S = 0.1
@@ -23,7 +22,7 @@
 class Server:
     """A server that was ordered."""
 
-    pool: fleet_policy.ServerPool
+    pool: fleet_plan.ServerPool
     ready_at: float
 
 
@@ -128,7 +127,7 @@
             SCALING,
             self._demand,
             self.capacity,
-            fleet_policy.Fleet(
+            fleet_plan.Fleet(
                 counts[True], counts[False], self.now - self._refused_at < 3.0
             ),
             self._plan,
--- a/hornbeamrudder/gateway/fleet_orders.py
+++ b/hornbeamrudder/gateway/fleet_orders.py
@@ -6,7 +6,6 @@
 from ..core import ids
 from . import demand as demand_
 from . import fleet_plan
-from . import fleet_policy
 from . import node_state
 from . import records
 
@@ -51,17 +50,13 @@
 
     def target_counts(
         self, service: records.BackendService, now: float
-    ) -> Mapping[fleet_policy.ServerPool, int]:
+    ) -> Mapping[fleet_plan.ServerPool, int]:
         """Return the number of servers to have in each pool."""
         scaling = service.scaling
         if scaling is None or not scaling.price_by_data_centre:
             return {}
         demand = self._observe(service, scaling, now)
         fleet = self._fleet(service, now)
-        if scaling.reclaimable_price is None:
-            return fleet_policy.target_counts(
-                service, fleet_policy.Demand(demand.running, now), fleet
-            )
         capacity = self._capacity(service, demand, now)
         before = self._plan_by_service.get(service.name, fleet_plan.Plan())
         plan = fleet_plan.next_plan(
@@ -75,7 +70,7 @@
             self._log(service, demand, capacity, fleet, plan)
         return fleet_plan.counts_by_pool(service.name, plan)
 
-    def serving(self, pool: fleet_policy.ServerPool) -> int:
+    def serving(self, pool: fleet_plan.ServerPool) -> int:
         """Return the usable servers of a pool."""
         return sum(
             1
@@ -146,7 +141,7 @@
 
     def _fleet(
         self, service: records.BackendService, now: float
-    ) -> fleet_policy.Fleet:
+    ) -> fleet_plan.Fleet:
         counts: dict[bool, collections.Counter[ids.DataCentreName]] = {
             True: collections.Counter(),
             False: collections.Counter(),
@@ -156,7 +151,7 @@
             if record.usable:
                 counts[record.entry.reclaimable][record.entry.data_centre] += 1
         refused_at = self._refused_at.get(service.name, float('-inf'))
-        return fleet_policy.Fleet(
+        return fleet_plan.Fleet(
             counts[True],
             counts[False],
             now - refused_at < RECLAIMABLE_SHORTAGE_S,
@@ -167,7 +162,7 @@
         service: records.BackendService,
         demand: demand_.Demand,
         capacity: fleet_plan.Capacity,
-        fleet: fleet_policy.Fleet,
+        fleet: fleet_plan.Fleet,
         plan: fleet_plan.Plan,
     ) -> None:
         self._state.log.info(
--- a/hornbeamrudder/gateway/fleet_plan.py
+++ b/hornbeamrudder/gateway/fleet_plan.py
@@ -12,14 +12,17 @@
 
 from ..core import ids
 from . import demand as demand_
-from . import fleet_policy
 from . import records
 
 # Share of the strictest target time that a prompt may wait on average for the
 # prompts ahead of it: in calm, and while servers are missing.
 CALM_WAIT_SHARE = 1 / 8
 SHORTAGE_WAIT_SHARE = 1 / 4
-# Share of an engine's slots in use on average, likewise.
+# Requests in progress at a server on average, likewise: requests of all ranks
+# meet their target times, or urgent ones do (docs/policy.md).
+RUNNING_PER_SERVER = 10.0
+RUNNING_PER_SERVER_IN_SHORTAGE = 25.0
+# Share of a server's slots in use on average, likewise.
 CALM_SLOT_SHARE = 0.6
 SHORTAGE_SLOT_SHARE = 0.75
 # Bounds of the utilisation at which the mean wait is short enough.
@@ -43,7 +46,10 @@
 # A lower count is ordered after the need was lower for this long, and by no
 # less than this share of the present count.
 RELEASE_DELAY_S = 2.5
-MIN_RELEASE_SHARE = 0.15
+MIN_RELEASE_SHARE = 0.25
+# A raise of the on-demand servers is so much larger, as the need grows on
+# while they boot.
+RAISE_FACTOR = 1.2
 # The same while no demand is seen: that of all nodes is heard by then.
 IDLE_RELEASE_DELAY_S = 1.0
 # Largest share of the on-demand servers in one data centre, where others have
@@ -51,6 +57,32 @@
 MAX_ON_DEMAND_SHARE = 0.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerPool:
+    """Backend servers that are ordered as one number."""
+
+    service: ids.ServiceName
+    data_centre: ids.DataCentreName
+    reclaimable: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fleet:
+    """Usable backend servers of a service.
+
+    Attributes
+    ----------
+    reclaimable, on_demand : mapping
+        Number of servers by data centre.
+    reclaimable_unavailable : bool
+        Whether an order of reclaimable servers was refused recently.
+    """
+
+    reclaimable: Mapping[ids.DataCentreName, int]
+    on_demand: Mapping[ids.DataCentreName, int]
+    reclaimable_unavailable: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Capacity:
     """What one backend server of a service carries.
@@ -114,7 +146,7 @@
         capacity,
         CALM_WAIT_SHARE,
         min(
-            fleet_policy.RUNNING_PER_ENGINE,
+            RUNNING_PER_SERVER,
             CALM_SLOT_SHARE * capacity.slots,
         ),
     )
@@ -128,7 +160,7 @@
         capacity,
         SHORTAGE_WAIT_SHARE,
         min(
-            fleet_policy.RUNNING_PER_ENGINE_IN_SHORTAGE,
+            RUNNING_PER_SERVER_IN_SHORTAGE,
             SHORTAGE_SLOT_SHARE * capacity.slots,
         ),
     )
@@ -175,7 +207,7 @@
 
 def counts_by_pool(
     service: ids.ServiceName, plan: Plan
-) -> dict[fleet_policy.ServerPool, int]:
+) -> dict[ServerPool, int]:
     """Return the counts to order; reclaimable ones first.
 
     The operator's minimum applies to the sum of both pools, so an order that
@@ -183,14 +215,13 @@
     servers are ordered.
     """
     return {
-        fleet_policy.ServerPool(service, data_centre, reclaimable): counts[
-            data_centre
-        ]
-        for data_centre in plan.reclaimable
+        ServerPool(service, data_centre, reclaimable): counts[data_centre]
+        for data_centre in plan.on_demand
         for reclaimable, counts in (
             (True, plan.reclaimable),
             (False, plan.on_demand),
         )
+        if data_centre in counts
     }
 
 
@@ -198,7 +229,7 @@
     scaling: records.Scaling,
     demand: demand_.Demand,
     capacity: Capacity,
-    fleet: fleet_policy.Fleet,
+    fleet: Fleet,
     before: Plan,
     now: float,
 ) -> Plan:
@@ -213,6 +244,13 @@
     """
     in_shortage = needed_in_shortage(demand, capacity)
     needed = needed_in_calm(demand, capacity)
+    if scaling.reclaimable_price is None:
+        return Plan(
+            on_demand=_even(scaling, needed),
+            at=now,
+            needed=needed,
+            in_shortage=in_shortage,
+        )
     served = _served(fleet, before, now)
     reclaimed_at = now if _is_reclaimed(fleet, served) else before.reclaimed_at
     at_risk = (
@@ -248,8 +286,16 @@
     )
 
 
+def _even(
+    scaling: records.Scaling, needed: int
+) -> dict[ids.DataCentreName, int]:
+    data_centres = list(scaling.price_by_data_centre)
+    each = max(scaling.min_servers, math.ceil(needed / len(data_centres)))
+    return dict.fromkeys(data_centres, min(each, scaling.max_servers))
+
+
 def _served(
-    fleet: fleet_policy.Fleet, before: Plan, now: float
+    fleet: Fleet, before: Plan, now: float
 ) -> dict[ids.DataCentreName, float]:
     kept = math.exp(-(now - before.at) / SERVED_DECAY_S)
     return {
@@ -262,7 +308,7 @@
 
 
 def _is_reclaimed(
-    fleet: fleet_policy.Fleet, served: Mapping[ids.DataCentreName, float]
+    fleet: Fleet, served: Mapping[ids.DataCentreName, float]
 ) -> bool:
     """Whether most reclaimable servers of a data centre have left at once.
 
@@ -277,7 +323,7 @@
 
 
 def _on_demand_total(
-    fleet: fleet_policy.Fleet,
+    fleet: Fleet,
     present: int,
     in_shortage: int,
     at_risk: bool,
@@ -291,7 +337,7 @@
     enough = max(0, in_shortage - after_reclaim)
     # Without a shortage reclaimable servers come as soon and cost less.
     if at_risk and present < enough:
-        return enough, None
+        return math.ceil(RAISE_FACTOR * enough), None
     if not _is_worth_release(enough, present):
         return present, None
     since = now if before.lower_since is None else before.lower_since
@@ -309,7 +355,7 @@
 
 def _place_on_demand(
     scaling: records.Scaling,
-    fleet: fleet_policy.Fleet,
+    fleet: Fleet,
     present: Mapping[ids.DataCentreName, int],
     total: int,
 ) -> dict[ids.DataCentreName, int]:
@@ -373,7 +419,15 @@
     return {
         data_centre: min(
             scaling.max_servers,
-            even + math.ceil(rest * demand.share(data_centre)),
+            even
+            + math.ceil(
+                rest
+                * (
+                    demand.share(data_centre)
+                    if demand.known
+                    else 1 / len(data_centres)
+                )
+            ),
         )
         for data_centre in data_centres
     }
