Keep four reclaimable servers a data centre; leave out lapsed entries

Change: at least four reclaimable servers in a data centre; lapsed entries don't count unless most lapse. Gauges of planned and needed servers.

--- a/hornbeamrudder/gateway/features/fleet.feature
+++ b/hornbeamrudder/gateway/features/fleet.feature
@@ -89,3 +89,17 @@
     When the arrivals of a data centre grow by a tenth a second
     Then the demand for the end of the boot time is forecast
     And a fall lowers it only slowly
+
+  Scenario Outline: Entries that lapse while the store is unstable
+    # Guards against servers that were reclaimed and still count, and against
+    # on-demand servers for a store that was down. Load: reclaims during an
+    # outage of the store; an outage in calm.
+    When <lapsed> of 48 entries lapse while the store is unstable
+    Then <serving> servers count as serving
+
+    Examples:
+      | lapsed | serving |
+      | 0      | 48      |
+      | 12     | 36      |
+      | 24     | 24      |
+      | 48     | 48      |
--- a/hornbeamrudder/gateway/features/steps/fleet_steps.py
+++ b/hornbeamrudder/gateway/features/steps/fleet_steps.py
@@ -1,12 +1,18 @@
 """Steps for the plan of a fleet by data centre."""
 
+import collections
 import math
+from unittest import mock
 
 import behave
 
 from hornbeamrudder.core import ids
+from hornbeamrudder.core import types
 from hornbeamrudder.gateway import demand as demand_
 from hornbeamrudder.gateway.features import fleet_plan_run
+from hornbeamrudder.gateway import fleet_orders
+from hornbeamrudder.gateway import records
+from hornbeamrudder.gateway import server_registry
 from hornbeamrudder.gateway import shared_sums
 
 SETTLED_S = 20.0
@@ -246,6 +252,57 @@
     assert counts == sorted(counts), counts
 
 
+@behave.when(
+    '{lapsed:d} of {count:d} entries lapse while the store is unstable'
+)
+def lapse_entries(context, lapsed, count):
+    service = _scaled_service()
+    registry = server_registry.ServerRegistry(
+        ids.DataCentreName('a'), lambda record: None
+    )
+    for number in range(count):
+        registry.put(
+            records.BackendServer(
+                ids.WorkerId(f'i-{number}'),
+                records.StartedMs(1),
+                service.name,
+                types.Address('10.0.0.1', number),
+                fleet_plan_run.DATA_CENTRES[number % 4],
+                32,
+                records.ServerState.READY,
+                reclaimable=True,
+            ),
+            0.0,
+        )
+        if number < lapsed:
+            registry.by_id[ids.WorkerId(f'i-{number}')].missing_since = 1.0
+    state = mock.MagicMock(
+        servers=registry,
+        sums=shared_sums.SharedSums(ids.NodeId('n'), 1),
+        prefill_rate_by_service=collections.defaultdict(lambda: 50.0),
+        queue_by_service=collections.defaultdict(list),
+    )
+    state.peers.waiting.return_value = 0
+    state.configuration.urgency_by_service = {}
+    fleet_orders.FleetOrders(state).target_counts(service, 2.0)
+    planned = state.log.info.call_args.kwargs
+    context.serving = sum(planned['serving_reclaimable'].values())
+
+
+def _scaled_service():
+    return records.BackendService(
+        fleet_plan_run.SERVICE,
+        100,
+        records.Engine(32, 600000),
+        fleet_plan_run.SCALING,
+    )
+
+
+@behave.then('{count:d} servers count as serving')
+def check_serving(context, count):
+    assert context.serving == count, context.serving
+
+
 @behave.when(
     'nodes of two data centres publish their arrivals for {seconds:d} s'
 )
--- a/hornbeamrudder/gateway/fleet_orders.py
+++ b/hornbeamrudder/gateway/fleet_orders.py
@@ -1,13 +1,14 @@
 """Numbers of backend servers that the holder of the duties orders."""
 
 import collections
-from typing import Mapping
+from typing import Iterable, Mapping
 
 from ..core import ids
 from . import demand as demand_
 from . import fleet_plan
 from . import node_state
 from . import records
+from . import server_registry
 
 # Reclaimable servers count as unavailable for this long after a refused order.
 RECLAIMABLE_SHORTAGE_S = 3.0
@@ -68,6 +69,7 @@
             before.on_demand,
         ):
             self._log(service, demand, capacity, fleet, plan)
+            self._measure(service.name, plan)
         return fleet_plan.counts_by_pool(service.name, plan)
 
     def serving(self, pool: fleet_plan.ServerPool) -> int:
@@ -146,10 +148,8 @@
             True: collections.Counter(),
             False: collections.Counter(),
         }
-        for record in self._state.servers.of_service(service.name):
-            # Entries lapse while the store is down; the servers go on.
-            if record.usable:
-                counts[record.entry.reclaimable][record.entry.data_centre] += 1
+        for record in _serving(self._state.servers.of_service(service.name)):
+            counts[record.entry.reclaimable][record.entry.data_centre] += 1
         refused_at = self._refused_at.get(service.name, float('-inf'))
         return fleet_plan.Fleet(
             counts[True],
@@ -157,6 +157,31 @@
             now - refused_at < RECLAIMABLE_SHORTAGE_S,
         )
 
+    def _measure(
+        self, service: ids.ServiceName, plan: fleet_plan.Plan
+    ) -> None:
+        metrics = self._state.metrics
+        for price, counts in (
+            ('reclaimable', plan.reclaimable),
+            ('on demand', plan.on_demand),
+        ):
+            for data_centre, count in counts.items():
+                metrics.planned_servers.set(
+                    {
+                        'service': service,
+                        'data_centre': data_centre,
+                        'price': price,
+                    },
+                    count,
+                )
+        for situation, needed in (
+            ('calm', plan.needed),
+            ('shortage', plan.in_shortage),
+        ):
+            metrics.needed_servers.set(
+                {'service': service, 'in': situation}, needed
+            )
+
     def _log(
         self,
         service: records.BackendService,
@@ -189,3 +214,16 @@
             tokens_per_ms=round(capacity.tokens_per_ms, 1),
             slowness=round(capacity.slowness, 2),
         )
+
+
+def _serving(
+    records_: Iterable[server_registry.ServerRecord],
+) -> list[server_registry.ServerRecord]:
+    """Return the servers that serve.
+
+    An entry that lapses while the store is unstable is that of a server that
+    is gone or, if most lapse, the fault of the store.
+    """
+    usable = [record for record in records_ if record.usable]
+    present = [record for record in usable if record.missing_since is None]
+    return present if 2 * len(present) >= len(usable) else usable
--- a/hornbeamrudder/gateway/fleet_plan.py
+++ b/hornbeamrudder/gateway/fleet_plan.py
@@ -36,6 +36,8 @@
 # share while the demand is not known.
 MIN_RECLAIMABLE_SHARE = 0.5
 UNKNOWN_DEMAND_SHARE = 0.8
+# Least number likewise: of fewer, each is too large a part of the capacity.
+MIN_RECLAIMABLE = 4
 # The risk of another reclaim is covered for this long after one was seen.
 RECLAIM_RISK_S = 10.0
 # A reclaim leaves at most this share of the reclaimable servers of a data
@@ -401,12 +403,11 @@
 ) -> dict[ids.DataCentreName, int]:
     """Return the reclaimable servers to have in each data centre."""
     data_centres = list(scaling.price_by_data_centre)
+    share = MIN_RECLAIMABLE_SHARE if demand.known else UNKNOWN_DEMAND_SHARE
     least = max(
         scaling.min_servers,
-        math.ceil(
-            scaling.max_servers
-            * (MIN_RECLAIMABLE_SHARE if demand.known else UNKNOWN_DEMAND_SHARE)
-        ),
+        min(scaling.max_servers, MIN_RECLAIMABLE),
+        math.ceil(share * scaling.max_servers),
     )
     # As many in each, so that the loss of any of them leaves the most.
     survivors = max(1, len(data_centres) - RECLAIMS_IN_A_ROW)
--- a/hornbeamrudder/gateway/metrics.py
+++ b/hornbeamrudder/gateway/metrics.py
@@ -1,4 +1,4 @@
-"""Prometheus counters and latency histograms of a node."""
+"""Prometheus counters, gauges and latency histograms of a node."""
 
 import aioprometheus
 from aioprometheus import renderer
@@ -59,6 +59,18 @@
             'hornbeamrudder_platform_calls_total',
             'Calls to the platform by kind and result.',
         )
+        self.planned_servers = aioprometheus.Gauge(
+            'hornbeamrudder_planned_servers',
+            'Backend servers that the holder of the duties plans, by service,'
+            ' data centre and price class.',
+            registry=self.registry,
+        )
+        self.needed_servers = aioprometheus.Gauge(
+            'hornbeamrudder_needed_servers',
+            'Backend servers that carry the demand, by service and whether'
+            ' in calm or in a shortage.',
+            registry=self.registry,
+        )
         self.first_byte_s = self._histogram(
             'hornbeamrudder_first_byte_seconds',
             'Time from the first byte of a request to that of its answer.',
