Follow the requests in progress where a data centre has few servers

Change: below a maximum of 8 in a data centre the need is that of the requests in progress, as before.

--- a/hornbeamrudder/gateway/fleet_plan.py
+++ b/hornbeamrudder/gateway/fleet_plan.py
@@ -25,6 +25,10 @@
 # Share of a server's slots in use on average, likewise.
 CALM_SLOT_SHARE = 0.6
 SHORTAGE_SLOT_SHARE = 0.75
+# With a lower maximum in a data centre, the need follows the requests in
+# progress only: single long prompts are much of the work of a few servers, so
+# that rates of prompt tokens swing too widely to order by.
+MIN_PLANNED_MAXIMUM = 8
 # Bounds of the utilisation at which the mean wait is short enough.
 MIN_UTILISATION = 0.3
 MAX_UTILISATION = 0.8
@@ -92,7 +96,8 @@
     Attributes
     ----------
     tokens_per_ms : float
-        Prompt tokens that it prefills; 0 for plain services.
+        Prompt tokens that it prefills; 0 to leave them out, as for plain
+        services.
     slowness : float
         Mean duration of work on the hosts relative to the usual one.
     target_s : float
@@ -244,6 +249,8 @@
         begins with an empty plan and keeps the on-demand servers that it
         finds until it knows that they can go.
     """
+    if scaling.max_servers < MIN_PLANNED_MAXIMUM:
+        capacity = dataclasses.replace(capacity, tokens_per_ms=0.0)
     in_shortage = needed_in_shortage(demand, capacity)
     needed = needed_in_calm(demand, capacity)
     if scaling.reclaimable_price is None:
@@ -339,7 +346,7 @@
     enough = max(0, in_shortage - after_reclaim)
     # Without a shortage reclaimable servers come as soon and cost less.
     if at_risk and present < enough:
-        return math.ceil(RAISE_FACTOR * enough), None
+        return int(RAISE_FACTOR * enough), None
     if not _is_worth_release(enough, present):
         return present, None
     since = now if before.lower_since is None else before.lower_since
