--- a/hornbeamrudder/gateway/fleet_plan.py
+++ b/hornbeamrudder/gateway/fleet_plan.py
@@ -341,13 +341,14 @@
 ) -> tuple[int, float | None]:
     """Return the on-demand servers to have, and since when fewer would do."""
     serving = sum(fleet.reclaimable.values())
-    # Servers are only released once another reclaim would do no harm.
+    # Servers are only released once another reclaim would do no harm, and
+    # not in a shortage, where a new one takes its time to boot.
     after_reclaim = serving - max(fleet.reclaimable.values(), default=0)
     enough = max(0, in_shortage - after_reclaim)
     # Without a shortage reclaimable servers come as soon and cost less.
     if at_risk and present < enough:
         return int(RAISE_FACTOR * enough), None
-    if not _is_worth_release(enough, present):
+    if fleet.reclaimable_unavailable or not _is_worth_release(enough, present):
         return present, None
     since = now if before.lower_since is None else before.lower_since
     delay_s = RELEASE_DELAY_S if in_shortage else IDLE_RELEASE_DELAY_S
