--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -190,6 +190,11 @@
                 or await self._acquire_placement(call)
             )
             if placement is None:
+                if not call.sends:
+                    self.state.arrivals.record(
+                        call.service.name,
+                        float(call.admitted.metadata.prompt_tokens),
+                    )
                 self._fail(call, call.detail or 'no place in time')
                 return
             call.placement = placement
@@ -350,6 +355,10 @@
             )
             if placement is not None:
                 rollouts.record_placement(placement.record.entry)
+                if not call.sends:
+                    self.state.arrivals.record(
+                        service, placement.uncached_tokens
+                    )
                 return placement
         return None
 
--- a/hornbeamrudder/gateway/node.py
+++ b/hornbeamrudder/gateway/node.py
@@ -437,6 +437,7 @@
             )
             self._poll_settings_file()
             self.state.rollouts.step()
+            self.state.arrivals.publish(self.state.sums, clock.now())
             if self._exchange.step():
                 self.forwarder.schedule_dispatch_all()
             self._flush_usage()
