Keep what a server carries in a module of its own

Change: server_need.py has what a demand needs; nothing else changes.

Conclusion: no change of behaviour.

--- a/hornbeamrudder/gateway/features/fleet_plan_run.py
+++ b/hornbeamrudder/gateway/features/fleet_plan_run.py
@@ -6,6 +6,7 @@
 from hornbeamrudder.gateway import demand as demand_
 from hornbeamrudder.gateway import fleet_plan
 from hornbeamrudder.gateway import records
+from hornbeamrudder.gateway import server_need
 
 STEP_S = 0.1
 SERVICE = ids.ServiceName('s')
@@ -47,7 +48,7 @@
     """The holder of the duties, and the servers that it orders."""
 
     def __init__(self, slots=32, slowness=1.0, rate_per_s=160.0):
-        self.capacity = fleet_plan.Capacity(
+        self.capacity = server_need.Capacity(
             slots, TOKENS_PER_MS, 0.4, slowness
         )
         self.rate_by_data_centre = {
@@ -142,8 +143,8 @@
                 self.now,
                 len(serving),
                 sum(counts[False].values()),
-                fleet_plan.needed_in_shortage(present, self.capacity),
-                fleet_plan.needed_in_calm(present, self.capacity),
+                server_need.needed_in_shortage(present, self.capacity),
+                server_need.needed_in_calm(present, self.capacity),
             )
         )
         self.cost += STEP_S * sum(
--- a/hornbeamrudder/gateway/features/steps/decision_steps.py
+++ b/hornbeamrudder/gateway/features/steps/decision_steps.py
@@ -14,6 +14,7 @@
 from hornbeamrudder.gateway import health
 from hornbeamrudder.gateway import host_speed
 from hornbeamrudder.gateway import records
+from hornbeamrudder.gateway import server_need
 from hornbeamrudder.gateway import server_selection
 from hornbeamrudder.gateway import usage
 from hornbeamrudder.gateway import waiting
@@ -256,7 +257,7 @@
     return fleet_plan.next_plan(
         service.scaling,
         demand.Demand(float(running)),
-        fleet_plan.Capacity(service.engine.slots, 50.0, 1.0),
+        server_need.Capacity(service.engine.slots, 50.0, 1.0),
         fleet,
         before,
         now,
--- a/hornbeamrudder/gateway/fleet_orders.py
+++ b/hornbeamrudder/gateway/fleet_orders.py
@@ -8,6 +8,7 @@
 from . import fleet_plan
 from . import node_state
 from . import records
+from . import server_need
 from . import server_registry
 
 # Reclaimable servers count as unavailable for this long after a refused order.
@@ -113,7 +114,7 @@
         service: records.BackendService,
         demand: demand_.Demand,
         now: float,
-    ) -> fleet_plan.Capacity:
+    ) -> server_need.Capacity:
         state = self._state
         usable = [
             record
@@ -125,7 +126,7 @@
         urgency = configuration.urgency_by_service.get(
             service.name, records.Urgency()
         )
-        return fleet_plan.Capacity(
+        return server_need.Capacity(
             service.engine.slots
             if service.engine
             else max((record.entry.slots for record in usable), default=1),
@@ -186,7 +187,7 @@
         self,
         service: records.BackendService,
         demand: demand_.Demand,
-        capacity: fleet_plan.Capacity,
+        capacity: server_need.Capacity,
         fleet: fleet_plan.Fleet,
         plan: fleet_plan.Plan,
     ) -> None:
