Log the order of a roll-out and its end as two events

Change: two calls.

Before and after: 'Every log event and metric is documented' failed, passes.

Conclusion: none.

--- a/hornbeamrudder/rollouts/tracker.py
+++ b/hornbeamrudder/rollouts/tracker.py
@@ -109,13 +109,16 @@
         )
         if known.order == order:
             return
-        self._log.info(
-            'roll-out is ordered' if order else 'roll-out is taken back',
-            service=service,
-            target=order.target if order else None,
-            duration_s=order.duration_s if order else None,
-            order=order.number if order else None,
-        )
+        if order is None:
+            self._log.info('roll-out is taken back', service=service)
+        else:
+            self._log.info(
+                'roll-out is ordered',
+                service=service,
+                target=order.target,
+                duration_s=order.duration_s,
+                order=order.number,
+            )
         self._leave_topic(known)
         known.order = order
         if order is not None:
