Plan the fleet from the servers that a roll-out leaves

Cause: while a roll-out ran, the new version's servers counted as room beside the old ones. Orders made meanwhile could release reclaimable and on-demand servers of the version that went on to serve, and on `completed` the old ones ended at once.

Change: the plan counts the servers of the side that carries the requests: the old ones until the transfer, then the new ones, and after the end those that are left, though entries of the others linger. `rollouts/choice.py` says which (pure); `fleet_plan.py` releases nothing while a roll-out is in progress, and starts from what is left when it is over, which is no reclaim. What is missing then is ordered at once, also shortly after an order of the same number.

The step of fleet.feature with lapsed entries states that no roll-out is known; its check is unchanged. `FleetRun._targets` was a part of `_step`.

Before and after (behave fleet.feature): of the nine new cases of a roll-out (completed, rolled back, a fall of the demand, another holder, reclaims before and meanwhile, fewer new servers, no room) four fail on the sources before, with 4 reclaimable servers released in each of four data centres, or 6 on-demand ones in each of two; "What a roll-out leaves is filled up at once" fails too. All 29 scenarios pass now.

Conclusion: no order of a roll-out's time releases a server.

--- a/hornbeamrudder/gateway/duties.py
+++ b/hornbeamrudder/gateway/duties.py
@@ -389,9 +389,12 @@
         for service in configuration.services_by_name.values():
             for pool, count in self._fleet.target_counts(service, now).items():
                 ordered, at = self._ordered.get(pool, (None, 0.0))
+                is_recent = (
+                    now - at < ORDER_RETRY_S
+                    and at >= self._fleet.rebased_at(service.name)
+                )
                 if ordered == count and (
-                    self._fleet.serving(pool) >= count
-                    or now - at < ORDER_RETRY_S
+                    self._fleet.serving(pool) >= count or is_recent
                 ):
                     continue
                 if pool.reclaimable and self._fleet.must_pause(
--- a/hornbeamrudder/gateway/features/fleet.feature
+++ b/hornbeamrudder/gateway/features/fleet.feature
@@ -103,3 +103,31 @@
       | 12     | 36      |
       | 24     | 24      |
       | 48     | 48      |
+
+  Scenario Outline: A roll-out takes no server that is needed afterwards
+    # Guards against servers of the version that ends counted as room: others
+    # are released meanwhile, or those that end look like a reclaim. Load: a
+    # demand that falls while the new servers run beside the old ones.
+    Given a fleet whose service is rolled out
+    When <count> servers in ten get a new version beside them, which is <result> while <trouble>
+    Then no order releases a server before the roll-out is over
+    And the urgent demand is carried by the servers of the version that serves
+    And on-demand servers are ordered <reason>
+
+    Examples:
+      | count | result      | trouble                                | reason          |
+      | 10    | completed   | nothing else happens                   | for nothing     |
+      | 9     | completed   | the demand falls for a while           | for nothing     |
+      | 10    | rolled back | the demand falls for a while           | for nothing     |
+      | 10    | rolled back | the holder changes                     | for nothing     |
+      | 10    | completed   | two data centres were reclaimed before | for the reclaim |
+      | 10    | completed   | two data centres are reclaimed         | for the reclaim |
+      | 10    | rolled back | two data centres are reclaimed         | for the reclaim |
+      | 1     | rolled back | two data centres were reclaimed before | for the reclaim |
+      | 1     | rolled back | nothing else happens                   | for nothing     |
+
+  Scenario: What a roll-out leaves is filled up at once
+    # Guards against an order of shortly before that is taken to be still
+    # carried out, though its servers have ended.
+    When a roll-out that is over leaves 13 of 15 servers
+    Then 15 are ordered again at once
--- a/hornbeamrudder/gateway/features/fleet_plan_run.py
+++ b/hornbeamrudder/gateway/features/fleet_plan_run.py
@@ -124,18 +124,7 @@
             kind = counts[server.pool.reclaimable]
             data_centre = server.pool.data_centre
             kind[data_centre] = kind.get(data_centre, 0) + 1
-        self._plan = fleet_plan.next_plan(
-            SCALING,
-            self._demand,
-            self.capacity,
-            fleet_plan.Fleet(
-                counts[True], counts[False], self.now - self._refused_at < 3.0
-            ),
-            self._plan,
-            self.now,
-        )
-        targets = fleet_plan.counts_by_pool(SERVICE, self._plan)
-        for pool, count in targets.items():
+        for pool, count in self._targets(counts).items():
             self._order(pool, count)
         present = self._observed(demand_.Demand(), self.now)
         self.moments.append(
@@ -153,6 +142,19 @@
             for server in self._servers
         )
 
+    def _targets(self, counts):
+        self._plan = fleet_plan.next_plan(
+            SCALING,
+            self._demand,
+            self.capacity,
+            fleet_plan.Fleet(
+                counts[True], counts[False], self.now - self._refused_at < 3.0
+            ),
+            self._plan,
+            self.now,
+        )
+        return fleet_plan.counts_by_pool(SERVICE, self._plan)
+
     def _order(self, pool, count):
         have = [server for server in self._servers if server.pool == pool]
         if self._ordered.get(pool) == count and len(have) >= count:
--- a/hornbeamrudder/gateway/features/steps/fleet_steps.py
+++ b/hornbeamrudder/gateway/features/steps/fleet_steps.py
@@ -14,6 +14,7 @@
 from hornbeamrudder.gateway import records
 from hornbeamrudder.gateway import server_registry
 from hornbeamrudder.gateway import shared_sums
+from hornbeamrudder.rollouts import choice
 
 SETTLED_S = 20.0
 BOOT_S = fleet_plan_run.SCALING.boot_s
@@ -283,6 +284,7 @@
         queue_by_service=collections.defaultdict(list),
     )
     state.peers.waiting.return_value = 0
+    state.rollouts.lasting.return_value = (choice.Basis(), choice.accept_all)
     state.configuration.urgency_by_service = {}
     fleet_orders.FleetOrders(state).target_counts(service, 2.0)
     planned = state.log.info.call_args.kwargs
--- a/hornbeamrudder/gateway/fleet_orders.py
+++ b/hornbeamrudder/gateway/fleet_orders.py
@@ -30,6 +30,7 @@
         self._demand_by_service: dict[ids.ServiceName, demand_.Demand] = {}
         self._plan_by_service: dict[ids.ServiceName, fleet_plan.Plan] = {}
         self._refused_at: dict[ids.ServiceName, float] = {}
+        self._rebased_at: dict[ids.ServiceName, float] = {}
 
     def start_anew(self) -> None:
         """Forget the plans of an earlier term."""
@@ -65,6 +66,8 @@
             scaling, demand, capacity, fleet, before, now
         )
         self._plan_by_service[service.name] = plan
+        if plan.basis != before.basis:
+            self._rebased_at[service.name] = now
         if (plan.reclaimable, plan.on_demand) != (
             before.reclaimable,
             before.on_demand,
@@ -74,15 +77,21 @@
         return fleet_plan.counts_by_pool(service.name, plan)
 
     def serving(self, pool: fleet_plan.ServerPool) -> int:
-        """Return the usable servers of a pool."""
+        """Return the usable servers of a pool that no roll-out ends."""
+        _, lasts = self._state.rollouts.lasting(pool.service)
         return sum(
             1
             for record in self._state.servers.of_service(pool.service)
             if record.usable
+            and lasts(record)
             and record.entry.data_centre == pool.data_centre
             and record.entry.reclaimable == pool.reclaimable
         )
 
+    def rebased_at(self, service: ids.ServiceName) -> float:
+        """Return when a roll-out last changed which servers count."""
+        return self._rebased_at.get(service, float('-inf'))
+
     def _observe(
         self,
         service: records.BackendService,
@@ -116,10 +125,11 @@
         now: float,
     ) -> server_need.Capacity:
         state = self._state
+        _, lasts = state.rollouts.lasting(service.name)
         usable = [
             record
             for record in state.servers.of_service(service.name)
-            if record.usable
+            if record.usable and lasts(record)
         ]
         configuration = state.configuration
         assert configuration is not None
@@ -149,13 +159,17 @@
             True: collections.Counter(),
             False: collections.Counter(),
         }
-        for record in _serving(self._state.servers.of_service(service.name)):
+        basis, lasts = self._state.rollouts.lasting(service.name)
+        for record in _serving(
+            filter(lasts, self._state.servers.of_service(service.name))
+        ):
             counts[record.entry.reclaimable][record.entry.data_centre] += 1
         refused_at = self._refused_at.get(service.name, float('-inf'))
         return fleet_plan.Fleet(
             counts[True],
             counts[False],
             now - refused_at < RECLAIMABLE_SHORTAGE_S,
+            basis,
         )
 
     def _measure(
--- a/hornbeamrudder/gateway/fleet_plan.py
+++ b/hornbeamrudder/gateway/fleet_plan.py
@@ -13,6 +13,7 @@
 from ..core import ids
 from . import demand as demand_
 from . import records
+from ..rollouts import choice
 from . import server_need
 
 # With a lower maximum in a data centre, the need follows the requests in
@@ -66,14 +67,18 @@
     Attributes
     ----------
     reclaimable, on_demand : mapping
-        Number of servers by data centre.
+        Number of servers by data centre. In a roll-out those of the side that
+        carries the requests.
     reclaimable_unavailable : bool
         Whether an order of reclaimable servers was refused recently.
+    basis : Basis
+        Which servers these are.
     """
 
     reclaimable: Mapping[ids.DataCentreName, int]
     on_demand: Mapping[ids.DataCentreName, int]
     reclaimable_unavailable: bool = False
+    basis: choice.Basis = choice.Basis()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,6 +101,8 @@
         Since when fewer reclaimable servers would do.
     needed, in_shortage : int
         Servers needed in calm and in a shortage, for the log.
+    basis : Basis
+        Which servers the counts started from.
     """
 
     reclaimable: Mapping[ids.DataCentreName, int] = dataclasses.field(
@@ -113,6 +120,7 @@
     fewer_since: float | None = None
     needed: int = 0
     in_shortage: int = 0
+    basis: choice.Basis = choice.Basis()
 
 
 def counts_by_pool(
@@ -156,12 +164,18 @@
         capacity = dataclasses.replace(capacity, tokens_per_ms=0.0)
     in_shortage = server_need.needed_in_shortage(demand, capacity)
     needed = server_need.needed_in_calm(demand, capacity)
+    if fleet.basis != before.basis:
+        before = _rebased(fleet, before)
     if scaling.reclaimable_price is None:
+        on_demand = _even(scaling, needed)
+        if not fleet.basis.is_over:
+            on_demand = _raised(scaling, on_demand, before.on_demand)
         return Plan(
-            on_demand=_even(scaling, needed),
+            on_demand=on_demand,
             at=now,
             needed=needed,
             in_shortage=in_shortage,
+            basis=fleet.basis,
         )
     served = _served(fleet, before, now)
     reclaimed_at = now if _is_reclaimed(fleet, served) else before.reclaimed_at
@@ -172,12 +186,15 @@
     total, lower_since = _on_demand_total(
         fleet, sum(present.values()), in_shortage, at_risk, before, now
     )
-    on_demand = _place_on_demand(scaling, fleet, present, total)
+    occupied = fleet.reclaimable
+    if not fleet.basis.is_over:
+        occupied = _raised(scaling, occupied, before.reclaimable)
+    on_demand = _place_on_demand(scaling, occupied, present, total)
     reclaimable, fewer_since = _damped(
         scaling,
         before,
         _reclaimable(scaling, demand, needed, in_shortage),
-        at_risk,
+        at_risk or not fleet.basis.is_over,
         now,
     )
     return Plan(
@@ -195,9 +212,42 @@
         fewer_since,
         needed,
         in_shortage,
+        fleet.basis,
     )
 
 
+def _rebased(fleet: Fleet, before: Plan) -> Plan:
+    """Return the plan to go on from when other servers count.
+
+    The servers of one side are not the others after a reclaim. A roll-out
+    that is over has ended those of the other side, so the plan starts from
+    what is left; until then nothing is released.
+    """
+    keeps = not fleet.basis.is_over
+    return dataclasses.replace(
+        before,
+        reclaimable=(keeps and before.reclaimable) or fleet.reclaimable,
+        on_demand=(keeps and before.on_demand) or fleet.on_demand,
+        served={},
+        lower_since=None,
+        fewer_since=None,
+    )
+
+
+def _raised(
+    scaling: records.Scaling,
+    counts: Mapping[ids.DataCentreName, int],
+    floor: Mapping[ids.DataCentreName, int],
+) -> dict[ids.DataCentreName, int]:
+    return {
+        data_centre: max(
+            counts.get(data_centre, 0),
+            min(scaling.max_servers, floor.get(data_centre, 0)),
+        )
+        for data_centre in scaling.price_by_data_centre
+    }
+
+
 def _even(
     scaling: records.Scaling, needed: int
 ) -> dict[ids.DataCentreName, int]:
@@ -251,7 +301,11 @@
     # Without a shortage reclaimable servers come as soon and cost less.
     if at_risk and present < enough:
         return int(RAISE_FACTOR * enough), None
-    if fleet.reclaimable_unavailable or not _is_worth_release(enough, present):
+    if (
+        fleet.reclaimable_unavailable
+        or not fleet.basis.is_over
+        or not _is_worth_release(enough, present)
+    ):
         return present, None
     since = now if before.lower_since is None else before.lower_since
     delay_s = RELEASE_DELAY_S if in_shortage else IDLE_RELEASE_DELAY_S
@@ -268,7 +322,7 @@
 
 def _place_on_demand(
     scaling: records.Scaling,
-    fleet: Fleet,
+    occupied: Mapping[ids.DataCentreName, int],
     present: Mapping[ids.DataCentreName, int],
     total: int,
 ) -> dict[ids.DataCentreName, int]:
@@ -297,7 +351,7 @@
         for data_centre in by_price:
             room = min(
                 limit,
-                scaling.max_servers - fleet.reclaimable.get(data_centre, 0),
+                scaling.max_servers - occupied.get(data_centre, 0),
             )
             missing = max(0, total - sum(counts.values()))
             counts[data_centre] += min(
@@ -349,18 +403,12 @@
     scaling: records.Scaling,
     before: Plan,
     counts: Mapping[ids.DataCentreName, int],
-    at_risk: bool,
+    must_keep: bool,
     now: float,
 ) -> tuple[dict[ids.DataCentreName, int], float | None]:
     """Return the counts without small or hasty reductions."""
-    raised = {
-        data_centre: max(
-            count,
-            min(scaling.max_servers, before.reclaimable.get(data_centre, 0)),
-        )
-        for data_centre, count in counts.items()
-    }
-    if at_risk or not _is_worth_release(
+    raised = _raised(scaling, counts, before.reclaimable)
+    if must_keep or not _is_worth_release(
         sum(counts.values()), sum(raised.values())
     ):
         return raised, None
--- a/hornbeamrudder/rollouts/choice.py
+++ b/hornbeamrudder/rollouts/choice.py
@@ -1,6 +1,6 @@
 """Which backend servers a request may go to in a roll-out; no I/O."""
 
-from typing import Callable
+from typing import Callable, NamedTuple
 
 from ..gateway import records
 from ..gateway import server_registry
@@ -10,6 +10,24 @@
 Accepts = Callable[[server_registry.ServerRecord], bool]
 
 
+class Basis(NamedTuple):
+    """Which servers of a service last, as far as its roll-outs go.
+
+    Attributes
+    ----------
+    order : int
+        Number of the order; 0 if none was given.
+    side : Side
+        Side that carries the requests.
+    is_over : bool
+        Whether no roll-out is in progress.
+    """
+
+    order: int = 0
+    side: state.Side = state.Side.OLD
+    is_over: bool = True
+
+
 def accept_all(record: server_registry.ServerRecord) -> bool:
     """Accept all servers, where no roll-out is known."""
     return True
@@ -65,3 +83,28 @@
     ):
         return None
     return lambda record: record.entry.version == version
+
+
+def lasting(
+    known: judgement.ServiceRollOut, servers: server_registry.ServerRegistry
+) -> tuple[Basis, Accepts]:
+    """Return the servers that carry the requests, those of trials left out.
+
+    The platform ends those of the other side with the roll-out, so that they
+    are no room.
+    """
+    if known.is_pending:
+        basis = Basis(known.number, state.Side.OLD, False)
+        return basis, until_known(known, servers)
+    rollout = known.rollout
+    if rollout is None:
+        return Basis(), accept_all
+    side = state.Side.OLD
+    if rollout.phase is state.Phase.COMPLETED or (
+        rollout.phase is state.Phase.TRANSFER
+        and not known.halted
+        and known.order is not None
+    ):
+        side = state.Side.NEW
+    basis = Basis(rollout.order, side, rollout.phase.is_over)
+    return basis, lambda record: rollout.side(record.entry.version) is side
--- a/hornbeamrudder/rollouts/tracker.py
+++ b/hornbeamrudder/rollouts/tracker.py
@@ -212,6 +212,15 @@
         accepts = choice.own_version(known, source) if known else None
         return accepts or self.choices(service, may_try=False)[0]
 
+    def lasting(
+        self, service: ids.ServiceName
+    ) -> tuple[choice.Basis, choice.Accepts]:
+        """Return the servers that carry a service's requests for longer."""
+        known = self.by_service.get(service)
+        if known is None:
+            return choice.Basis(), choice.accept_all
+        return choice.lasting(known, self._servers)
+
     def is_ending(self, entry: records.BackendServer) -> bool:
         """Whether the runs of a server are moved to the new version."""
         known = self.by_service.get(entry.service)
