Use the whole bound of a version before its transfer

During the transfer only answers five times slower count, so that 30 % of answers four times slower were not seen while all requests went there: 333 of 218 allowed. Half of the number that a bad version may get was kept for nodes that are started again, and lost its use with the first moments of the transfer.

Change: after the load step the holder waits 1.2 s more. The nodes send what is left of the whole bound, under full load and beside the old version, and the answers that are outstanding come in. The trial ends 1.2 s earlier.

Conclusion: a version whose fault shows within some 20 of the last answers is found before the transfer.

--- a/hornbeamrudder/rollouts/split.py
+++ b/hornbeamrudder/rollouts/split.py
@@ -11,7 +11,8 @@
 from . import state
 
 # Part of the permitted share, and of the number besides, that is used. A node
-# that is started again gets its part of the number once more.
+# that is started again gets its part of the number once more. Shortly before
+# the transfer, which goes beyond the bound, all is used.
 USED_SHARE = 0.9
 USED_SLACK = 0.5
 # Fewest servers of the new version that a trial uses, if there are as many:
@@ -55,11 +56,20 @@
     sent: int = 0
 
 
-def is_entitled(own: OwnCounts, permitted: Permitted, nodes: int) -> bool:
-    """Whether one more request of this node may go to the new version."""
+def is_entitled(
+    own: OwnCounts, permitted: Permitted, nodes: int, is_last: bool = False
+) -> bool:
+    """Whether one more request of this node may go to the new version.
+
+    Parameters
+    ----------
+    is_last : bool
+        Whether the transfer follows at once.
+    """
+    share, slack = (1.0, 1.0) if is_last else (USED_SHARE, USED_SLACK)
     return own.sent + 1 <= (
-        USED_SHARE * permitted.share * own.requests
-        + USED_SLACK * permitted.slack / max(1, nodes)
+        share * permitted.share * own.requests
+        + slack * permitted.slack / max(1, nodes)
     )
 
 
--- a/hornbeamrudder/rollouts/state.py
+++ b/hornbeamrudder/rollouts/state.py
@@ -29,6 +29,10 @@
 # Time of the trial under full load before the transfer: the requests are sent
 # and their first answers are compared.
 LOAD_S = 1.2
+# Time after that for the last of what a bad version may get, and for its
+# answers: in the transfer it gets more than that, and there is nothing to
+# compare it with.
+LAST_LOAD_S = 1.2
 # Shortest trial before the step to full load.
 MIN_TRIAL_S = 1.0
 # Runs are moved off the old servers this long before the time budget ends.
@@ -260,7 +264,8 @@
         return _to(rollout, Phase.ROLLED_BACK, now, 'taken back by operator')
     if seen.failure:
         return _to(rollout, Phase.ROLLED_BACK, now, seen.failure)
-    load_at = rollout.due_at - transfer_s(order.duration_s) - LOAD_S
+    load_s = LOAD_S + LAST_LOAD_S
+    load_at = rollout.due_at - transfer_s(order.duration_s) - load_s
     match rollout.phase:
         case Phase.WAITING if seen.new_servers:
             return _to(
@@ -276,7 +281,7 @@
             and seen.has_room
         ):
             return _to(rollout, Phase.LOAD, now, 'no fault in the trial')
-        case Phase.LOAD if now - rollout.since >= LOAD_S and seen.has_room:
+        case Phase.LOAD if now - rollout.since >= load_s and seen.has_room:
             return _to(rollout, Phase.TRANSFER, now, 'no fault under load')
         case Phase.TRIAL | Phase.LOAD if (
             now >= rollout.ends_at and not seen.has_room
--- a/hornbeamrudder/rollouts/tracker.py
+++ b/hornbeamrudder/rollouts/tracker.py
@@ -244,8 +244,11 @@
         self, known: judgement.ServiceRollOut, rollout: state.RollOut
     ) -> bool:
         permitted = self._permitted()
+        is_last = rollout.phase is state.Phase.LOAD and (
+            self._cluster_time() - rollout.since >= state.LOAD_S
+        )
         if permitted is None or not split.is_entitled(
-            known.own, permitted, self._nodes()
+            known.own, permitted, self._nodes(), is_last
         ):
             return False
         # The nodes' own parts add up to less than this.
