Keep what serves under a new holder, and order what was reclaimed at once

Its log: a data centre is reclaimed 0.7 s after an order for it, which is not repeated for 6 s, so that nothing is refused and the shortage is not noticed. Then all nodes are killed; the new holder counts arrivals from nothing and orders 11 and 13 servers where 15 and 15 serve, in the middle of the shortage.

Change: an order is due at once when fewer servers serve than have since it was accepted (`fleet_plan.Order`). The first plan of a holder starts from the reclaimable servers that serve, as it did from on-demand ones; fewer are ordered only as in any plan. The time at which a roll-out changed which servers count is not needed any more. The virtual fleet of the tests uses the same decision; its releases are recorded in one place.

--- a/hornbeamrudder/gateway/duties.py
+++ b/hornbeamrudder/gateway/duties.py
@@ -27,8 +27,6 @@
 MAX_REMOVALS = 90
 # Delay before a failed call is retried.
 RETRY_DELAY_S = 1.5
-# An order is repeated if the servers are not available after this time.
-ORDER_RETRY_S = 6.0
 
 
 class Duties:
@@ -58,7 +56,7 @@
         self._may_contend = may_contend
         self._observed: duty_lease.ObservedTerm | None = None
         self._next_read_at = 0.0
-        self._ordered: dict[fleet_plan.ServerPool, tuple[int, float]] = {}
+        self._ordered: dict[fleet_plan.ServerPool, fleet_plan.Order] = {}
         self._retry_at: dict[object, float] = {}
         self._final_counts: dict[int, Mapping[str, int]] = {}
         self._completed_windows: set[int] = set()
@@ -388,15 +386,12 @@
         now = clock.now()
         for service in configuration.services_by_name.values():
             for pool, count in self._fleet.target_counts(service, now).items():
-                ordered, at = self._ordered.get(pool, (None, 0.0))
-                is_recent = (
-                    now - at < ORDER_RETRY_S
-                    and at >= self._fleet.rebased_at(service.name)
-                )
-                if ordered == count and (
-                    self._fleet.serving(pool) >= count or is_recent
-                ):
-                    continue
+                serving = self._fleet.serving(pool)
+                ordered = self._ordered.get(pool)
+                if ordered is not None:
+                    self._ordered[pool] = ordered.seen(serving)
+                    if not ordered.is_due(count, serving, now):
+                        continue
                 if pool.reclaimable and self._fleet.must_pause(
                     pool.service, now
                 ):
@@ -431,9 +426,10 @@
             failure=str(failure) if failure else None,
         )
         if failure is None:
-            if pool.reclaimable and count > self._fleet.serving(pool):
+            serving = self._fleet.serving(pool)
+            if pool.reclaimable and count > serving:
                 self._end_shortage(pool.service)
-            self._ordered[pool] = (count, clock.now())
+            self._ordered[pool] = fleet_plan.Order(count, clock.now(), serving)
         else:
             self._retry_at[pool] = clock.now() + RETRY_DELAY_S
             self._handle_failed_order(pool, holder.fencing, failure)
--- a/hornbeamrudder/gateway/features/fleet.feature
+++ b/hornbeamrudder/gateway/features/fleet.feature
@@ -79,6 +79,20 @@
       | 5     |
       | 9     |
 
+  Scenario: A new holder releases nothing while all nodes count anew
+    # Guards against servers released in a shortage that the new holder does
+    # not know of yet. Load: all nodes end and start again after a reclaim.
+    Given a planned fleet of 12 slots a server on hosts of slowness 1.6
+    When all nodes start again 3 s after a reclaim and count arrivals anew
+    Then no reclaimable server that serves is released in the shortage
+
+  Scenario: Reclaimed servers are ordered again at once
+    # Guards against an order of shortly before that is taken to be still
+    # carried out, so that a shortage is noticed only when it is repeated.
+    Given a planned fleet of 32 slots a server on hosts of slowness 1.0
+    When a data centre is reclaimed 1 s after an order for a rising demand
+    Then reclaimable servers are ordered there again within 0.2 s
+
   Scenario: Demand is added up by data centre over nodes
     # Guards against figures that are lost or counted twice.
     When nodes of two data centres publish their arrivals for 5 s
--- a/hornbeamrudder/gateway/features/fleet_plan_run.py
+++ b/hornbeamrudder/gateway/features/fleet_plan_run.py
@@ -45,7 +45,13 @@
 
 
 class FleetRun:
-    """The holder of the duties, and the servers that it orders."""
+    """The holder of the duties, and the servers that it orders.
+
+    Attributes
+    ----------
+    releases : list
+        Time, pool and number of the servers that an order has released.
+    """
 
     def __init__(self, slots=32, slowness=1.0, rate_per_s=160.0):
         self.capacity = server_need.Capacity(
@@ -58,6 +64,7 @@
         self.now = 0.0
         self.moments = []
         self.calls = []
+        self.releases = []
         self.cost = 0.0
         self.dry_until = float('-inf')
         self._servers = []
@@ -157,8 +164,12 @@
 
     def _order(self, pool, count):
         have = [server for server in self._servers if server.pool == pool]
-        if self._ordered.get(pool) == count and len(have) >= count:
-            return
+        serving = sum(server.ready_at <= self.now for server in have)
+        ordered = self._ordered.get(pool)
+        if ordered is not None:
+            self._ordered[pool] = ordered.seen(serving)
+            if not ordered.is_due(count, serving, self.now):
+                return
         if self.now < self._retry_at.get(pool, 0.0) or (
             pool.reclaimable and self.now - self._refused_at < REFUSAL_PAUSE_S
         ):
@@ -173,11 +184,13 @@
             self._refused_at = self.now
             self._retry_at[pool] = self.now + 1.5
             return
-        self._ordered[pool] = count
+        self._ordered[pool] = fleet_plan.Order(count, self.now, serving)
         other = dataclasses.replace(pool, reclaimable=not pool.reclaimable)
         room = SCALING.max_servers - sum(
             server.pool == other for server in self._servers
         )
+        if have[count:]:
+            self.releases.append((self.now, pool, len(have[count:])))
         for server in have[count:]:
             self._servers.remove(server)
         self._servers += [
--- a/hornbeamrudder/gateway/features/roll_out_fleet_run.py
+++ b/hornbeamrudder/gateway/features/roll_out_fleet_run.py
@@ -33,13 +33,7 @@
 
 
 class RollOutFleetRun(fleet_plan_run.FleetRun):
-    """A fleet whose service is moved from `v1` to `v2`.
-
-    Attributes
-    ----------
-    releases : list
-        Time, pool and number of the servers that an order has released.
-    """
+    """A fleet whose service is moved from `v1` to `v2`."""
 
     def __init__(self, rate_per_s):
         self._registry = server_registry.ServerRegistry(
@@ -56,7 +50,6 @@
             lambda *_: None,
         )
         self.version = 'v1'
-        self.releases = []
         self._version_by_server = {}
         self._id_by_server = {}
         self._ended_at = {}
@@ -134,13 +127,6 @@
         self._servers += beside
         return {}
 
-    def _order(self, pool, count):
-        before = set(self._servers)
-        super()._order(pool, count)
-        released = before - set(self._servers)
-        if released:
-            self.releases.append((self.now, pool, len(released)))
-
     def _update_entries(self):
         present = {
             server for server in self._servers if server.ready_at <= self.now
--- a/hornbeamrudder/gateway/features/steps/fleet_steps.py
+++ b/hornbeamrudder/gateway/features/steps/fleet_steps.py
@@ -305,6 +305,66 @@
     assert context.serving == count, context.serving
 
 
+@behave.when(
+    'all nodes start again {after:g} s after a reclaim and count arrivals anew'
+)
+def start_all_again(context, after):
+    _start(context)
+    fleet = context.fleet
+    usual = dict(fleet.rate_by_data_centre)
+    _reclaim(context, 'd')
+    fleet.run(after)
+    fleet.start_holder()
+    for tenths in range(1, 11):
+        fleet.rate_by_data_centre = {
+            data_centre: tenths / 10 * rate
+            for data_centre, rate in usual.items()
+        }
+        fleet.run(0.4)
+    fleet.run(DRY_S)
+
+
+@behave.then('no reclaimable server that serves is released in the shortage')
+def check_none_released(context):
+    fleet = context.fleet
+    released = [
+        release
+        for release in fleet.releases
+        if release[1].reclaimable
+        and context.start <= release[0] < fleet.dry_until
+    ]
+    assert not released, released
+
+
+@behave.when(
+    'a data centre is reclaimed {after:g} s after an order for a rising demand'
+)
+def reclaim_after_order(context, after):
+    _start(context)
+    fleet = context.fleet
+    for data_centre in fleet.rate_by_data_centre:
+        fleet.rate_by_data_centre[data_centre] *= 2.0
+    fleet.run(after)
+    assert 'd' in {
+        pool.data_centre for _, pool, *_ in fleet.calls_since(context.start)
+    }
+    _reclaim(context, 'd')
+    fleet.run(1.0)
+
+
+@behave.then(
+    'reclaimable servers are ordered there again within {seconds:g} s'
+)
+def check_ordered_again(context, seconds):
+    (reclaim,) = context.reclaims
+    assert any(
+        pool.reclaimable
+        and pool.data_centre == 'd'
+        and at <= reclaim + seconds
+        for at, pool, *_ in context.fleet.calls_since(reclaim)
+    )
+
+
 @behave.when(
     'nodes of two data centres publish their arrivals for {seconds:d} s'
 )
--- a/hornbeamrudder/gateway/features/steps/roll_out_fleet_steps.py
+++ b/hornbeamrudder/gateway/features/steps/roll_out_fleet_steps.py
@@ -133,12 +133,11 @@
         pool.service: roll_out_fleet_run.SERVICE
     }
     holder = duties.Duties(node_state, None, None, None)
-    holder._ordered[pool] = (count, clock.now() - 1.0)
+    holder._ordered[pool] = fleet_plan.Order(count, clock.now() - 1.0, count)
     holder._fleet = mock.MagicMock()
     holder._fleet.target_counts.return_value = {pool: count}
     holder._fleet.must_pause.return_value = False
     holder._fleet.serving.return_value = left
-    holder._fleet.rebased_at.return_value = clock.now()
     holder._order = mock.MagicMock()
     holder._start_action = mock.MagicMock()
     holder._order_servers()
--- a/hornbeamrudder/gateway/fleet_orders.py
+++ b/hornbeamrudder/gateway/fleet_orders.py
@@ -30,7 +30,6 @@
         self._demand_by_service: dict[ids.ServiceName, demand_.Demand] = {}
         self._plan_by_service: dict[ids.ServiceName, fleet_plan.Plan] = {}
         self._refused_at: dict[ids.ServiceName, float] = {}
-        self._rebased_at: dict[ids.ServiceName, float] = {}
 
     def start_anew(self) -> None:
         """Forget the plans of an earlier term."""
@@ -66,8 +65,6 @@
             scaling, demand, capacity, fleet, before, now
         )
         self._plan_by_service[service.name] = plan
-        if plan.basis != before.basis:
-            self._rebased_at[service.name] = now
         if (plan.reclaimable, plan.on_demand) != (
             before.reclaimable,
             before.on_demand,
@@ -88,10 +85,6 @@
             and record.entry.reclaimable == pool.reclaimable
         )
 
-    def rebased_at(self, service: ids.ServiceName) -> float:
-        """Return when a roll-out last changed which servers count."""
-        return self._rebased_at.get(service, float('-inf'))
-
     def _observe(
         self,
         service: records.BackendService,
--- a/hornbeamrudder/gateway/fleet_plan.py
+++ b/hornbeamrudder/gateway/fleet_plan.py
@@ -16,6 +16,8 @@
 from ..rollouts import choice
 from . import server_need
 
+# An order is repeated if the servers do not serve after this time.
+ORDER_RETRY_S = 6.0
 # With a lower maximum in a data centre, the need follows the requests in
 # progress only: single long prompts are much of the work of a few servers, so
 # that rates of prompt tokens swing too widely to order by.
@@ -81,6 +83,39 @@
     basis: choice.Basis = choice.Basis()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """Number of servers of a pool that was ordered.
+
+    Attributes
+    ----------
+    at : float
+        Time on `clock.now` at which the order was accepted.
+    served : int
+        Most servers of the pool that have served at a time since.
+    """
+
+    count: int
+    at: float
+    served: int = 0
+
+    def seen(self, serving: int) -> 'Order':
+        """Return the order after `serving` servers were seen."""
+        return dataclasses.replace(self, served=max(self.served, serving))
+
+    def is_due(self, count: int, serving: int, now: float) -> bool:
+        """Whether `count` servers have to be ordered, or ordered again.
+
+        Servers that have served and are gone are not replaced without an
+        order; those that have not served yet may still be booting.
+        """
+        if count != self.count:
+            return True
+        return serving < count and (
+            serving < self.served or now - self.at >= ORDER_RETRY_S
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
     """Servers to have, and what the next plan starts from.
@@ -157,8 +192,8 @@
     ----------
     fleet : Fleet
         Servers that serve now. A node that has just become responsible
-        begins with an empty plan and keeps the on-demand servers that it
-        finds until it knows that they can go.
+        begins with an empty plan and keeps the servers that it finds until
+        it knows that they can go.
     """
     if scaling.max_servers < MIN_PLANNED_MAXIMUM:
         capacity = dataclasses.replace(capacity, tokens_per_ms=0.0)
@@ -192,7 +227,8 @@
     on_demand = _place_on_demand(scaling, occupied, present, total)
     reclaimable, fewer_since = _damped(
         scaling,
-        before,
+        before.reclaimable or fleet.reclaimable,
+        before.fewer_since,
         _reclaimable(scaling, demand, needed, in_shortage),
         at_risk or not fleet.basis.is_over,
         now,
@@ -401,18 +437,19 @@
 
 def _damped(
     scaling: records.Scaling,
-    before: Plan,
+    present: Mapping[ids.DataCentreName, int],
+    fewer_since: float | None,
     counts: Mapping[ids.DataCentreName, int],
     must_keep: bool,
     now: float,
 ) -> tuple[dict[ids.DataCentreName, int], float | None]:
     """Return the counts without small or hasty reductions."""
-    raised = _raised(scaling, counts, before.reclaimable)
+    raised = _raised(scaling, counts, present)
     if must_keep or not _is_worth_release(
         sum(counts.values()), sum(raised.values())
     ):
         return raised, None
-    since = now if before.fewer_since is None else before.fewer_since
+    since = now if fewer_since is None else fewer_since
     if now - since < RELEASE_DELAY_S:
         return raised, since
     return dict(counts), None
