Take the answer that history is gone as an end of the outage

The first watch that probes it is told so, and reads its table whole; the outage was not over for the node, and the turn of that probe holds up all other watches for 3 s. Nodes served an old configuration until 5.34 s.

Change: that answer ends the outage as any other does. Nothing relies on a table for it: the table counts as unknown until it has been read.

Before and after: a new scenario (4 watches, one store) read none of 4 tables within 2 s before, all 4 now.

Conclusion: tables are read whole at once when the store answers again.

--- a/hornbeamrudder/gateway/features/steps/relay_steps.py
+++ b/hornbeamrudder/gateway/features/steps/relay_steps.py
@@ -7,6 +7,7 @@
 import behave
 import msgpack
 
+from hornbeamrudder.core import errors
 from hornbeamrudder.core import ids
 from hornbeamrudder.core import types
 from hornbeamrudder.gateway import clock
@@ -273,3 +274,64 @@
     context.watched_table._answered_at = context.now
     assert context.relay.handle_datagram(msgpack.unpackb(data))
     assert context.watched_table.version == version
+
+
+class _ForgetfulStore:
+    """Store that resets the first call for changes of each table."""
+
+    def __init__(self):
+        self.known = set()
+        self.read_tables = set()
+
+    async def read_all(self, table):
+        """Return a snapshot."""
+        self.read_tables.add(table)
+        now = clock.now()
+        return store.Rows((), 20, 0.0, now, now)
+
+    async def changes(self, table, after, wait_s):
+        """Fail once, then tell that the history is gone."""
+        if table not in self.known:
+            self.known.add(table)
+            return errors.Failure(
+                errors.FailureKind.INTERRUPTED,
+                errors.Step.READ_TABLE,
+                '',
+                'connection reset',
+            )
+        return store.HistoryGone()
+
+
+@behave.when(
+    'a store resets the calls of {count:d} watches and forgets its history'
+)
+def forget_history(context, count):
+    context.source = _ForgetfulStore()
+
+    async def follow():
+        health = store_health.StoreHealth()
+        watches = [
+            watch.TableWatch(
+                context.source,
+                f't{number}',
+                0.0,
+                null_log.NullLog(),
+                health,
+                lambda rows, snapshot: None,
+                pause_s=5.0,
+            )
+            for number in range(count)
+        ]
+        for table in watches:
+            table.version = 15
+        tasks = [asyncio.create_task(table.run()) for table in watches]
+        await asyncio.sleep(2.0)
+        for task in tasks:
+            task.cancel()
+
+    asyncio.run(follow())
+
+
+@behave.then('each of the {count:d} tables is read whole within 2 s')
+def check_read_whole(context, count):
+    assert len(context.source.read_tables) == count, context.source.read_tables
--- a/hornbeamrudder/gateway/features/store_calls.feature
+++ b/hornbeamrudder/gateway/features/store_calls.feature
@@ -82,3 +82,10 @@
       | 81    | both following hubs  | 4.4   |
       | 24    | the first hub        | 4.4   |
       | 24    | each of the hubs     | 4.4   |
+
+  Scenario: Tables are read whole at once when the store has forgotten its history
+    # Guards against watches that wait for a probe whose answer told that the
+    # history is gone. Failure: the store resets its connections, and has
+    # forgotten its history when it is asked again.
+    When a store resets the calls of 4 watches and forgets its history
+    Then each of the 4 tables is read whole within 2 s
--- a/hornbeamrudder/gateway/watch.py
+++ b/hornbeamrudder/gateway/watch.py
@@ -285,9 +285,12 @@
                 table=self.table,
                 version=self.version,
             )
+            # The store has answered: the other watches need not wait for the
+            # next probe.
+            self._on_recovery(sent_at)
             self.version = None
             return None
-        self._on_recovery(answer.version, answer.sent_at)
+        self._on_recovery(answer.sent_at)
         self.version = max(answer.version, self.version or 0)
         self._update_content_version(answer.rows)
         if snapshot:
@@ -313,14 +316,14 @@
                 version=self.version,
             )
 
-    def _on_recovery(self, version: int, sent_at: float) -> None:
+    def _on_recovery(self, sent_at: float) -> None:
         outage_s = self._health.record_success(sent_at)
         if outage_s is not None:
             self._log.info(
                 'store is back',
                 table=self.table,
                 after_s=round(outage_s, 2),
-                version=version,
+                version=self.version,
             )
 
 
