--- a/hornbeamrudder/soak/deployment.py
+++ b/hornbeamrudder/soak/deployment.py
@@ -13,6 +13,7 @@
 import yaml
 
 from . import fault_proxy
+from ..gateway import duties
 from . import node_with_clock
 from ..standins import platform_cloud
 from ..standins import platform_server
@@ -46,7 +47,11 @@
     'usageWindowS': 5,
     'usageLateS': 10,
     'strictRevoke': True,
+    'exposureShare': 0.1,
+    'exposureSlack': 50,
+    'rollbackMs': 5000,
 }
+FIRST_VERSION = 'v1'
 
 
 @dataclasses.dataclass(slots=True)
@@ -94,6 +99,7 @@
 
     server: platform_server.PlatformServer
     proxy: fault_proxy.FaultProxy
+    version: str = FIRST_VERSION
     is_stopped: bool = False
 
 
@@ -116,6 +122,8 @@
         self.backends: list[Backend] = []
         # Includes stopped servers, whose requests are checked too.
         self.all_backends: list[Backend] = []
+        # Software versions whose servers have been ended for good.
+        self.ended_versions: set[tuple[str, str]] = set()
         self.version = 1
         self.valid_keys = ['key-north', 'key-south']
         # Keys that callers send; includes recently revoked ones.
@@ -233,7 +241,15 @@
                 return not_ready
             await asyncio.sleep(READY_POLL_INTERVAL_S)
 
-    async def add_backend(self, service: str) -> Backend:
+    async def replace_backend(self, backend: Backend) -> None:
+        """Start another of the same version, unless that has ended."""
+        service = backend.server.service
+        if (service, backend.version) not in self.ended_versions:
+            await self.add_backend(service, backend.version)
+
+    async def add_backend(
+        self, service: str, version: str = FIRST_VERSION
+    ) -> Backend:
         """Start a backend server and register it."""
         server = platform_server.PlatformServer(
             f'{service}-{len(self.all_backends)}',
@@ -242,7 +258,7 @@
         )
         server.event_interval_s = EVENT_INTERVAL_S
         await server.start(IP)
-        backend = Backend(server, fault_proxy.FaultProxy(IP))
+        backend = Backend(server, fault_proxy.FaultProxy(IP), version)
         await backend.proxy.start(server.address)
         self.backends.append(backend)
         self.all_backends.append(backend)
@@ -255,7 +271,11 @@
             'servers',
             backend.server.id,
             backend.server.entry(
-                **{'address': backend.proxy.address, **fields}
+                **{
+                    'address': backend.proxy.address,
+                    'version': backend.version,
+                    **fields,
+                }
             ),
         )
 
@@ -270,6 +290,25 @@
         backend.proxy.reset_connections()
         self.store.remove('servers', backend.server.id)
 
+    def end_version(self, service: str, version: str) -> None:
+        """Stop all backend servers of a software version at once."""
+        self.ended_versions.add((service, version))
+        for backend in list(self.backends):
+            if (backend.server.service, backend.version) == (service, version):
+                self.stop_backend(backend)
+
+    def duty_holder(self) -> Node | None:
+        """Return the node that holds the duties by the row of the term."""
+        row = self.store.read(duties.TABLE, duties.KEY)
+        return next(
+            (
+                node
+                for node in self.nodes
+                if row and row['holder'] == f'node-{node.number}'
+            ),
+            None,
+        )
+
     def publish_configuration(self) -> None:
         """Write the next configuration version to the store."""
         self.version += 1
--- a/hornbeamrudder/soak/run.py
+++ b/hornbeamrudder/soak/run.py
@@ -220,7 +220,6 @@
     async def _inject_backend_fault(self, fault: plan.Fault) -> None:
         system = self.system
         backend = system.backends[fault.target % len(system.backends)]
-        service = backend.server.service
         match fault.kind:
             case plan.FaultKind.SERVER_RESET:
                 backend.proxy.reset_connections()
@@ -237,9 +236,9 @@
             case plan.FaultKind.SERVER_CRASH:
                 system.stop_backend(backend)
                 await asyncio.sleep(fault.duration_s)
-                await system.add_backend(service)
+                await system.replace_backend(backend)
             case _:
-                await system.add_backend(service)
+                await system.replace_backend(backend)
                 system.register(backend, state='draining')
                 if backend in system.backends:
                     system.backends.remove(backend)
