Let the soak roll services out

Cause: the soak knew no roll-outs, so none met other faults of real processes.

Checks: a verdict comes, nothing follows it, no step is skipped or made twice, fencing numbers don't fall, a bad version isn't completed and gets no more than its share from nodes in touch, a good one is completed unless servers fail meanwhile. A server that is replaced keeps its version, and the end of faulty answers restores what the server did before. A roll-out is no fault, so it excuses nothing.

The report names roll-outs.

--- a/hornbeamrudder/soak/__main__.py
+++ b/hornbeamrudder/soak/__main__.py
@@ -32,6 +32,14 @@
             fault.kind.value for fault in fault_plan.faults
         ),
         'requests': checks.summary(observations),
+        'roll_outs': [
+            {
+                'service': item.service,
+                'is_bad': item.is_bad,
+                'state': item.states[-1][0] if item.states else None,
+            }
+            for item in observations.roll_outs
+        ],
         'duty_calls': len(observations.duty_calls),
         'problems': violations,
     }
--- a/hornbeamrudder/soak/checks.py
+++ b/hornbeamrudder/soak/checks.py
@@ -24,6 +24,14 @@
 IDEMPOTENT_ROUTES = frozenset({'look', 'plan'})
 ACCOUNT_BY_KEY_PREFIX = {'key-north': 'north', 'key-south': 'south'}
 KEY_PREFIX_LENGTH = 9
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
+# Steps of a roll-out in order; only the last may be left out.
+STEPS = ('waiting', 'trial', 'load', 'transfer', 'completed')
+ROUTES_BY_SERVICE = {'engines': ('plan', 'chat'), 'plain': ('book', 'look')}
+SERVER_FAULTS = frozenset(
+    kind.value for kind in plan.FaultKind if kind.name.startswith('SERVER_')
+)
 EVENTS_PER_STREAM = 6
 COMPLETE_STREAM = b''.join(
     b'id: %d\ndata: piece %d\n\n' % (number, number)
@@ -46,6 +54,10 @@
         *_runs_after_drain(outcome_by_id, seen),
         *_interrupted_by_stop(seen),
         *_duty_conflicts(seen),
+        *itertools.chain.from_iterable(
+            _roll_out_faults(outcome_by_id, seen, item)
+            for item in seen.roll_outs
+        ),
         *(
             f'node {node} does not serve {route} after the faults'
             for node, route, served in seen.served_after
@@ -233,6 +245,64 @@
             yield f'usage window {window} has conflicting reports'
 
 
+def _roll_out_faults(
+    outcome_by_id: OutcomeById, seen: observed.Observed, item: observed.RollOut
+) -> Iterator[str]:
+    name = f'roll-out of {item.service}'
+    states = _changes(state for state, _, _ in item.states)
+    if not states or states[-1] == 'running':
+        yield f'{name} has no verdict'
+    if len(states) > 2 or 'running' in states[1:]:
+        yield f'{name} went on after its verdict: {states}'
+    steps = _changes(step for _, step, _ in item.states)
+    expected = [*STEPS[: len(steps) - 1], *steps[-1:]]
+    if steps != expected:
+        yield f'{name} skipped or repeated a step: {steps}'
+    numbers = [number for *_, number in item.states]
+    if numbers != sorted(numbers):
+        yield f'{name} was continued by a former holder: {numbers}'
+    if item.is_bad:
+        if 'completed' in states:
+            yield f'{name} was completed though its version is bad'
+        yield from _exposure(outcome_by_id, seen, item)
+    elif 'rolled_back' in states and not any(
+        span.what in SERVER_FAULTS
+        and span.begun < item.ended_at
+        and span.ended > item.ordered_at
+        for span in seen.spans
+    ):
+        yield f'{name} was rolled back though its version is good'
+
+
+def _changes(values: Iterable[str]) -> list[str]:
+    return [value for value, _ in itertools.groupby(values)]
+
+
+def _exposure(
+    outcome_by_id: OutcomeById, seen: observed.Observed, item: observed.RollOut
+) -> Iterator[str]:
+    """Find a bad version that nodes in touch have sent too much."""
+    requests = sum(
+        outcome.route in ROUTES_BY_SERVICE[item.service]
+        and item.ordered_at <= outcome.sent_at <= item.due_at
+        for outcome in seen.outcomes
+    )
+    got = sum(
+        run.server in item.new_servers
+        and run.request_id in outcome_by_id
+        and not _is_excused(
+            seen, outcome_by_id[run.request_id].node, run.at, run.at
+        )
+        for run in seen.runs
+    )
+    limit = EXPOSURE_SHARE * requests + EXPOSURE_SLACK
+    if got > limit:
+        yield (
+            f'the bad version of {item.service} got {got} requests of'
+            f' {limit:.0f} allowed'
+        )
+
+
 def summary(seen: observed.Observed) -> dict[str, int]:
     """Count requests by route and status."""
     ordered = sorted(
--- a/hornbeamrudder/soak/deployment.py
+++ b/hornbeamrudder/soak/deployment.py
@@ -52,6 +52,8 @@
     'rollbackMs': 5000,
 }
 FIRST_VERSION = 'v1'
+# Failing answers of a server of a bad version; it never gets as many requests.
+BAD_ANSWERS = 10_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -124,6 +126,7 @@
         self.all_backends: list[Backend] = []
         # Software versions whose servers have been ended for good.
         self.ended_versions: set[tuple[str, str]] = set()
+        self.bad_versions: set[tuple[str, str]] = set()
         self.version = 1
         self.valid_keys = ['key-north', 'key-south']
         # Keys that callers send; includes recently revoked ones.
@@ -257,6 +260,8 @@
             EVENTS_PER_STREAM if service == ENGINE_SERVICE else 0,
         )
         server.event_interval_s = EVENT_INTERVAL_S
+        if (service, version) in self.bad_versions:
+            server.behaviours = [platform_server.Behaviour.ERROR] * BAD_ANSWERS
         await server.start(IP)
         backend = Backend(server, fault_proxy.FaultProxy(IP), version)
         await backend.proxy.start(server.address)
--- a/hornbeamrudder/soak/features/soak.feature
+++ b/hornbeamrudder/soak/features/soak.feature
@@ -15,6 +15,18 @@
       | seed | seconds | cause                                            |
       | 120  | 12      | SIGHUP ended a node that was still starting      |
 
+  Scenario Outline: A roll-out without other faults comes to its verdict
+    # Guards against a good version that is rolled back, and a bad one that
+    # gets more than its share, by several processes.
+    When a roll-out alone is run with seed <seed>
+    Then no invariant was violated and all kinds of requests were served
+    And the version was <kind> and the roll-out is <state>
+
+    Examples:
+      | seed | kind | state       |
+      | 1    | good | completed   |
+      | 0    | bad  | rolled_back |
+
   Scenario: A killed node whose process ends late is started again
     # Guards against a node reported as exited that the soak has killed itself.
     When a node is killed whose process ends only after the restart is due
@@ -41,6 +53,13 @@
       | two reports of one usage window | conflicting reports                          |
       | two holders of a fencing token  | both use fencing token                       |
       | a lower fencing token           | fencing token 1 was used by n0 after token 2 |
+      | a roll-out without a verdict    | has no verdict                               |
+      | a roll-out that is taken up     | went on after its verdict                    |
+      | a roll-out without a load step  | skipped or repeated a step                   |
+      | a former holder of a roll-out   | was continued by a former holder             |
+      | a bad version is completed      | was completed though its version is bad      |
+      | a bad version gets too much     | got 51 requests of 50 allowed                |
+      | a good version is rolled back   | was rolled back though its version is good   |
 
   Scenario: A seed always gives the same plan
     # Guards against a failing seed that cannot be reproduced.
--- a/hornbeamrudder/soak/features/steps/soak_steps.py
+++ b/hornbeamrudder/soak/features/steps/soak_steps.py
@@ -25,6 +25,21 @@
         )
 
 
+@behave.when('a roll-out alone is run with seed {seed:d}')
+def run_roll_out(context, seed):
+    with tempfile.TemporaryDirectory() as folder:
+        context.report = soak_main.run_plan(
+            plan.generate_plan(seed, 6.0, (plan.FaultKind.ROLL_OUT,), 3),
+            pathlib.Path(folder),
+        )
+
+
+@behave.then('the version was {kind} and the roll-out is {state}')
+def check_verdict(context, kind, state):
+    (item,) = context.report['roll_outs']
+    assert (item['is_bad'], item['state']) == (kind == 'bad', state), item
+
+
 class _LateProcess:
     """Process that is still there at some polls after it was killed."""
 
@@ -92,9 +107,40 @@
 _CALL = observed.DutyCall('/usage', 'n1', 2, {'window': 1, 'counts': {}}, 9.0)
 
 
+_TRIAL = (('running', 'waiting', 3), ('running', 'trial', 3))
+_BAD = observed.RollOut(
+    'engines',
+    True,
+    8.0,
+    18.0,
+    19.0,
+    frozenset({'e1'}),
+    (*_TRIAL, ('rolled_back', 'rolled back', 3)),
+)
+_STATES_BY_CHANGE = {
+    'a roll-out without a verdict': _TRIAL,
+    'a roll-out that is taken up': (*_BAD.states, *_TRIAL),
+    'a roll-out without a load step': (
+        *_TRIAL,
+        ('running', 'transfer', 3),
+        ('completed', 'completed', 3),
+    ),
+    'a former holder of a roll-out': (
+        *_TRIAL,
+        ('rolled_back', 'rolled back', 2),
+    ),
+    'a bad version is completed': (
+        *_TRIAL,
+        ('running', 'load', 3),
+        ('running', 'transfer', 3),
+        ('completed', 'completed', 3),
+    ),
+}
+
+
 def _changed_observations(change):
     outcome, runs, calls = _OUTCOME, (_RUN,), (_CALL,)
-    spans, leavings, revoked = (), (), ()
+    spans, leavings, revoked, roll_outs = (), (), (), ()
     match change:
         case 'two servers execute it':
             runs = (
@@ -134,8 +180,17 @@
             calls += (dataclasses.replace(_CALL, holder='n2'),)
         case 'a lower fencing token':
             calls += (dataclasses.replace(_CALL, number=1, holder='n0'),)
+        case 'a bad version gets too much':
+            runs = 51 * (_RUN,)
+            roll_outs = (dataclasses.replace(_BAD, due_at=9.0),)
+        case 'a good version is rolled back':
+            roll_outs = (dataclasses.replace(_BAD, is_bad=False),)
+        case _ if change in _STATES_BY_CHANGE:
+            roll_outs = (
+                dataclasses.replace(_BAD, states=_STATES_BY_CHANGE[change]),
+            )
     return observed.Observed(
-        (outcome,), runs, calls, spans, leavings, revoked, (), ()
+        (outcome,), runs, calls, spans, leavings, revoked, (), (), roll_outs
     )
 
 
--- a/hornbeamrudder/soak/observed.py
+++ b/hornbeamrudder/soak/observed.py
@@ -103,6 +103,31 @@
     at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RollOut:
+    """A roll-out that was ordered.
+
+    Attributes
+    ----------
+    is_bad : bool
+        Whether the new version fails each request.
+    ordered_at, due_at, ended_at : float
+        Seconds since the start of the run.
+    new_servers : frozenset of str
+        Backend servers of the new version.
+    states : tuple of (str, str, int)
+        State, step and fencing number of each row that was written.
+    """
+
+    service: str
+    is_bad: bool
+    ordered_at: float
+    due_at: float
+    ended_at: float
+    new_servers: frozenset[str]
+    states: tuple[tuple[str, str, int], ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Observed:
     """All observations of one run.
@@ -125,3 +150,4 @@
     revoked_at: tuple[tuple[str, float], ...]
     served_after: tuple[tuple[int, str, bool], ...]
     exits: tuple[str, ...]
+    roll_outs: tuple[RollOut, ...] = ()
--- a/hornbeamrudder/soak/plan.py
+++ b/hornbeamrudder/soak/plan.py
@@ -13,6 +13,11 @@
 # Chosen by seed; covers nodes that report to each other directly and nodes
 # that report through hubs.
 NODE_COUNTS = (3, 5, 12)
+# Share of the runs with a roll-out, and time of its order. Its random numbers
+# are separate, so that the other faults of a seed stay what they were.
+ROLL_OUT_SHARE = 0.5
+ROLL_OUT_SEED_MASK = 0x2011
+ROLL_OUT_START_S = (0.2, 3.0)
 
 
 class FaultKind(enum.Enum):
@@ -40,6 +45,7 @@
     SERVER_LEAVES = 'a backend server leaves'
     CHANGE = 'the configuration changes'
     REVOKE = 'a key is taken away'
+    ROLL_OUT = 'a service is rolled out'
 
 
 # Minimum and maximum duration of the kinds with a random duration.
@@ -59,6 +65,7 @@
     FaultKind.SERVER_DELAYED: (0.5, 4.0),
     FaultKind.SERVER_FAULTY: (0.5, 4.0),
     FaultKind.SERVER_CRASH: (0.5, 3.0),
+    FaultKind.ROLL_OUT: (8.0, 11.0),
 }
 
 
@@ -74,7 +81,7 @@
         Selects the node or backend server, modulo their number.
     magnitude : float
         From -1 to 1; scales clock steps, delays and the lifetime of keys
-        that are revoked.
+        that are revoked. The new version of a roll-out is bad below 0.
     """
 
     kind: FaultKind
@@ -110,21 +117,13 @@
         Number of nodes; by default chosen by the seed.
     """
     rng = random.Random(seed)
-    faults = []
+    others = tuple(kind for kind in kinds if kind is not FaultKind.ROLL_OUT)
+    faults = _roll_outs(seed, bool(others)) if others != kinds else []
     now = FIRST_BURST_S
-    while now < seconds:
+    while others and now < seconds:
         at = now
         for _ in range(rng.randint(1, MAX_FAULTS_PER_BURST)):
-            kind = rng.choice(kinds)
-            faults.append(
-                Fault(
-                    kind,
-                    at,
-                    rng.uniform(*DURATION_RANGE_S.get(kind, (0.0, 0.0))),
-                    rng.randrange(1 << 16),
-                    rng.uniform(-1.0, 1.0),
-                )
-            )
+            faults.append(_fault(rng, rng.choice(others), at))
             at += rng.uniform(*FAULT_INTERVAL_S)
         now = at + rng.uniform(*BURST_INTERVAL_S)
     return Plan(
@@ -133,3 +132,20 @@
         seconds,
         tuple(faults),
     )
+
+
+def _fault(rng: random.Random, kind: FaultKind, at: float) -> Fault:
+    return Fault(
+        kind,
+        at,
+        rng.uniform(*DURATION_RANGE_S.get(kind, (0.0, 0.0))),
+        rng.randrange(1 << 16),
+        rng.uniform(-1.0, 1.0),
+    )
+
+
+def _roll_outs(seed: int, is_optional: bool) -> list[Fault]:
+    rng = random.Random(seed ^ ROLL_OUT_SEED_MASK)
+    if rng.random() >= ROLL_OUT_SHARE and is_optional:
+        return []
+    return [_fault(rng, FaultKind.ROLL_OUT, rng.uniform(*ROLL_OUT_START_S))]
--- a/hornbeamrudder/soak/roll_out.py
+++ b/hornbeamrudder/soak/roll_out.py
@@ -8,7 +8,6 @@
 import orjson
 
 from . import deployment
-from ..standins import platform_server
 
 POLL_INTERVAL_S = 0.02
 BOOT_S = 1.0
@@ -18,7 +17,6 @@
 TIMEOUT_S = 40.0
 RUNNING = 'running'
 COMPLETED = 'completed'
-BAD_ANSWERS = 10_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,6 +83,8 @@
     async def run(self) -> str:
         """Give the order, start and end servers; return the last state."""
         system, order = self._system, self.order
+        if order.is_bad:
+            system.bad_versions.add((order.service, order.target))
         self.number = system.store.put(
             'op',
             self.key,
@@ -96,11 +96,7 @@
         )
         await asyncio.sleep(BOOT_S)
         for _ in range(deployment.BACKENDS_PER_SERVICE):
-            backend = await system.add_backend(order.service, order.target)
-            if order.is_bad:
-                backend.server.behaviours = [
-                    platform_server.Behaviour.ERROR
-                ] * BAD_ANSWERS
+            await system.add_backend(order.service, order.target)
         until = asyncio.get_running_loop().time() + (
             order.duration_s + TIMEOUT_S
         )
--- a/hornbeamrudder/soak/run.py
+++ b/hornbeamrudder/soak/run.py
@@ -10,6 +10,7 @@
 from . import fault_proxy
 from . import observed
 from . import plan
+from . import roll_out
 from ..standins import platform_server
 
 CALLER_COUNT = 10
@@ -33,6 +34,7 @@
 MAX_DELAY_S = 0.4
 MAX_CLOCK_STEP_S = 3.0
 MAX_FAULTY_RESPONSES = 12
+ROLLED_OUT = (deployment.PLAIN_SERVICE, deployment.ENGINE_SERVICE)
 FAULTY_BEHAVIOURS = [
     platform_server.Behaviour.ERROR,
     platform_server.Behaviour.FULL,
@@ -53,6 +55,7 @@
         self.system = deployment.Deployment(folder, fault_plan.nodes)
         self.callers = callers.Callers(self.system, fault_plan.seed)
         self.spans: list[observed.Span] = []
+        self.roll_outs: list[observed.RollOut] = []
         self.leavings: list[observed.Leaving] = []
         self.revoked_at: list[tuple[str, float]] = []
         self.exits: list[str] = []
@@ -77,6 +80,10 @@
 
     async def _inject(self, fault: plan.Fault) -> None:
         await asyncio.sleep(max(0.0, fault.start_s - self.callers.now()))
+        if fault.kind is plan.FaultKind.ROLL_OUT:
+            # No fault, which would excuse others.
+            await self._roll_out(fault)
+            return
         node = self.system.nodes[fault.target % len(self.system.nodes)]
         started_at = self.callers.now()
         affected_node = await self._apply(fault, node)
@@ -141,6 +148,35 @@
                 await self._inject_backend_fault(fault)
         return None
 
+    async def _roll_out(self, fault: plan.Fault) -> None:
+        """Move a service to another version, which may be bad."""
+        service = ROLLED_OUT[fault.target % len(ROLLED_OUT)]
+        order = roll_out.Order(
+            service, 'v2', fault.duration_s, fault.magnitude < 0
+        )
+        started_at = self.callers.now()
+        run = roll_out.RollOutRun(self.system, order, deployment.FIRST_VERSION)
+        await run.run()
+        self.roll_outs.append(
+            observed.RollOut(
+                service,
+                order.is_bad,
+                started_at,
+                started_at + fault.duration_s,
+                self.callers.now(),
+                frozenset(
+                    backend.server.id
+                    for backend in self.system.all_backends
+                    if (backend.server.service, backend.version)
+                    == (service, order.target)
+                ),
+                tuple(
+                    (row['state'], row['phase'], row['number'])
+                    for row in run.states()
+                ),
+            )
+        )
+
     async def kill_and_restart(
         self, nodes: list[deployment.Node], down_s: float
     ) -> None:
@@ -227,12 +263,14 @@
                 await self._inject_proxy_fault(fault, backend.proxy)
             case plan.FaultKind.SERVER_FAULTY:
                 first = fault.target % len(FAULTY_BEHAVIOURS)
-                backend.server.behaviours.extend(
-                    (FAULTY_BEHAVIOURS[first:] + FAULTY_BEHAVIOURS) * 2
-                )
-                del backend.server.behaviours[MAX_FAULTY_RESPONSES:]
+                usual = backend.server.behaviours
+                faulty = (FAULTY_BEHAVIOURS[first:] + FAULTY_BEHAVIOURS) * 2
+                backend.server.behaviours = [
+                    *faulty[:MAX_FAULTY_RESPONSES],
+                    *usual,
+                ]
                 await asyncio.sleep(fault.duration_s)
-                backend.server.behaviours.clear()
+                backend.server.behaviours = usual
             case plan.FaultKind.SERVER_CRASH:
                 system.stop_backend(backend)
                 await asyncio.sleep(fault.duration_s)
@@ -322,4 +360,5 @@
             revoked_at=tuple(self.revoked_at),
             served_after=tuple(served),
             exits=tuple(self.exits),
+            roll_outs=tuple(self.roll_outs),
         )
