Play clients and answers without end at the same time

Cause: each crowd so far comes alone. Clients and backend servers have a limit each; nothing showed what both take together.

Crowd and bounds are fixed here, before a change of the product.

--- a/hornbeamrudder/crowds/crowd.py
+++ b/hornbeamrudder/crowds/crowd.py
@@ -12,6 +12,7 @@
 from typing import Iterator
 
 from ..core import types
+from ..standins import platform_caller
 
 CONNECT_TIMEOUT_S = 2.0
 # Receive buffer of clients that don't read.
@@ -26,6 +27,8 @@
 UNREAD_BATCH = 8
 UNREAD_PAUSE_S = 0.01
 TRICKLE_PAUSE_S = 0.02
+# Deadline of requests whose answers are not read.
+ANSWER_MS = 20_000
 OVERSIZE_FACTOR = 10
 # Share of the limit on heads that the fields of a request take.
 FIELDS_SHARE = 0.9
@@ -39,9 +42,9 @@
     body over the limit, `OVERSIZE_CHUNKS` doesn't and sends one. `FIELDS`
     holds very many short fields and stops before the end of the head.
     `FIELDS_AHEAD` and `BODIES_AHEAD` send such heads, or bodies, in requests
-    one after the other. `UNREAD` doesn't read the answers, `HALF_HEADS` stops
-    in the first line, `TRICKLE` sends a body byte by byte, `SILENT` sends
-    nothing.
+    one after the other. `UNREAD` doesn't read the answers, `ONE_UNREAD` the
+    one to a request inside the limits, `HALF_HEADS` stops in the first line,
+    `TRICKLE` sends a body byte by byte, `SILENT` sends nothing.
     """
 
     WHOLE_BODIES = 'whole bodies'
@@ -54,6 +57,7 @@
     FIELDS_AHEAD = 'heads of many fields ahead'
     BODIES_AHEAD = 'bodies ahead'
     UNREAD = 'answers unread'
+    ONE_UNREAD = 'one answer unread'
     HALF_HEADS = 'half heads'
     TRICKLE = 'trickled bodies'
     SILENT = 'silent'
@@ -124,7 +128,7 @@
         self._sockets.append(client)
         client.setblocking(False)
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self._kind is Kind.UNREAD:
+        if self._kind in (Kind.UNREAD, Kind.ONE_UNREAD):
             client.setsockopt(
                 socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BUFFER_BYTES
             )
@@ -180,6 +184,13 @@
                 request = _head(target, 0)
                 for _ in range(UNREAD_REQUESTS // UNREAD_BATCH):
                     yield UNREAD_PAUSE_S, request * UNREAD_BATCH
+            case Kind.ONE_UNREAD:
+                yield (
+                    0.0,
+                    platform_caller.request_bytes(
+                        target.path, remaining_ms=ANSWER_MS
+                    ),
+                )
             case Kind.HALF_HEADS:
                 yield 0.0, b'POST ' + target.path.encode()
             case Kind.TRICKLE:
--- a/hornbeamrudder/crowds/features/crowds.feature
+++ b/hornbeamrudder/crowds/features/crowds.feature
@@ -44,6 +44,23 @@
       | half heads | 400   |
       | silent     | 400   |
 
+  Scenario Outline: Clients and answers without end together leave the node within its host
+    # Guards against two limits that hold alone but not together, and against
+    # answers that stay in memory when they were ended; the load is half a crowd
+    # of bodies, half clients that do not read what servers send without end.
+    Given a node with 80 MB of memory and 1200 descriptors
+    And engines that answer "<status>" and "<answer>" without end
+    When 150 clients leave the answers unread and 60 send "whole bodies"
+    Then the node answers a small and the largest request while they hold on
+    And the node lives, within its memory and descriptors
+    And the node answers a small and the largest request when they have left
+
+    Examples:
+      | status    | answer          |
+      | 200 OK    | complete events |
+      | 200 OK    | event           |
+      | 500 Error | sized body      |
+
   @long
   Scenario Outline: A crowd at the limits of the sheets leaves room on the smallest host
     # Guards against limits that hold in small only; bodies of 4 MB and heads
--- a/hornbeamrudder/crowds/features/steps/crowd_steps.py
+++ b/hornbeamrudder/crowds/features/steps/crowd_steps.py
@@ -10,6 +10,7 @@
 from hornbeamrudder.crowds import crowd
 from hornbeamrudder.crowds import process_usage
 from hornbeamrudder.soak import deployment
+from hornbeamrudder.standins import endless
 from hornbeamrudder.standins import platform_caller
 
 BODY_BYTES = 1_000_000
@@ -23,6 +24,15 @@
 ATTEMPT_TIMEOUT_S = 3.0
 REMAINING_MS = 3000
 SMALL_BODY = b'x' * 200
+# Of each engine; a node may repeat a request at another one.
+ANSWERS = 400
+# Until the node knows the engines by their own addresses.
+KNOWN_S = 1.0
+BURST_BYTES_BY_ANSWER = {
+    endless.Endless.EVENTS: None,
+    endless.Endless.EVENT: 60_000,
+    endless.Endless.SIZED: 950_000,
+}
 
 PATH = '/look/x'
 
@@ -66,13 +76,61 @@
     runner.run(context.system.start())
     context.node = context.system.nodes[0]
     assert context.node.is_running
-    context.crowd = None
+    context.crowds = []
+
+
+@behave.given('engines that answer "{status}" and "{kind}" without end')
+def answer_without_end(context, status, kind):
+    answer = endless.Endless(kind)
+    events = b'data: x\n\n' if status.startswith('200') else None
+    for backend in context.system.backends:
+        if backend.server.service != deployment.ENGINE_SERVICE:
+            continue
+        # Without the proxy, which would be busy with all the bytes.
+        context.system.register(backend, address=backend.server.address)
+        backend.server.behaviours = [
+            endless.Answer(
+                answer,
+                events,
+                status=status,
+                burst_bytes=BURST_BYTES_BY_ANSWER[answer],
+            )
+            for _ in range(ANSWERS)
+        ]
+    context.runner.run(asyncio.sleep(KNOWN_S))
 
 
 @behave.when('{count:d} clients send "{kind}"')
 def play_crowd(context, count, kind):
+    context.crowds = [
+        crowd.Crowd(
+            crowd.Kind(kind), count, _targets(context), context.limits
+        )
+    ]
+    context.runner.run(_play(context))
+
+
+@behave.when(
+    '{unread:d} clients leave the answers unread and {count:d} send "{kind}"'
+)
+def play_both_crowds(context, unread, count, kind):
+    context.crowds = [
+        crowd.Crowd(
+            crowd.Kind.ONE_UNREAD,
+            unread,
+            _targets(context)[:1],
+            context.limits,
+        ),
+        crowd.Crowd(
+            crowd.Kind(kind), count, _targets(context), context.limits
+        ),
+    ]
+    context.runner.run(_play(context))
+
+
+def _targets(context):
     system, node = context.system, context.node
-    targets = tuple(
+    return tuple(
         crowd.Target(types.Address(node.ip, port), path)
         for port, path in (
             (system.front_port, '/chat/x'),
@@ -81,15 +139,18 @@
             (system.metrics_port, '/metrics'),
         )
     )
-    context.crowd = crowd.Crowd(
-        crowd.Kind(kind), count, targets, context.limits
-    )
-    context.runner.run(_play(context, context.crowd))
 
 
-async def _play(context, clients):
+async def _play(context):
     context.sampling = asyncio.create_task(_sample_descriptors(context))
-    await clients.start(SETTLE_S)
+    await asyncio.gather(
+        *(clients.start(SETTLE_S) for clients in context.crowds)
+    )
+
+
+async def _stop(context):
+    for clients in context.crowds:
+        await clients.stop()
 
 
 async def _sample_descriptors(context):
@@ -143,7 +204,7 @@
     'the node answers a small and the largest request when they have left'
 )
 def check_answers_after(context):
-    context.runner.run(context.crowd.stop())
+    context.runner.run(_stop(context))
     context.runner.run(_check_answers(context))
     context.sampling.cancel()
     _check_usage(context)
@@ -178,7 +239,8 @@
     if not context.node.is_running:
         return f'the process ended: {context.node.process.returncode}'
     peak = process_usage.peak_memory_bytes(context.node.process.pid)
+    sent = sum(clients.sent_bytes for clients in context.crowds)
     return (
         f'{peak / 1e6:.0f} MB, {context.peak_descriptors} descriptors,'
-        f' crowd sent {context.crowd.sent_bytes / 1e6:.0f} MB'
+        f' crowd sent {sent / 1e6:.0f} MB'
     )
--- a/hornbeamrudder/standins/endless.py
+++ b/hornbeamrudder/standins/endless.py
@@ -12,6 +12,7 @@
 SLOW_BYTES = 1
 SLOW_INTERVAL_S = 0.1
 _FILLER = b'x' * PIECE_BYTES
+_EVENT = b'data: ' + b'x' * 4000 + b'\n\n'
 
 
 class Endless(enum.Enum):
@@ -19,7 +20,7 @@
 
     `OTHER_ANSWER` is the body of an answer to another request. `DRIP` sends a
     few bytes at a time within an event; the other kinds send as fast as the
-    connection takes it.
+    connection takes it. The events of `EVENTS` are complete.
     """
 
     BLANK_HEAD = 'blank lines before the head'
@@ -33,6 +34,7 @@
     CHUNK_EXTENSION = 'chunk extension'
     TRAILER = 'trailer'
     EVENT = 'event'
+    EVENTS = 'complete events'
     BLANK_LINES = 'blank lines'
     DRIP = 'drip'
 
@@ -124,5 +126,7 @@
             return chunked, _chunk(b'\n' * PIECE_BYTES)
         case Endless.DRIP:
             return chunked, _chunk(b'xxxx')
+        case Endless.EVENTS:
+            return chunked, _chunk(_EVENT)
         case Endless.CHUNKED | Endless.EVENT:
             return chunked, chunk
