Let the stand-ins of a crowd go on

Cause: engines that answer without end share a process with the crowd and with the servers of ordinary requests.

Change: complete events go on slowly after 1 MB for each answer, more than a node, its kernel and the client's hold of one. An ordinary client waits 0.3 s before it repeats a request. Crowd, bounds and number of attempts stay.

--- a/hornbeamrudder/crowds/features/steps/crowd_steps.py
+++ b/hornbeamrudder/crowds/features/steps/crowd_steps.py
@@ -22,14 +22,17 @@
 # An ordinary client retries a request that was refused or not answered.
 ATTEMPTS = 8
 ATTEMPT_TIMEOUT_S = 3.0
+REPEAT_S = 0.3
 REMAINING_MS = 3000
 SMALL_BODY = b'x' * 200
 # Of each engine; a node may repeat a request at another one.
 ANSWERS = 400
 # Until the node knows the engines by their own addresses.
 KNOWN_S = 1.0
+# After which an answer goes on slowly: the engines share a process with the
+# crowd, and with the servers of ordinary requests.
 BURST_BYTES_BY_ANSWER = {
-    endless.Endless.EVENTS: None,
+    endless.Endless.EVENTS: 1_000_000,
     endless.Endless.EVENT: 60_000,
     endless.Endless.SIZED: 950_000,
 }
@@ -103,9 +106,7 @@
 @behave.when('{count:d} clients send "{kind}"')
 def play_crowd(context, count, kind):
     context.crowds = [
-        crowd.Crowd(
-            crowd.Kind(kind), count, _targets(context), context.limits
-        )
+        crowd.Crowd(crowd.Kind(kind), count, _targets(context), context.limits)
     ]
     context.runner.run(_play(context))
 
@@ -190,6 +191,7 @@
                 writer.close()
         if seen[-1] == 200:
             break
+        await asyncio.sleep(REPEAT_S)
     return seen
 
 
