Read on after an upgrade, and bound the time of small pieces

Cause: a request that asks to change the protocol (`Upgrade: h2c`, as some libraries send at first) was run without its body, and the client got a 400 behind its answer. A request that holds its body back until 100 Continue got none behind another one, and 408 later. Each pause for very small pieces started the time for a body anew, so that its client was read on and on.

Change: the body is read with the framing of its head, and the connection goes on in HTTP/1.1; CONNECT is refused as before. 100 Continue follows the earlier responses. Pauses add up instead of starting the time anew, and bytes kept unread count as activity when they are taken up.

The step that waits for 100 Continue now finds it behind a response, and at the start as before.

Conclusion: a request inside the limits that asks for another protocol is served whole; small pieces have the time that all bodies have.

--- a/hornbeamrudder/gateway/caller_connection.py
+++ b/hornbeamrudder/gateway/caller_connection.py
@@ -255,10 +255,21 @@
             else:
                 pauses.pause(reading_pauses.PauseReason.GRANT)
                 gate.schedule_sweep()
-        if self._reader.expects_continue and not pauses:
+        self._check_continue()
+
+    def _check_continue(self) -> None:
+        """Let the client send a body that it holds back.
+
+        Earlier requests are answered first.
+        """
+        if (
+            self._reader.expects_continue
+            and not self._pauses
+            and self._task is None
+            and not self._pending
+        ):
             self._reader.expects_continue = False
-            if self._task is None:
-                self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+            self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def _take_grant(self) -> None:
         self._reader.granted += self._wanted_grant
@@ -269,6 +280,7 @@
         if reason not in pauses:
             return
         pauses.end(reason)
+        self._last_activity_at = clock.now()
         if not pauses.keeps_unparsed:
             unparsed, self._unparsed = self._unparsed, b''
             self._check_grant()
@@ -289,7 +301,7 @@
 
     def on_request(self, request: request_reader.CallerRequest) -> None:
         """Queue a request for the handler, in order of arrival."""
-        self._pauses.restart_pace()
+        self._pauses.restart()
         self._account.queue(request)
         self._pending.append(request)
         if not self._account.settle() and not self._is_discarding:
@@ -346,6 +358,7 @@
                 # client does not take a partial response as complete.
                 self.abort()
         self._start_next()
+        self._check_continue()
         self._update_phase()
 
     # End
@@ -412,7 +425,7 @@
 
     def _check_reading(self, now: float) -> None:
         limits = self.server.limits
-        waited_s = now - max(self._reader.started_at, self._pauses.resumed_at)
+        waited_s = now - self._reader.started_at - self._pauses.paused_s
         if self._reader.in_head:
             if waited_s > limits.header_timeout_s:
                 self._refuse(408)
--- a/hornbeamrudder/gateway/features/client_limits.feature
+++ b/hornbeamrudder/gateway/features/client_limits.feature
@@ -112,3 +112,38 @@
       | a body of 4194304 after 100 Continue    | 1     |
       | a body of 20000 in chunks of 1          | 1     |
       | a head of 200 fields                    | 1     |
+      | upgrade of 3 requests                   | 3     |
+      | upgrade with 2 bodies of 3000           | 2     |
+      | upgrade with a body of 3000 in chunks of 60 | 1 |
+
+  Scenario: A request behind another one is told to continue
+    # Guards against an ordinary client that waits to send its body until the
+    # time for it is over.
+    Given a server in memory whose handler answers
+    When a client sends a request, and one that expects to be told to continue
+    Then it receives 2 whole responses with status 200
+
+  Scenario Outline: A request without a clear end is refused and not run
+    # Guards against a body that is taken for a request, and framing that is
+    # read without end.
+    Given a server in memory whose handler answers
+    When an unclear request is sent, with "<input>"
+    Then <run> requests are run, and the last response is <status> and closes
+
+    Examples:
+      | input                        | run | status |
+      | two lengths                  | 0   | 400    |
+      | a length and chunks          | 0   | 400    |
+      | a chunk extension to no end  | 0   | 400    |
+      | trailers to no end           | 0   | 400    |
+      | blank lines to no end        | 0   | 431    |
+      | requests behind the last one | 1   | 200    |
+
+  Scenario: Pauses for small pieces do not lengthen the time for a body
+    # Guards against a client that is read without end, because each pause
+    # starts its time anew.
+    Given a server in memory whose handler answers
+    And the time for a body is 0.6 seconds
+    When a client sends 1200 chunks of one byte every 0.2 seconds
+    Then it is refused before it gives up
+    And 0 requests are run, and the last response is 408 and closes
--- a/hornbeamrudder/gateway/features/steps/client_limits_steps.py
+++ b/hornbeamrudder/gateway/features/steps/client_limits_steps.py
@@ -1,6 +1,7 @@
 """Steps for the limits on what clients make a node hold."""
 
 import asyncio
+import dataclasses
 import random
 
 import behave
@@ -16,6 +17,8 @@
 NOW = 1000.0
 MB = 1_000_000
 SEED = 11
+# Until a client of small pieces gives up.
+SMALL_BURSTS = 60
 BATCH = 50
 IP = '127.0.0.1'
 
@@ -300,6 +303,11 @@
     assert abs(context.delays[-1] - seconds) < 1e-6, context.delays
 
 
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+CONTINUE_S = 5.0
+UPGRADE = b'Connection: Upgrade\r\nUpgrade: h2c\r\n'
+
+
 def _sized(size, extra=b''):
     return b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n%s\r\n' % (
         size,
@@ -311,6 +319,19 @@
     """Return what a client sends, the rest after 100, and its body bytes."""
     numbers = [int(word) for word in text.split() if word.isdigit()]
     match text.split()[0], numbers:
+        case 'upgrade', [count, size] if 'bodies' in text:
+            request = _sized(size, UPGRADE) + b'x' * size
+            return request * count, b'', size * count
+        case 'upgrade', [size, step] if 'chunks' in text:
+            head, _, body = _inputs(f'chunked {size} of {step}')[0].partition(
+                b'\r\n\r\n'
+            )
+            return head + b'\r\n' + UPGRADE + b'\r\n' + body, b'', size
+        case 'upgrade', [count]:
+            return _sized(0, UPGRADE) * count, b'', 0
+        case 'continue', []:
+            head = _sized(3000, b'Expect: 100-continue\r\n')
+            return _sized(0) + head, b'x' * 3000, 3000
         case _, [count] if 'ahead' in text:
             return _sized(0) * count, b'', 0
         case _, [count, size] if 'ahead' in text:
@@ -350,11 +371,12 @@
         )
         reader, writer = await asyncio.open_connection(IP, port)
         writer.write(before)
+        received = b''
         if after:
-            line = await reader.readuntil(b'\r\n\r\n')
-            assert b' 100 ' in line, line
+            async with asyncio.timeout(CONTINUE_S):
+                received = await reader.readuntil(CONTINUE)
+            received = received.removesuffix(CONTINUE)
             writer.write(after)
-        received = b''
         async with asyncio.timeout(20):
             while received.count(b'y' * 300) < max(1, len(context.bodies)) or (
                 context.server.busy
@@ -375,3 +397,92 @@
     assert context.received.count(b'y' * 300) == count
     assert len(context.bodies) == count, context.bodies
     assert sum(context.bodies) == context.body_bytes, context.bodies
+
+
+@behave.when(
+    'a client sends a request, and one that expects to be told to continue'
+)
+def send_behind_another(context):
+    send_inside_limits(context, 'continue')
+
+
+def _unclear(text):
+    head = b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n'
+    match text:
+        case 'two lengths':
+            return _sized(3, b'Content-Length: 4\r\n') + b'xxxx'
+        case 'a length and chunks':
+            return head + b'Content-Length: 3\r\n\r\n0\r\n\r\n'
+        case 'a chunk extension to no end':
+            return head + b'\r\n1;' + b'e' * MB
+        case 'trailers to no end':
+            return head + b'\r\n0\r\n' + b'ab: cd\r\n' * 100_000
+        case 'blank lines to no end':
+            return b'\r\n' * MB
+    return _sized(0, b'Connection: close\r\n') + _sized(0) * 1000
+
+
+@behave.when('an unclear request is sent, with "{text}"')
+def send_unclear(context, text):
+    _send_and_read(context, [_unclear(text)], 0.0)
+
+
+@behave.given('the time for a body is {seconds:f} seconds')
+def limit_body_time(context, seconds):
+    context.server.limits = dataclasses.replace(
+        context.server.limits, body_timeout_s=seconds
+    )
+
+
+@behave.when(
+    'a client sends {count:d} chunks of one byte every {seconds:f} seconds'
+)
+def send_small_pieces(context, count, seconds):
+    head = b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+    chunks = b'1\r\nx\r\n' * count
+    _send_and_read(context, [head, *[chunks] * SMALL_BURSTS], seconds)
+
+
+def _send_and_read(context, pieces, pause_s):
+    context.runs = 0
+    answer = context.server.handler
+
+    async def handle(request, reply):
+        context.runs += 1
+        await answer(request, reply)
+
+    async def send(writer):
+        for piece in pieces:
+            writer.write(piece)
+            await asyncio.sleep(pause_s)
+
+    async def run():
+        (port,) = ports.reserve(1)
+        opened = await listener.open_listener(
+            types.Address(IP, port), context.server
+        )
+        reader, writer = await asyncio.open_connection(IP, port)
+        sending = asyncio.create_task(send(writer))
+        async with asyncio.timeout(20):
+            context.received = await reader.read()
+        context.was_sending = sending.cancel()
+        writer.close()
+        opened.close()
+
+    context.server.handler = handle
+    asyncio.run(run())
+
+
+@behave.then('it is refused before it gives up')
+def check_was_sending(context):
+    assert context.was_sending
+
+
+@behave.then(
+    '{runs:d} requests are run, and the last response is {status:d} and closes'
+)
+def check_refused(context, runs, status):
+    assert context.runs == runs, context.runs
+    heads = context.received.split(b'HTTP/1.1 ')[1:]
+    assert [int(head[:3]) for head in heads] == [status], heads
+    assert b'Connection: close' in heads[-1], heads
--- a/hornbeamrudder/gateway/reading_pauses.py
+++ b/hornbeamrudder/gateway/reading_pauses.py
@@ -25,8 +25,8 @@
 
     Attributes
     ----------
-    resumed_at : float
-        Time of the end of the latest pause, on `clock.now`.
+    paused_s : float
+        Time of the pauses since the latest complete request.
     """
 
     def __init__(
@@ -42,7 +42,8 @@
         self._pacer = pacer
         self._reasons: set[PauseReason] = set()
         self._shortfall = 0
-        self.resumed_at = 0.0
+        self._paused_at = 0.0
+        self.paused_s = 0.0
 
     def __bool__(self) -> bool:
         return bool(self._reasons)
@@ -58,13 +59,16 @@
     def pause(self, reason: PauseReason) -> None:
         """Stop reading."""
         self._transport.pause_reading()
+        if not self._reasons:
+            self._paused_at = clock.now()
         self._reasons.add(reason)
         self._count_unreceived()
 
     def end(self, reason: PauseReason) -> None:
         """End one pause; `read_on` resumes reading."""
         self._reasons.discard(reason)
-        self.resumed_at = clock.now()
+        if not self._reasons:
+            self.paused_s += clock.now() - self._paused_at
         self._count_unreceived()
 
     def read_on(self) -> None:
@@ -94,9 +98,10 @@
         shortfall, self._shortfall = self._shortfall, 0
         return self._pacer.delay_s(shortfall, clock.now())
 
-    def restart_pace(self) -> None:
+    def restart(self) -> None:
         """Start anew after a complete request."""
         self._shortfall = 0
+        self.paused_s = 0.0
 
     def _count_unreceived(self) -> None:
         self._account.set_part(
--- a/hornbeamrudder/gateway/request_reader.py
+++ b/hornbeamrudder/gateway/request_reader.py
@@ -75,6 +75,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self.limits = records.CallerLimits()
         self.pieces = 0
+        self._is_repeated_head = False
         self._max_fields = 0
         self.has_failed = False
         self._completed = 0
@@ -136,13 +137,50 @@
         completed, body_bytes = self._completed, self._body_bytes
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
+        except httptools.HttpParserUpgrade as upgrade:
+            self._ignore_upgrade(data[upgrade.args[0] :])
+        except httptools.HttpParserError:
             self._fail(400)
         if completed == self._completed and not self.has_failed:
             self._check_non_body_bytes(
                 len(data), self._body_bytes - body_bytes
             )
 
+    def _ignore_upgrade(self, rest: memoryview) -> None:
+        """Read on in HTTP/1.1 after a request to change the protocol.
+
+        The parser takes the body of such a request for the new protocol, so
+        another one reads it behind a head with the same framing.
+        """
+        upgraded = self._parser
+        if upgraded.get_method() == b'CONNECT':
+            self._fail(400)
+            return
+        self._parser = httptools.HttpRequestParser(self)
+        if self.is_reading and not self.has_failed:
+            lines = [
+                upgraded.get_method() + b' / HTTP/1.1',
+                b'Transfer-Encoding: chunked'
+                if self._declared_bytes is None
+                else b'Content-Length: %d' % self._declared_bytes,
+            ]
+            if not upgraded.should_keep_alive():
+                lines.append(b'Connection: close')
+            self._is_repeated_head = True
+            self._parser.feed_data(b'\r\n'.join([*lines, b'', b'']))
+            self._is_repeated_head = False
+        if rest:
+            self.feed(rest)
+
+    @property
+    def _awaits_upgraded_body(self) -> bool:
+        """Whether the parser ends a request before its body."""
+        return (
+            self._parser.should_upgrade()
+            and self._parser.get_method() != b'CONNECT'
+            and self._declared_bytes != 0
+        )
+
     def _fail(
         self, status: int, reason: client_limits.Reason | None = None
     ) -> None:
@@ -164,7 +202,7 @@
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
-        if self.has_failed:
+        if self.has_failed or self._is_repeated_head:
             return
         self._reset()
         self.is_reading = True
@@ -175,7 +213,7 @@
 
     def on_url(self, data: bytes) -> None:
         """Collect the request target, which may arrive in pieces."""
-        if self.has_failed:
+        if self.has_failed or self._is_repeated_head:
             return
         self.pieces += 1
         self._target += data
@@ -199,7 +237,7 @@
     def on_headers_complete(self) -> None:
         """Check the declared length and note `Expect: 100-continue`."""
         self.in_head = False
-        if self.has_failed:
+        if self.has_failed or self._is_repeated_head:
             return
         value_by_name = {name.lower(): value for name, value in self._headers}
         if b'transfer-encoding' not in value_by_name:
@@ -226,7 +264,7 @@
     def on_message_complete(self) -> None:
         """Pass the request on."""
         self.pieces += 1
-        if self.has_failed:
+        if self.has_failed or self._awaits_upgraded_body:
             return
         request = CallerRequest(
             method=self._parser.get_method(),
