Leave a side alone that holds no more than its own part

Cause: each counted byte asked for the room that the other side leaves, and a side within its own part was limited while requests in progress of the other one took more than is lent.

Change: a side that holds at most its own part is never limited, and the room is worked out only above that.

Conclusion: no other decision.

--- a/hornbeamrudder/gateway/byte_limits.py
+++ b/hornbeamrudder/gateway/byte_limits.py
@@ -67,7 +67,10 @@
     @property
     def is_pressed(self) -> bool:
         """Whether little of the room is left."""
-        room = self._limit.room(shared_limit.Side.SERVERS)
+        limit = self._limit
+        if self.total <= PRESSED_SHARE * limit.reserved:
+            return False
+        room = limit.room(shared_limit.Side.SERVERS)
         return self.total > PRESSED_SHARE * room
 
     def add(self, holder: Holder, count: int) -> None:
@@ -76,8 +79,11 @@
             self._count_by_holder.get(holder, 0) + count
         )
         self.total += count
-        if self.total > self._limit.room(shared_limit.Side.SERVERS):
-            self._limit.settle(clock.now())
+        limit = self._limit
+        if self.total > limit.reserved and (
+            self.total > limit.room(shared_limit.Side.SERVERS)
+        ):
+            limit.settle(clock.now())
 
     def reduce(self, target: int, now: float) -> None:
         """End the largest answers until `target` bytes are held."""
--- a/hornbeamrudder/gateway/client_limits.py
+++ b/hornbeamrudder/gateway/client_limits.py
@@ -212,7 +212,7 @@
     @property
     def is_full(self) -> bool:
         """Whether the limit is exceeded."""
-        return self.total > self.limit
+        return self.total > self._limit.reserved and self.total > self.limit
 
     @property
     def waiting(self) -> int:
--- a/hornbeamrudder/gateway/connection_account.py
+++ b/hornbeamrudder/gateway/connection_account.py
@@ -107,9 +107,9 @@
     def settle(self) -> bool:
         """Close others if the limit is exceeded; return whether it is not."""
         account = self._account
-        if account.total > account.limit:
+        if account.is_full:
             account.settle(clock.now())
-        return account.total <= account.limit
+        return not account.is_full
 
     def start(self, request: request_reader.CallerRequest) -> None:
         """Count a queued request as in progress."""
--- a/hornbeamrudder/gateway/shared_limit.py
+++ b/hornbeamrudder/gateway/shared_limit.py
@@ -41,10 +41,16 @@
     ----------
     limit : int
         In bytes.
+
+    Attributes
+    ----------
+    reserved : int
+        Bytes that each side keeps; one that holds no more is not limited.
     """
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
+        self.reserved = int(RESERVED_SHARE * limit)
         self._account_by_side: dict[Side, Account] = {}
         self._is_settling = False
 
@@ -56,7 +62,7 @@
         """Return the bytes that a side may hold now."""
         return self.limit - max(
             (
-                max(account.total, int(RESERVED_SHARE * self.limit))
+                max(account.total, self.reserved)
                 for other, account in self._account_by_side.items()
                 if other is not side
             ),
@@ -79,22 +85,17 @@
                 key=lambda item: item[1].total,
                 reverse=True,
             )
-            for (side, account), share in zip(
-                in_order, (EVEN_SHARE, RESERVED_SHARE), strict=False
+            for (side, account), kept in zip(
+                in_order,
+                (int(EVEN_SHARE * self.limit), self.reserved),
+                strict=False,
             ):
-                room = self.room(side)
-                least = self._least(share)
-                if account.total > max(room, least):
-                    account.reduce(max(room, least), now)
+                target = max(self.room(side), kept)
+                if account.total > target:
+                    account.reduce(target, now)
         finally:
             self._is_settling = False
 
-    def _least(self, share: float) -> int:
-        """Return what a side may keep while there is another one."""
-        if len(self._account_by_side) < len(Side):
-            return 0
-        return int(share * self.limit)
-
 
 def for_memory(memory_bytes: float) -> SharedLimit:
     """Return the limit of a node that may use `memory_bytes` bytes."""
