Choose engines by measured speeds and by work that reports do not show

Cause: where nodes report through hubs, loads are 0.3 to 0.6 s old and an engine gets 5 to 8 prompts in that time, so that all nodes take the same ones: 64 to 77 requests in progress at one engine of 32 slots, 1 at another. Hosts that take 0.7 to 1.7 times the usual time count alike. 0.3 of the engines are set aside for long prompts by a hash of their names, whatever the load.

Change: all nodes publish samples of the pauses between events, and the work that they place, as sums (`server_speed.py`). `service_load.py` derives speeds, prefill rate, unseen work and the wait for a slot; `unseen_load.py` draws a server by its share of the unseen work. `long_prompts.py` says at how many engines long prompts gather, from the load of all nodes; no engine is set aside.

--- a/hornbeamrudder/gateway/exchange.py
+++ b/hornbeamrudder/gateway/exchange.py
@@ -228,7 +228,10 @@
         )
         if digest.hub == self._source:
             self._state.servers.apply_report(
-                ALL_OTHERS, digest.load_by_server, clock.now()
+                ALL_OTHERS,
+                digest.load_by_server,
+                clock.now(),
+                peers.interval_s(self._state.peers.node_count),
             )
 
     # Sending
@@ -250,6 +253,7 @@
         report = self._report(now, interval_s)
         state.peers.send(report)
         state.sums.set_nodes(state.peers.live_nodes(), self._source)
+        self._exchange_speeds(now)
         sums = state.sums.report()
         if sums is not None:
             state.peers.send(sums)
@@ -258,6 +262,17 @@
         state.servers.expire_reports(now, interval_s)
         return True
 
+    def _exchange_speeds(self, now: float) -> None:
+        for record in self._state.load.exchange(now):
+            self._state.log.info(
+                'speed of a backend server has changed',
+                server=record.entry.id,
+                service=record.entry.service,
+                data_centre=record.entry.data_centre,
+                slowness=round(record.slowness(now), 2),
+                running=record.running + record.peer_running,
+            )
+
     def _step_with_hubs(self, now: float, hubs: list[ids.NodeId]) -> None:
         """Send what does not wait for the interval between reports."""
         self._send_usage(now)
--- a/hornbeamrudder/gateway/features/long_prompt_simulation.py
+++ b/hornbeamrudder/gateway/features/long_prompt_simulation.py
@@ -10,7 +10,9 @@
 
 from hornbeamrudder.core import hashing
 from hornbeamrudder.core import ids
+from hornbeamrudder.gateway import long_prompts
 from hornbeamrudder.gateway import server_selection
+from hornbeamrudder.gateway import server_speed
 
 PREFILL_TOKENS_PER_MS = 90.0
 TARGET_GAP_MS = 500.0
@@ -38,9 +40,28 @@
     id: ids.WorkerId
     streams: list[Stream] = dataclasses.field(default_factory=list)
     prefill_ends_at: float = 0.0
+    slowness: float = 1.0
 
 
-def simulate(engines, rate_per_s, seconds, gap_ms, seed):
+def _gathering_count(placed, now, engines):
+    tokens, long_tokens = (
+        figure / (server_speed.WORK_AGE_S * 1e3 * PREFILL_TOKENS_PER_MS)
+        for figure in placed.at_time(now / 1e3)
+    )
+    return long_prompts.gathering_count(
+        long_tokens, tokens - long_tokens, engines
+    )
+
+
+def simulate(
+    engines,
+    rate_per_s,
+    seconds,
+    gap_ms,
+    seed,
+    slowness=1.0,
+    short_waits_ms=None,
+):
     """Return the number of streams and the number with a long pause.
 
     Parameters
@@ -48,11 +69,21 @@
     gap_ms : float
         Target for the gap between events that the server selection uses; 0
         for none.
+    slowness : float
+        Duration of a prefill at every fourth engine, relative to the others.
+    short_waits_ms : list of float
+        Takes the time to the end of its prefill of each other prompt.
     """
     rng = random.Random(seed)
     all_engines = [
-        Engine(ids.WorkerId(f'w{number}')) for number in range(engines)
+        Engine(
+            ids.WorkerId(f'w{number}'),
+            slowness=slowness if number % 4 == 3 else 1.0,
+        )
+        for number in range(engines)
     ]
+    hashes = [hashing.stable_hash(engine.id) for engine in all_engines]
+    placed = server_speed.DecayingSums(server_speed.WORK_AGE_S, (0.0, 0.0))
     now, all_streams = 0.0, []
     while now < seconds * 1e3:
         now += rng.expovariate(rate_per_s / 1e3)
@@ -64,15 +95,21 @@
         requirements = server_selection.Requirements(
             prompt_tokens, PREFILL_TOKENS_PER_MS, 1e6, 1.0, gap_ms
         )
+        highest_gathering_hash = long_prompts.highest_gathering_hash(
+            hashes, _gathering_count(placed, now, engines)
+        )
         candidates = [
             server_selection.Candidate(
                 engine.id,
                 SLOTS_PER_ENGINE,
                 len(engine.streams),
-                max(0.0, engine.prefill_ends_at - now) * PREFILL_TOKENS_PER_MS,
-                for_long_prompts=server_selection.is_long_prompt_engine(
-                    hashing.stable_hash(engine.id)
+                max(0.0, engine.prefill_ends_at - now)
+                * PREFILL_TOKENS_PER_MS
+                / engine.slowness,
+                gathers_long_prompts=(
+                    hashing.stable_hash(engine.id) <= highest_gathering_hash
                 ),
+                slowness=engine.slowness,
             )
             for engine in server_selection.sample(
                 all_engines, requirements, rng
@@ -82,10 +119,25 @@
         if chosen is None:
             continue
         engine = all_engines[int(chosen.id[1:])]
+        placed.add(
+            (
+                prompt_tokens,
+                prompt_tokens
+                * server_selection.may_stall_streams(requirements),
+            ),
+            now / 1e3,
+        )
         prefill_starts_at = max(now, engine.prefill_ends_at)
         engine.prefill_ends_at = (
-            prefill_starts_at + prompt_tokens / PREFILL_TOKENS_PER_MS
+            prefill_starts_at
+            + engine.slowness * prompt_tokens / PREFILL_TOKENS_PER_MS
         )
+        if (
+            short_waits_ms is not None
+            and prompt_tokens / PREFILL_TOKENS_PER_MS
+            < server_selection.TOLERATED_GAP_SHARE * TARGET_GAP_MS
+        ):
+            short_waits_ms.append(engine.prefill_ends_at - now)
         if engine.prefill_ends_at - now > TARGET_GAP_MS:
             for stream in engine.streams:
                 stream.has_long_pause = True
--- a/hornbeamrudder/gateway/features/roll_out_fleet_run.py
+++ b/hornbeamrudder/gateway/features/roll_out_fleet_run.py
@@ -5,7 +5,6 @@
 the entries of the servers.
 """
 
-import collections
 import itertools
 import random
 from unittest import mock
@@ -63,9 +62,6 @@
         node_state = mock.MagicMock(
             servers=self._registry,
             rollouts=self.rollouts,
-            prefill_rate_by_service=collections.defaultdict(
-                lambda: fleet_plan_run.TOKENS_PER_MS
-            ),
         )
         node_state.configuration.urgency_by_service = {
             SERVICE.name: records.Urgency(target_s=0.4)
--- a/hornbeamrudder/gateway/features/steps/fleet_steps.py
+++ b/hornbeamrudder/gateway/features/steps/fleet_steps.py
@@ -280,7 +280,6 @@
     state = mock.MagicMock(
         servers=registry,
         sums=shared_sums.SharedSums(ids.NodeId('n'), 1),
-        prefill_rate_by_service=collections.defaultdict(lambda: 50.0),
         queue_by_service=collections.defaultdict(list),
     )
     state.peers.waiting.return_value = 0
--- a/hornbeamrudder/gateway/fleet_orders.py
+++ b/hornbeamrudder/gateway/fleet_orders.py
@@ -10,6 +10,7 @@
 from . import records
 from . import server_need
 from . import server_registry
+from . import service_load
 
 # Reclaimable servers count as unavailable for this long after a refused order.
 RECLAIMABLE_SHORTAGE_S = 3.0
@@ -133,10 +134,7 @@
             service.engine.slots
             if service.engine
             else max((record.entry.slots for record in usable), default=1),
-            (
-                demand.tokens_per_ms
-                or state.prefill_rate_by_service[service.name]
-            )
+            (demand.tokens_per_ms or service_load.INITIAL_TOKENS_PER_MS)
             if service.engine
             else 0.0,
             urgency.target_s,
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -28,9 +28,7 @@
 # Time before a stream that has started is sent to a server again that has
 # refused or failed it.
 REVISIT_S = 0.15
-# Share of a backend server's slots that is reserved for the most urgent rank.
-RESERVED_SLOT_SHARE = 0.15
-# Longest prefill backlog at an engine to which a less urgent request is sent,
+# Longest expected wait at an engine to which a less urgent request is sent,
 # as a share of the service's shortest target time. Keeps the backlog short
 # enough for urgent prompts to be prefilled in time.
 MAX_BACKLOG_SHARE = 0.3
@@ -339,6 +337,7 @@
         """
         rollouts = self.state.rollouts
         service = call.service.name
+        requirements = self._requirements(call)
         for accepts in (
             rollouts.choices(service, may_try=not call.sends)
             if source is None
@@ -347,7 +346,7 @@
             placement = self.state.servers.reserve(
                 call.service,
                 call.admitted.metadata,
-                self._requirements(call),
+                requirements,
                 excluded,
                 self.state.rng,
                 clock.now(),
@@ -355,6 +354,12 @@
             )
             if placement is not None:
                 rollouts.record_placement(placement.record.entry)
+                self.state.load.speeds.record_placed(
+                    service,
+                    placement.uncached_tokens,
+                    clock.now(),
+                    server_selection.may_stall_streams(requirements),
+                )
                 if not call.sends:
                     self.state.arrivals.record(
                         service, placement.uncached_tokens
@@ -386,22 +391,24 @@
     def _requirements(self, call: calls.Call) -> server_selection.Requirements:
         if call.service.engine is None:
             return server_selection.Requirements(slot_share=2.0)
+        load = self.state.load.figures(call.service.name, clock.now())
         route = call.admitted.route
         urgency = self._urgency(call.service.name)
         urgent = route.rank <= urgency.rank
         return server_selection.Requirements(
             prompt_tokens=max(1, call.admitted.metadata.prompt_tokens),
-            tokens_per_ms=self.state.prefill_rate_by_service[
-                call.service.name
-            ],
             allowed_wait_ms=1e3
             * (
                 URGENT_MAX_BACKLOG_SHARE * route.target_s
                 if urgent
                 else MAX_BACKLOG_SHARE * urgency.target_s
             ),
-            slot_share=1.0 if urgent else 1.0 - RESERVED_SLOT_SHARE,
             gap_ms=1e3 * urgency.gap_s,
+            tokens_per_ms=load.tokens_per_ms,
+            unseen_ms=load.unseen_ms,
+            run_ms=load.run_ms,
+            running_error=load.running_error,
+            gathering=load.gathering,
         )
 
     def _urgency(self, service: ids.ServiceName) -> records.Urgency:
--- a/hornbeamrudder/gateway/host_speed.py
+++ b/hornbeamrudder/gateway/host_speed.py
@@ -34,6 +34,11 @@
     slowness: float = 1.0
     at: float = float('-inf')
 
+    @property
+    def is_stated(self) -> bool:
+        """Whether the server states figures at all."""
+        return self.at > float('-inf')
+
 
 def updated(speed: HostSpeed, stated: float, now: float) -> HostSpeed:
     """Return the estimate after a response that states a slowness."""
--- a/hornbeamrudder/gateway/metrics.py
+++ b/hornbeamrudder/gateway/metrics.py
@@ -90,6 +90,13 @@
             'Time that requests waited for a place at a backend server.',
         )
 
+        self.server_slowness = aioprometheus.Gauge(
+            'hornbeamrudder_server_slowness',
+            'Duration of work at a backend server relative to the median one'
+            ' of its service, by server, service and data centre.',
+            registry=self.registry,
+        )
+
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(name, doc, registry=self.registry)
 
--- a/hornbeamrudder/gateway/node.py
+++ b/hornbeamrudder/gateway/node.py
@@ -580,6 +580,18 @@
         request: http_server.CallerRequest,
         reply: http_server.ResponseWriter,
     ) -> None:
+        now = clock.now()
+        slowness = self.state.metrics.server_slowness
+        slowness.values.clear()
+        for record in self.state.servers.by_id.values():
+            slowness.set(
+                {
+                    'server': record.entry.id,
+                    'service': record.entry.service,
+                    'data_centre': record.entry.data_centre,
+                },
+                record.slowness(now),
+            )
         reply.send(
             200,
             ((b'Content-Type', b'text/plain; version=0.0.4'),),
--- a/hornbeamrudder/gateway/node_state.py
+++ b/hornbeamrudder/gateway/node_state.py
@@ -19,20 +19,12 @@
 from ..rollouts import split
 from ..rollouts import tracker
 from . import server_registry
+from . import service_load
 from . import shared_limit
 from . import shared_sums
 from . import usage
 from . import waiting
 
-# Prefill rate of an engine until one has been measured.
-INITIAL_TOKENS_PER_MS = 50.0
-# Weight of the latest sample in the exponential moving average.
-PREFILL_RATE_WEIGHT = 0.05
-# Samples are clamped to this range; values outside are due to other work of
-# the engine.
-MIN_TOKENS_PER_MS = 5.0
-MAX_TOKENS_PER_MS = 400.0
-
 
 @dataclasses.dataclass(slots=True)
 class NodeState:
@@ -43,8 +35,8 @@
     confirmed_at : float
         Time on `clock.now` at which the latest call to the store was sent
         whose response confirmed `configuration` as current.
-    prefill_rate_by_service : dict
-        Prompt tokens per millisecond that one engine processes.
+    load : ServiceLoad
+        Speeds and load of the backend servers, as all nodes know them.
     """
 
     settings: records.NodeSettings
@@ -69,23 +61,20 @@
             default_factory=lambda: collections.defaultdict(waiting.WaitQueue)
         )
     )
-    prefill_rate_by_service: dict[ids.ServiceName, float] = dataclasses.field(
-        default_factory=lambda: collections.defaultdict(
-            lambda: INITIAL_TOKENS_PER_MS
-        )
-    )
 
     held_limit: shared_limit.SharedLimit = dataclasses.field(init=False)
     held_bytes: byte_limits.HeldBytes = dataclasses.field(init=False)
     sums: shared_sums.SharedSums = dataclasses.field(init=False)
     rollouts: tracker.RollOuts = dataclasses.field(init=False)
     arrivals: demand.Arrivals = dataclasses.field(init=False)
+    load: service_load.ServiceLoad = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.sums = shared_sums.SharedSums(self.settings.node, self.started)
         self.arrivals = demand.Arrivals(self.settings.data_centre)
         self.held_limit = shared_limit.for_memory(self.settings.memory_bytes)
         self.held_bytes = byte_limits.HeldBytes(self.held_limit)
+        self.load = service_load.ServiceLoad(self.sums, self.servers)
         self.rollouts = tracker.RollOuts(
             self.sums,
             self.servers,
@@ -193,14 +182,3 @@
                 units,
                 units_by_account[name][1],
             )
-
-    def record_prefill_rate(
-        self, service: ids.ServiceName, tokens_per_ms: float
-    ) -> None:
-        """Update the prefill rate of a service with one sample."""
-        known = self.prefill_rate_by_service[service]
-        sample = min(max(tokens_per_ms, MIN_TOKENS_PER_MS), MAX_TOKENS_PER_MS)
-        self.prefill_rate_by_service[service] = known + PREFILL_RATE_WEIGHT * (
-            sample - known
-        )
-        self.arrivals.record_prefill(service, sample)
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -13,6 +13,7 @@
 from . import records
 from . import request_body
 from . import server_registry
+from . import server_speed
 
 # Share of the target time without a response after which a retryable request
 # is tried at another backend server.
@@ -385,6 +386,7 @@
             call, attempt.sent_at, self._response_timeout_s(call, record)
         )
         first = True
+        pace = server_speed.PaceSampler()
         while True:
             if stream.resume_elsewhere_at is not None and wait_s is not None:
                 until = min(
@@ -398,6 +400,7 @@
                         if first:
                             first = False
                             self._record_first_event(call, attempt)
+                        self._record_pause(record, pace)
                         self._forward_events(call, head, event_bytes)
                         on_events()
                         await call.reply.drain()
@@ -464,15 +467,26 @@
             prefill_ms = (
                 now - attempt.sent_at
             ) * 1e3 - FIRST_EVENT_OVERHEAD_MS
-            self._state.record_prefill_rate(
-                call.service.name,
-                placement.record.slowness(now)
-                * placement.uncached_tokens
-                / max(1.0, prefill_ms),
+            usual_ms = max(1.0, prefill_ms) / placement.record.slowness(now)
+            self._state.load.speeds.record_prefill(
+                call.service.name, placement.uncached_tokens, usual_ms, now
+            )
+            self._state.arrivals.record_prefill(
+                call.service.name, placement.uncached_tokens / usual_ms
             )
         self._mark_started(call, placement)
         self._state.part_guard.record_answer(call)
 
+    def _record_pause(
+        self,
+        record: server_registry.ServerRecord,
+        pace: server_speed.PaceSampler,
+    ) -> None:
+        now = clock.now()
+        pause_ms = pace.event(now)
+        if pause_ms is not None:
+            self._state.load.speeds.record_pause(record.key, pause_ms, now)
+
     def _forward_events(
         self, call: calls.Call, head: http_client.Head, event_bytes: bytes
     ) -> None:
--- a/hornbeamrudder/gateway/server_registry.py
+++ b/hornbeamrudder/gateway/server_registry.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import random
+import statistics
 from typing import Callable, Container, Iterable, Sequence
 
 from ..core import hashing
@@ -10,6 +11,7 @@
 from . import health
 from . import host_speed
 from . import http_client
+from . import long_prompts
 from . import messages
 from . import records
 from . import reports
@@ -76,6 +78,7 @@
     key: int
     health_state: health.Health = health.Health()
     speed: host_speed.HostSpeed = host_speed.HostSpeed()
+    measured_slowness: float = 1.0
     running: int = 0
     backlog_tokens: float = 0.0
     peer_running: int = 0
@@ -102,7 +105,9 @@
 
     def slowness(self, now: float) -> float:
         """Return the duration of work on the host relative to the usual."""
-        return host_speed.slowness(self.speed, now)
+        if self.speed.is_stated:
+            return host_speed.slowness(self.speed, now)
+        return self.measured_slowness
 
     def record_slowness(self, stated: float | None, now: float) -> None:
         """Update the speed of the host from a response, if it states one."""
@@ -178,6 +183,7 @@
         self._removed_by_id: dict[ids.WorkerId, ServerRecord] = {}
         self._by_key: dict[int, ServerRecord] = {}
         self._reports: dict[ids.NodeId, tuple[float, reports.Load]] = {}
+        self._reported_age_s = 0.0
         self._directives_by_process: collections.OrderedDict[
             tuple[ids.WorkerId, records.StartedMs], Directives
         ] = collections.OrderedDict()
@@ -345,20 +351,34 @@
             )
         }
         most_preferred = preferred[0] if preferred else None
+        preferred_ids = {record.entry.id for record in preferred}
         chosen = server_selection.choose(
             self._candidates(
-                shortlist.values(), service, most_preferred, metadata, now
+                shortlist.values(),
+                service,
+                most_preferred,
+                metadata,
+                requirements,
+                now,
             ),
             requirements,
             rng,
+            preferred_ids,
+            len(shortlist) / max(1, len(usable)),
         )
         if chosen is None and len(shortlist) < len(usable):
             chosen = server_selection.choose(
                 self._candidates(
-                    usable, service, most_preferred, metadata, now
+                    usable,
+                    service,
+                    most_preferred,
+                    metadata,
+                    requirements,
+                    now,
                 ),
                 requirements,
                 rng,
+                preferred_ids,
             )
         if chosen is None:
             return None
@@ -399,8 +419,22 @@
         service: records.BackendService,
         preferred: ServerRecord | None,
         metadata: messages.RequestMetadata,
+        requirements: server_selection.Requirements,
         now: float,
     ) -> Sequence[server_selection.Candidate]:
+        highest_gathering_hash = long_prompts.highest_gathering_hash(
+            [
+                record.id_hash
+                for record in self.of_service(service.name)
+                if record.usable
+            ]
+            if requirements.gathering
+            else (),
+            requirements.gathering,
+        )
+        prefilled_tokens = (
+            1e3 * self.report_age_s(now) * requirements.tokens_per_ms
+        )
         preferred_tokens = int(
             PREFERRED_CACHED_SHARE
             * sum(part.tokens for part in metadata.prompt_parts[:-1])
@@ -410,7 +444,12 @@
                 record.entry.id,
                 record.entry.slots,
                 record.running + record.peer_running,
-                record.backlog_tokens + record.peer_backlog_tokens,
+                record.backlog_tokens
+                + max(
+                    0.0,
+                    record.peer_backlog_tokens
+                    - prefilled_tokens / record.slowness(now),
+                ),
                 max(
                     _cached_tokens(record, metadata),
                     preferred_tokens if record is preferred else 0,
@@ -418,8 +457,7 @@
                 record.entry.data_centre == self._data_centre,
                 health.is_avoided(record.health_state, now),
                 now < record.cold_until,
-                service.engine is not None
-                and server_selection.is_long_prompt_engine(record.id_hash),
+                record.id_hash <= highest_gathering_hash,
                 record.slowness(now),
             )
             for record in usable
@@ -461,13 +499,31 @@
         }
 
     def apply_report(
-        self, node: ids.NodeId, report: reports.Load, now: float
+        self,
+        node: ids.NodeId,
+        report: reports.Load,
+        now: float,
+        age_s: float = 0.0,
     ) -> None:
-        """Replace the load reported by another node."""
+        """Replace the load reported by another node.
+
+        Parameters
+        ----------
+        age_s : float
+            Age of the figures when they arrived.
+        """
         _, before = self._reports.get(node, (0.0, {}))
         self._reports[node] = (now, report)
+        self._reported_age_s = age_s
         self._replace_report(before, report)
 
+    def report_age_s(self, now: float) -> float:
+        """Return the mean age of the load reported by other nodes."""
+        if not self._reports:
+            return 0.0
+        received_at = statistics.fmean(at for at, _ in self._reports.values())
+        return now - received_at + self._reported_age_s
+
     def expire_reports(self, now: float, interval_s: float) -> None:
         """Remove the reports of nodes that have stopped reporting.
 
--- a/hornbeamrudder/gateway/server_selection.py
+++ b/hornbeamrudder/gateway/server_selection.py
@@ -5,11 +5,13 @@
 """
 
 import dataclasses
+import math
 import random
-from typing import NamedTuple, Sequence, TypeVar
+from typing import Container, NamedTuple, Sequence, TypeVar
 
 from ..core import hashing
 from ..core import ids
+from . import unseen_load
 
 _Item = TypeVar('_Item')
 
@@ -27,11 +29,11 @@
 # Cost of each delayed stream, against the time to the first event of the
 # request itself.
 STALL_PENALTY_MS = 120.0
-# Share of the engines that are kept free of streams, so that long prompts
-# delay no streams there. Short prompts are sent there only if the cost of the
-# other engines is higher by this penalty.
-LONG_PROMPT_ENGINE_SHARE = 0.3
-LONG_PROMPT_ENGINE_PENALTY_MS = 8.0
+# Short prompts go to an engine where long ones gather only if the cost of the
+# other engines is higher by this.
+GATHERING_PENALTY_MS = 8.0
+# Beyond this many standard deviations an error makes no difference.
+MAX_ERRORS = 20.0
 # Assumed service time of a request at a plain service.
 PLAIN_SERVICE_TIME_MS = 20.0
 
@@ -57,8 +59,8 @@
         Tokens of this request's prompt in its prefix cache.
     avoided : bool
         Whether it is avoided because of recent failures.
-    for_long_prompts : bool
-        Whether it is kept for long prompts while others are not busy.
+    gathers_long_prompts : bool
+        Whether long prompts gather there while there is room.
     slowness : float
         Duration of work on its host relative to the usual one.
     """
@@ -71,7 +73,7 @@
     same_data_centre: bool = True
     avoided: bool = False
     cold: bool = False
-    for_long_prompts: bool = False
+    gathers_long_prompts: bool = False
     slowness: float = 1.0
 
 
@@ -88,9 +90,19 @@
     allowed_wait_ms : float
         Longest prefill backlog behind which the request may be sent.
     slot_share : float
-        Share of a backend server's slots open to requests of this rank.
+        Requests that a plain service may have, as a share of its slots.
     gap_ms : float
         Target for the gap between events of a stream; 0 if unknown.
+    unseen_ms : float
+        Work that other nodes have placed at all servers of the service since
+        their reports, in milliseconds of a server of usual speed.
+    run_ms : float
+        Mean time that a request holds a slot of an engine; 0 if unknown.
+    gathering : int
+        Number of servers where long prompts gather.
+    running_error : float
+        Standard deviation of the requests at one engine that the reports
+        lack.
     """
 
     prompt_tokens: int = 0
@@ -98,6 +110,10 @@
     allowed_wait_ms: float = float('inf')
     slot_share: float = 1.0
     gap_ms: float = 0.0
+    unseen_ms: float = 0.0
+    run_ms: float = 0.0
+    running_error: float = 1.0
+    gathering: int = 0
 
 
 def wait_ms(candidate: Candidate, requirements: Requirements) -> float:
@@ -110,23 +126,43 @@
             * PLAIN_SERVICE_TIME_MS
             / candidate.slots
         )
-    return (
-        candidate.slowness
-        * candidate.backlog_tokens
-        / requirements.tokens_per_ms
+    return candidate.slowness * (
+        candidate.backlog_tokens / requirements.tokens_per_ms
+        + requirements.run_ms
+        * _requests_without_slot(candidate, requirements)
+        / candidate.slots
     )
 
 
+def _requests_without_slot(
+    candidate: Candidate, requirements: Requirements
+) -> float:
+    """Expected number of requests at an engine that wait for a slot.
+
+    The request itself included. As the number in progress is not known
+    exactly, an engine that is nearly full is expected to have some.
+    """
+    excess = candidate.running + 1 - candidate.slots
+    error = max(1.0, requirements.running_error)
+    if excess > MAX_ERRORS * error:
+        return float(excess)
+    return error * math.log1p(math.exp(excess / error))
+
+
 def has_capacity(candidate: Candidate, requirements: Requirements) -> bool:
-    """Whether the backend server has capacity for the request now."""
-    if candidate.running >= max(
-        1.0, candidate.slots * requirements.slot_share
-    ):
+    """Whether the backend server has capacity for the request now.
+
+    An engine has if the request can start there within the time that it and
+    the urgent ones bear. It admits more urgent requests first, so no slots
+    are kept free for them.
+    """
+    if not requirements.prompt_tokens:
+        return candidate.running < max(
+            1.0, candidate.slots * requirements.slot_share
+        )
+    if candidate.running >= candidate.slots and not requirements.run_ms:
         return False
-    return (
-        not candidate.backlog_tokens
-        or wait_ms(candidate, requirements) <= requirements.allowed_wait_ms
-    )
+    return wait_ms(candidate, requirements) <= requirements.allowed_wait_ms
 
 
 def stalled_share(candidate: Candidate, requirements: Requirements) -> float:
@@ -175,11 +211,11 @@
         * stalled_share(candidate, requirements)
     )
     if (
-        candidate.for_long_prompts
+        candidate.gathers_long_prompts
         and requirements.gap_ms
         and not may_stall_streams(requirements)
     ):
-        cost += LONG_PROMPT_ENGINE_PENALTY_MS
+        cost += GATHERING_PENALTY_MS
     if not candidate.same_data_centre:
         cost += REMOTE_PENALTY_MS
     if candidate.cold:
@@ -191,8 +227,18 @@
     candidates: Sequence[Candidate],
     requirements: Requirements,
     rng: random.Random,
+    preferred: Container[ids.WorkerId] = (),
+    sampled_share: float = 1.0,
 ) -> Candidate | None:
-    """Choose the backend server with the lowest cost.
+    """Choose the backend server with the lowest expected cost.
+
+    Parameters
+    ----------
+    preferred : container of WorkerId
+        Servers that all nodes prefer for this request. These differ from
+        request to request, so that they need no random choice.
+    sampled_share : float
+        Share of the servers of the service that are candidates.
 
     Returns
     -------
@@ -208,23 +254,28 @@
     ]
     if not usable:
         return None
+    if not requirements.prompt_tokens:
+        return min(
+            usable,
+            key=lambda item: (
+                cost_ms(item, requirements) + rng.random() * JITTER_MS
+            ),
+        )
+    costs = [cost_ms(item, requirements) for item in usable]
+    drawn = unseen_load.draw(
+        costs,
+        [1.0 / item.slowness for item in usable],
+        JITTER_MS + requirements.unseen_ms * sampled_share,
+        rng,
+    )
     return min(
-        usable,
-        key=lambda item: (
-            cost_ms(item, requirements) + rng.random() * JITTER_MS
+        (
+            (cost, position, item)
+            for position, (cost, item) in enumerate(zip(costs, usable))
+            if position == drawn or item.id in preferred
         ),
-    )
-
-
-def is_long_prompt_engine(server_hash: int) -> bool:
-    """Whether an engine is one of those kept for long prompts.
-
-    Parameters
-    ----------
-    server_hash : int
-        64-bit hash of its id, so that all nodes agree on the engines.
-    """
-    return server_hash < LONG_PROMPT_ENGINE_SHARE * (_MASK + 1)
+        key=lambda entry: entry[:2],
+    )[-1]
 
 
 def sample(
