Take the reports of few nodes as current, and keep the reserved slots there

Cause: the choice by unseen work and the expected wait for a slot answer reports that are 0.3 to 0.6 s old.

Change: both apply only where nodes report through hubs. In a full mesh, and wherever next to nothing is unseen, the server with the least cost is taken, and 0.15 of an engine's slots stay reserved for the most urgent rank while the wait for a slot is not estimated. `ServiceLoad.tokens_per_ms` gives the prefill rate alone, `Figures.report_age_s` the age of the reports.

--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -1,6 +1,7 @@
 """Request path of a node: admission, server selection, forwarding, retries."""
 
 import asyncio
+import dataclasses
 from typing import Any, Callable
 
 from . import admit
@@ -28,6 +29,9 @@
 # Time before a stream that has started is sent to a server again that has
 # refused or failed it.
 REVISIT_S = 0.15
+# Share of an engine's slots that is reserved for the most urgent rank while
+# the wait for a slot is not estimated.
+RESERVED_SLOT_SHARE = 0.15
 # Longest expected wait at an engine to which a less urgent request is sent,
 # as a share of the service's shortest target time. Keeps the backlog short
 # enough for urgent prompts to be prefilled in time.
@@ -395,7 +399,7 @@
         route = call.admitted.route
         urgency = self._urgency(call.service.name)
         urgent = route.rank <= urgency.rank
-        return server_selection.Requirements(
+        requirements = server_selection.Requirements(
             prompt_tokens=max(1, call.admitted.metadata.prompt_tokens),
             allowed_wait_ms=1e3
             * (
@@ -403,12 +407,21 @@
                 if urgent
                 else MAX_BACKLOG_SHARE * urgency.target_s
             ),
+            slot_share=1.0 if urgent else 1.0 - RESERVED_SLOT_SHARE,
             gap_ms=1e3 * urgency.gap_s,
             tokens_per_ms=load.tokens_per_ms,
+            gathering=load.gathering,
+        )
+        if not self.state.peers.uses_hubs:
+            # Each node hears all others directly, so that their load counts
+            # as current.
+            return requirements
+        return dataclasses.replace(
+            requirements,
+            report_age_s=load.report_age_s,
             unseen_ms=load.unseen_ms,
             run_ms=load.run_ms,
             running_error=load.running_error,
-            gathering=load.gathering,
         )
 
     def _urgency(self, service: ids.ServiceName) -> records.Urgency:
--- a/hornbeamrudder/gateway/server_registry.py
+++ b/hornbeamrudder/gateway/server_registry.py
@@ -433,7 +433,7 @@
             requirements.gathering,
         )
         prefilled_tokens = (
-            1e3 * self.report_age_s(now) * requirements.tokens_per_ms
+            1e3 * requirements.report_age_s * requirements.tokens_per_ms
         )
         preferred_tokens = int(
             PREFERRED_CACHED_SHARE
--- a/hornbeamrudder/gateway/server_selection.py
+++ b/hornbeamrudder/gateway/server_selection.py
@@ -90,9 +90,12 @@
     allowed_wait_ms : float
         Longest prefill backlog behind which the request may be sent.
     slot_share : float
-        Requests that a plain service may have, as a share of its slots.
+        Share of a server's slots open to requests of this rank, where
+        `run_ms` is unknown.
     gap_ms : float
         Target for the gap between events of a stream; 0 if unknown.
+    report_age_s : float
+        Age of the load that other nodes report; 0 if it counts as current.
     unseen_ms : float
         Work that other nodes have placed at all servers of the service since
         their reports, in milliseconds of a server of usual speed.
@@ -110,6 +113,7 @@
     allowed_wait_ms: float = float('inf')
     slot_share: float = 1.0
     gap_ms: float = 0.0
+    report_age_s: float = 0.0
     unseen_ms: float = 0.0
     run_ms: float = 0.0
     running_error: float = 1.0
@@ -153,14 +157,12 @@
     """Whether the backend server has capacity for the request now.
 
     An engine has if the request can start there within the time that it and
-    the urgent ones bear. It admits more urgent requests first, so no slots
-    are kept free for them.
+    the urgent ones bear. Where that is estimated, no slots are kept free for
+    urgent requests: the engine admits them first.
     """
-    if not requirements.prompt_tokens:
-        return candidate.running < max(
-            1.0, candidate.slots * requirements.slot_share
-        )
-    if candidate.running >= candidate.slots and not requirements.run_ms:
+    if not requirements.run_ms and candidate.running >= max(
+        1.0, candidate.slots * requirements.slot_share
+    ):
         return False
     return wait_ms(candidate, requirements) <= requirements.allowed_wait_ms
 
@@ -254,7 +256,7 @@
     ]
     if not usable:
         return None
-    if not requirements.prompt_tokens:
+    if requirements.unseen_ms <= JITTER_MS:
         return min(
             usable,
             key=lambda item: (
@@ -265,7 +267,7 @@
     drawn = unseen_load.draw(
         costs,
         [1.0 / item.slowness for item in usable],
-        JITTER_MS + requirements.unseen_ms * sampled_share,
+        requirements.unseen_ms * sampled_share,
         rng,
     )
     return min(
--- a/hornbeamrudder/gateway/service_load.py
+++ b/hornbeamrudder/gateway/service_load.py
@@ -37,6 +37,8 @@
     ----------
     tokens_per_ms : float
         Prefill rate of a server of usual speed.
+    report_age_s : float
+        Mean age of the load that other nodes report.
     unseen_ms : float
         Work that other nodes have placed since their reports, in milliseconds
         of a server of usual speed.
@@ -56,6 +58,7 @@
     """
 
     tokens_per_ms: float
+    report_age_s: float
     unseen_ms: float
     utilization: float
     run_ms: float
@@ -114,6 +117,10 @@
         self._slow = slow
         return [by_id[server] for server in sorted(changed)]
 
+    def tokens_per_ms(self, service: ids.ServiceName, now: float) -> float:
+        """Return the prefill rate of a server of usual speed."""
+        return self.speeds.work(self._sums, service, now).tokens_per_ms
+
     def figures(self, service: ids.ServiceName, now: float) -> Figures:
         """Return the load of the engines of a service."""
         usable = [
@@ -130,6 +137,7 @@
         )
         return Figures(
             tokens_per_ms=work.tokens_per_ms,
+            report_age_s=age_s,
             unseen_ms=(
                 work.other_tokens_per_s * age_s / work.tokens_per_ms
                 + unseen_requests * server_selection.RUNNING_PENALTY_MS
