--- a/hornbeamrudder/gateway/features/long_prompt_simulation.py
+++ b/hornbeamrudder/gateway/features/long_prompt_simulation.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import enum
 import random
 
 from hornbeamrudder.core import hashing
@@ -16,9 +17,24 @@
 
 PREFILL_TOKENS_PER_MS = 90.0
 TARGET_GAP_MS = 500.0
+LONG_PROMPT_TOKENS = (
+    server_selection.TOLERATED_GAP_SHARE
+    * TARGET_GAP_MS
+    * PREFILL_TOKENS_PER_MS
+)
+RECLAIMED_AT_SHARE = 1 / 3
+KEY = 'key'
+KEY_TOKENS = 2000
 SLOTS_PER_ENGINE = 16
 
 
+class Kind(enum.Enum):
+    """Kinds of prompts, by their length."""
+
+    SHORT = 'short'
+    LONG = 'long'
+
+
 @dataclasses.dataclass(slots=True)
 class Stream:
     """Stream in progress; times are in milliseconds."""
@@ -41,6 +57,7 @@
     streams: list[Stream] = dataclasses.field(default_factory=list)
     prefill_ends_at: float = 0.0
     slowness: float = 1.0
+    has_key: bool = False
 
 
 def _gathering_count(placed, now, engines):
@@ -60,7 +77,9 @@
     gap_ms,
     seed,
     slowness=1.0,
-    short_waits_ms=None,
+    waits_ms_by_kind=None,
+    reclaimed=0,
+    key_share=0.0,
 ):
     """Return the number of streams and the number with a long pause.
 
@@ -71,8 +90,12 @@
         for none.
     slowness : float
         Duration of a prefill at every fourth engine, relative to the others.
-    short_waits_ms : list of float
-        Takes the time to the end of its prefill of each other prompt.
+    waits_ms_by_kind : dict
+        Takes the times to the end of the prefill, by `Kind`.
+    reclaimed : int
+        Engines that take no more requests after a third of the time.
+    key_share : float
+        Share of the requests that begin with one prompt prefix.
     """
     rng = random.Random(seed)
     all_engines = [
@@ -98,6 +121,21 @@
         highest_gathering_hash = long_prompts.highest_gathering_hash(
             hashes, _gathering_count(placed, now, engines)
         )
+        usable = all_engines[
+            reclaimed * (now > seconds * 1e3 * RECLAIMED_AT_SHARE) :
+        ]
+        has_key = rng.random() < key_share
+        preferred = {
+            usable[position].id
+            for position in server_selection.preferred_positions(
+                KEY, [hashing.stable_hash(engine.id) for engine in usable]
+            )
+            if has_key
+        }
+        evaluated = preferred | {
+            engine.id
+            for engine in server_selection.sample(usable, requirements, rng)
+        }
         candidates = [
             server_selection.Candidate(
                 engine.id,
@@ -106,38 +144,42 @@
                 max(0.0, engine.prefill_ends_at - now)
                 * PREFILL_TOKENS_PER_MS
                 / engine.slowness,
+                cached_tokens=has_key
+                * engine.has_key
+                * min(KEY_TOKENS, prompt_tokens),
                 gathers_long_prompts=(
                     hashing.stable_hash(engine.id) <= highest_gathering_hash
                 ),
                 slowness=engine.slowness,
             )
-            for engine in server_selection.sample(
-                all_engines, requirements, rng
-            )
+            for engine in usable
+            if engine.id in evaluated
         ]
-        chosen = server_selection.choose(candidates, requirements, rng)
+        chosen = server_selection.choose(
+            candidates, requirements, rng, preferred
+        )
         if chosen is None:
             continue
         engine = all_engines[int(chosen.id[1:])]
+        engine.has_key |= has_key
+        uncached = prompt_tokens - chosen.cached_tokens
         placed.add(
             (
-                prompt_tokens,
-                prompt_tokens
-                * server_selection.may_stall_streams(requirements),
+                uncached,
+                uncached * server_selection.may_stall_streams(requirements),
             ),
             now / 1e3,
         )
         prefill_starts_at = max(now, engine.prefill_ends_at)
         engine.prefill_ends_at = (
             prefill_starts_at
-            + engine.slowness * prompt_tokens / PREFILL_TOKENS_PER_MS
+            + engine.slowness * uncached / PREFILL_TOKENS_PER_MS
         )
-        if (
-            short_waits_ms is not None
-            and prompt_tokens / PREFILL_TOKENS_PER_MS
-            < server_selection.TOLERATED_GAP_SHARE * TARGET_GAP_MS
-        ):
-            short_waits_ms.append(engine.prefill_ends_at - now)
+        if waits_ms_by_kind is not None:
+            long = prompt_tokens > LONG_PROMPT_TOKENS
+            waits_ms_by_kind[Kind.LONG if long else Kind.SHORT].append(
+                engine.prefill_ends_at - now
+            )
         if engine.prefill_ends_at - now > TARGET_GAP_MS:
             for stream in engine.streams:
                 stream.has_long_pause = True
--- a/hornbeamrudder/gateway/features/steps/long_prompt_steps.py
+++ b/hornbeamrudder/gateway/features/steps/long_prompt_steps.py
@@ -10,6 +10,13 @@
 from hornbeamrudder.gateway import long_prompts
 from hornbeamrudder.gateway import server_selection
 
+SIMULATED_S = 30.0
+# Targets for the time to the first event.
+TARGET_MS = {
+    long_prompt_simulation.Kind.SHORT: 500.0,
+    long_prompt_simulation.Kind.LONG: 1000.0,
+}
+
 
 @behave.when(
     'long prompts load {long:g} and other prompts {others:g} of {capacity:d}'
@@ -25,26 +32,57 @@
 
 
 @behave.when(
-    '{rate:d} requests per second with some long prompts arrive at'
-    ' {engines:d} engines of which every fourth is slow by {slowness:g}'
+    '{rate:d} requests per second, {key:d} in 100 of one key, arrive at'
+    ' {engines:d} engines, every fourth slow by {slowness:g}, {reclaimed:d} of'
+    ' them reclaimed'
 )
-def simulate_uneven(context, rate, engines, slowness):
-    context.short_waits_ms = {}
+def simulate_load(context, rate, key, engines, slowness, reclaimed):
+    context.waits_ms = {
+        gap_ms: {kind: [] for kind in long_prompt_simulation.Kind}
+        for gap_ms in (long_prompt_simulation.TARGET_GAP_MS, 0.0)
+    }
     context.with_target, context.without_target = (
         [
             long_prompt_simulation.simulate(
                 engines,
                 rate,
-                30.0,
+                SIMULATED_S,
                 gap_ms,
                 seed,
                 slowness,
-                context.short_waits_ms.setdefault(gap_ms, []),
+                waits_ms_by_kind,
+                reclaimed,
+                key / 100,
             )
             for seed in range(3)
         ]
-        for gap_ms in (long_prompt_simulation.TARGET_GAP_MS, 0.0)
+        for gap_ms, waits_ms_by_kind in context.waits_ms.items()
+    )
+
+
+@behave.then('no more streams have a long pause than without a target gap')
+def check_pauses(context):
+    paused, paused_without = (
+        sum(paused for _, paused in results)
+        / sum(count for count, _ in results)
+        for results in (context.with_target, context.without_target)
     )
+    assert paused <= paused_without, (paused, paused_without)
+
+
+@behave.then(
+    'at least {share:d} of 100 short prompts and of 100 long ones are in time'
+)
+def check_in_time(context, share):
+    for kind, waits_ms in context.waits_ms[
+        long_prompt_simulation.TARGET_GAP_MS
+    ].items():
+        in_time = sum(wait_ms <= TARGET_MS[kind] for wait_ms in waits_ms)
+        assert waits_ms and 100 * in_time >= share * len(waits_ms), (
+            kind,
+            in_time,
+            len(waits_ms),
+        )
 
 
 @behave.then(
@@ -53,8 +91,8 @@
 )
 def check_short_waits(context, limit_ms):
     with_target, without_target = (
-        statistics.median(context.short_waits_ms[gap_ms])
-        for gap_ms in (long_prompt_simulation.TARGET_GAP_MS, 0.0)
+        statistics.median(waits_ms[long_prompt_simulation.Kind.SHORT])
+        for waits_ms in context.waits_ms.values()
     )
     assert with_target <= without_target + limit_ms, (
         with_target,
