Test the reserved slots of few nodes

Cause: no scenario showed that slots stay reserved where the wait for one is not estimated.

Change: three rows in long_prompts.feature, which use the share of the forwarder.

Conclusion: a change of either rule shows.

--- a/hornbeamrudder/gateway/features/long_prompts.feature
+++ b/hornbeamrudder/gateway/features/long_prompts.feature
@@ -74,3 +74,15 @@
     # Load: all engines busy with streams. A request without a slot waits for
     # another one to end, so that a full engine costs more than it seems.
     Then of engines with 33 and 12 of 32 requests in progress the second is chosen by 200 nodes
+
+  Scenario Outline: Slots stay reserved where the wait for one is not estimated
+    # Load: few nodes, whose reports count as current. An urgent prompt finds
+    # a slot beside less urgent ones, short or long.
+    When an engine has <running> of 32 requests in progress and 0 tokens ahead
+    Then without an estimated wait for a slot an urgent prompt <urgent> there and less urgent ones <others>
+
+    Examples:
+      | running | urgent | others |
+      | 20      | starts | start  |
+      | 28      | starts | wait   |
+      | 32      | waits  | wait   |
--- a/hornbeamrudder/gateway/features/steps/long_prompt_steps.py
+++ b/hornbeamrudder/gateway/features/steps/long_prompt_steps.py
@@ -1,5 +1,6 @@
 """Steps for long prompts beside short ones; no I/O."""
 
+import dataclasses
 import random
 import statistics
 
@@ -7,6 +8,7 @@
 
 from hornbeamrudder.core import ids
 from hornbeamrudder.gateway.features import long_prompt_simulation
+from hornbeamrudder.gateway import forward
 from hornbeamrudder.gateway import long_prompts
 from hornbeamrudder.gateway import server_selection
 
@@ -133,6 +135,24 @@
     assert found == [outcome == 'start'] * 2, found
 
 
+@behave.then(
+    'without an estimated wait for a slot an urgent prompt {urgent} there and'
+    ' less urgent ones {others}'
+)
+def check_reserved(context, urgent, others):
+    found = [
+        server_selection.has_capacity(
+            context.candidate,
+            dataclasses.replace(
+                _requirements(tokens), run_ms=0.0, slot_share=slot_share
+            ),
+        )
+        for slot_share in (1.0, 1.0 - forward.RESERVED_SLOT_SHARE)
+        for tokens in (500, 40_000)
+    ]
+    assert found == [urgent == 'starts'] * 2 + [others == 'start'] * 2, found
+
+
 @behave.then(
     'of engines with {full:d} and {free:d} of 32 requests in progress the'
     ' second is chosen by {nodes:d} nodes'
