Tell the operator of measured slowness only

Cause: "speed of a backend server has changed" followed the figures that servers state, which change many times a second: a line for each spell.

Change: the line follows what all nodes have measured, also where servers state a figure; placing is unchanged.

--- a/hornbeamrudder/gateway/exchange.py
+++ b/hornbeamrudder/gateway/exchange.py
@@ -269,7 +269,7 @@
                 server=record.entry.id,
                 service=record.entry.service,
                 data_centre=record.entry.data_centre,
-                slowness=round(record.slowness(now), 2),
+                slowness=round(record.measured_slowness, 2),
                 running=record.running + record.peer_running,
             )
 
--- a/hornbeamrudder/gateway/service_load.py
+++ b/hornbeamrudder/gateway/service_load.py
@@ -20,8 +20,9 @@
 # Fewer requests give no estimate of how long they hold a slot.
 MIN_REQUESTS_PER_S = 1.0
 MAX_RUN_MS = 10_000.0
-# Slowness from which the operator is told of a server, and below which it
-# counts as usual again.
+# Measured slowness from which the operator is told of a server, and below
+# which it counts as usual again. What servers state themselves changes too
+# often for that.
 SLOW = 1.4
 USUAL = 1.2
 
@@ -110,7 +111,7 @@
         slow = {
             server
             for server, record in by_id.items()
-            if record.slowness(now)
+            if record.measured_slowness
             >= (USUAL if server in self._slow else SLOW)
         }
         changed = (slow ^ self._slow) & by_id.keys()
