Begin the transfer in time with a short time budget

Cause: the wait for the last of the evidence before the transfer was also made where the time budget has no time for it: a good version with 7 s was completed 0.24 s late, 0.72 s early before the wait was there.

Change: the load step ends when the time that is kept for the transfer begins, 1.2 s after its start at the earliest.

--- a/hornbeamrudder/rollouts/features/roll_outs.feature
+++ b/hornbeamrudder/rollouts/features/roll_outs.feature
@@ -25,6 +25,14 @@
       | 10   | a reclaim of half the servers  |
       | 11   | lost answers of the store      |
 
+  Scenario: A good version is completed within a short time budget
+    # Guards against waits for evidence that take the time of the transfer.
+    Given a roll-out of a good version with seed 1
+    And a time budget of 7 seconds
+    When the roll-out is ordered and its time budget passes
+    Then the roll-out is completed in time
+    And no run was left at an old server
+
   Scenario Outline: A bad version is rolled back within its bounds
     # Guards against a bad version that gets more than its share, that gets
     # requests long after it was found, or that is completed.
--- a/hornbeamrudder/rollouts/state.py
+++ b/hornbeamrudder/rollouts/state.py
@@ -264,8 +264,8 @@
         return _to(rollout, Phase.ROLLED_BACK, now, 'taken back by operator')
     if seen.failure:
         return _to(rollout, Phase.ROLLED_BACK, now, seen.failure)
-    load_s = LOAD_S + LAST_LOAD_S
-    load_at = rollout.due_at - transfer_s(order.duration_s) - load_s
+    transfer_at = rollout.due_at - transfer_s(order.duration_s)
+    load_at = transfer_at - LOAD_S - LAST_LOAD_S
     match rollout.phase:
         case Phase.WAITING if seen.new_servers:
             return _to(
@@ -281,7 +281,9 @@
             and seen.has_room
         ):
             return _to(rollout, Phase.LOAD, now, 'no fault in the trial')
-        case Phase.LOAD if now - rollout.since >= load_s and seen.has_room:
+        case Phase.LOAD if (
+            now >= max(rollout.since + LOAD_S, transfer_at) and seen.has_room
+        ):
             return _to(rollout, Phase.TRANSFER, now, 'no fault under load')
         case Phase.TRIAL | Phase.LOAD if (
             now >= rollout.ends_at and not seen.has_room
