Leave calls that move runs out of the soak's requests

Cause: the soak took a node's call to an engine (`/kv-move`) for a request of a caller. Without roll-outs no run was moved in it.

Change: the call is no request.

--- a/hornbeamrudder/soak/features/soak.feature
+++ b/hornbeamrudder/soak/features/soak.feature
@@ -14,6 +14,7 @@
     Examples:
       | seed | seconds | cause                                            |
       | 120  | 12      | SIGHUP ended a node that was still starting      |
+      | 3023 | 12      | the move of a run was taken for a request        |
 
   Scenario Outline: A roll-out without other faults comes to its verdict
     # Guards against a good version that is rolled back, and a bad one that
--- a/hornbeamrudder/soak/run.py
+++ b/hornbeamrudder/soak/run.py
@@ -34,6 +34,8 @@
 MAX_DELAY_S = 0.4
 MAX_CLOCK_STEP_S = 3.0
 MAX_FAULTY_RESPONSES = 12
+# A call of a node to an engine, not the request of a caller.
+MOVE_TARGET = '/kv-move'
 ROLLED_OUT = (deployment.PLAIN_SERVICE, deployment.ENGINE_SERVICE)
 FAULTY_BEHAVIOURS = [
     platform_server.Behaviour.ERROR,
@@ -344,6 +346,7 @@
                 )
                 for backend in self.system.all_backends
                 for run in backend.server.requests
+                if run.target != MOVE_TARGET
             ),
             duty_calls=tuple(
                 observed.DutyCall(
