Hold no piece of a stream while its client reads

Cause: a relay that waits for a slow client kept the latest piece, as read and as events, in its frame: up to 64 kB a stream, not counted. "Clients and answers" with complete events failed once with 80 MB in a run of the package.

Change: the relay forgets both before it waits.

--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -400,6 +400,8 @@
                             self._record_first_event(call, attempt)
                         self._forward_events(call, head, event_bytes)
                         on_events()
+                        # Not held while a slow client reads.
+                        del data, event_bytes
                         await call.reply.drain()
                         until = self._retry_at(call, clock.now(), wait_s)
                     if stream.splitter.endless:
