Share the lasting speed of hosts whose servers state the momentary one

Cause: engines that state how slow their hosts are at the moment were left out of the speeds that all nodes share. A node hears from each of 60 engines seldom, and its estimate returned to the usual speed within 4 s, though hosts of 0.7 to 1.7 times the usual time stay so for good.

Change: all nodes publish the stated figures as sums (topic `stated`); a server's lasting slowness is their mean, and the estimate of the moment returns to it.

Conclusion: a slow host counts as slow at nodes that seldom hear from it.

--- a/hornbeamrudder/gateway/features/server_speeds.feature
+++ b/hornbeamrudder/gateway/features/server_speeds.feature
@@ -14,6 +14,23 @@
       | 20    | 0.7 1.0 1.0 1.0 1.7     | 20      | 10    |
       | 70    | 0.7 0.8 1.0 1.2 1.4 1.7 | 40      | 10    |
 
+  Scenario Outline: All nodes know the lasting speed that servers state
+    # Guards against a slow host that counts as usual at a node which seldom
+    # hears from it. Load: as above, engines that state how slow they are at
+    # the moment.
+    Given <nodes> nodes that share measurements of servers of slowness "<hosts>"
+    When each server states its slowness in <answers> answers to all nodes with spells of 2.5 in <share> of 100
+    Then every node knows each stated slowness within 20 in 100
+
+    Examples:
+      | nodes | hosts                   | answers | share |
+      | 2     | 0.7 1.0 1.7             | 40      | 0     |
+      | 70    | 0.7 0.8 1.0 1.2 1.4 1.7 | 60      | 10    |
+
+  Scenario: A momentary speed returns to the lasting one
+    # Load: a host that is slow for good, and a spell that is over.
+    Then a stated slowness of 3.0 counts as 1.7 again 20 s later at a host of lasting slowness 1.7
+
   Scenario: Equal servers stay equal while one node measures each once
     # Load: the first seconds of a node, or of a new server. One sample says
     # little, so it moves the choice little.
--- a/hornbeamrudder/gateway/features/steps/server_speed_steps.py
+++ b/hornbeamrudder/gateway/features/steps/server_speed_steps.py
@@ -8,6 +8,7 @@
 import behave
 
 from hornbeamrudder.core import ids
+from hornbeamrudder.gateway import host_speed
 from hornbeamrudder.gateway import server_selection
 from hornbeamrudder.gateway import server_speed
 from hornbeamrudder.gateway import shared_sums
@@ -70,6 +71,48 @@
     _exchange(context.nodes, context.slowness_by_key, now + 3.0)
 
 
+@behave.when(
+    'each server states its slowness in {answers:d} answers to all nodes with'
+    ' spells of {spell:g} in {share:d} of 100'
+)
+def state_slowness(context, answers, spell, share):
+    rng = random.Random(7)
+    now = 100.0
+    for number, (key, slowness) in itertools.product(
+        range(answers), context.slowness_by_key.items()
+    ):
+        factor = spell if rng.random() * 100 < share else 1.0
+        context.nodes[number % len(context.nodes)].speeds.record_stated(
+            key, slowness * factor, now + number * 0.05
+        )
+    _exchange(context.nodes, context.slowness_by_key, now + 3.0)
+
+
+@behave.then('every node knows each stated slowness within {limit:d} in 100')
+def check_stated(context, limit):
+    for node, (key, slowness) in itertools.product(
+        context.nodes, context.slowness_by_key.items()
+    ):
+        known = node.speeds.slowness_by_key[key]
+        assert abs(known / slowness - 1) <= limit / 100, (key, known)
+
+
+@behave.then(
+    'a stated slowness of {stated:g} counts as {expected:g} again {seconds:d}'
+    ' s later at a host of lasting slowness {lasting:g}'
+)
+def check_return(context, stated, expected, seconds, lasting):
+    speed = host_speed.HostSpeed()
+    assert host_speed.slowness(speed, 0.0, lasting) == lasting
+    for tenths in range(20):
+        speed = host_speed.updated(speed, stated, tenths / 10, lasting)
+    assert host_speed.slowness(speed, 2.0, lasting) > (stated + lasting) / 2
+    assert (
+        abs(host_speed.slowness(speed, 2.0 + seconds, lasting) - expected)
+        < 0.05
+    )
+
+
 @behave.when('the first node hears no others any more')
 def hear_no_others(context):
     for node in context.nodes:
--- a/hornbeamrudder/gateway/host_speed.py
+++ b/hornbeamrudder/gateway/host_speed.py
@@ -2,7 +2,8 @@
 
 Backend servers share their hosts with other work and state in their responses
 how long work takes at that moment. One such figure says little about the next
-second, so they are averaged, and forgotten if no further ones arrive.
+second, so they are averaged; if no further ones arrive, the estimate returns
+to the lasting speed of the host.
 """
 
 import dataclasses
@@ -12,7 +13,7 @@
 # figure after a long pause.
 AVERAGING_S = 0.5
 MAX_WEIGHT = 0.2
-# Time constant with which an estimate returns to the usual speed.
+# Time constant with which an estimate returns to the lasting speed.
 FORGETTING_S = 4.0
 # Figures outside this range are clamped: an estimate extends time-outs.
 MIN_SLOWNESS = 0.25
@@ -34,22 +35,25 @@
     slowness: float = 1.0
     at: float = float('-inf')
 
-    @property
-    def is_stated(self) -> bool:
-        """Whether the server states figures at all."""
-        return self.at > float('-inf')
 
+def updated(
+    speed: HostSpeed, stated: float, now: float, lasting: float = 1.0
+) -> HostSpeed:
+    """Return the estimate after a response that states a slowness.
 
-def updated(speed: HostSpeed, stated: float, now: float) -> HostSpeed:
-    """Return the estimate after a response that states a slowness."""
+    Parameters
+    ----------
+    lasting : float
+        Lasting slowness of the host, as far as known.
+    """
     weight = min(MAX_WEIGHT, 1.0 - math.exp((speed.at - now) / AVERAGING_S))
-    known = slowness(speed, now)
+    known = slowness(speed, now, lasting)
     clamped = min(max(stated, MIN_SLOWNESS), MAX_SLOWNESS)
     return HostSpeed(known + weight * (clamped - known), now)
 
 
-def slowness(speed: HostSpeed, now: float) -> float:
+def slowness(speed: HostSpeed, now: float, lasting: float = 1.0) -> float:
     """Return the expected duration of work relative to the usual one."""
-    return 1.0 + (speed.slowness - 1.0) * math.exp(
+    return lasting + (speed.slowness - lasting) * math.exp(
         (speed.at - now) / FORGETTING_S
     )
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -213,10 +213,13 @@
         metadata = self._translation.decode_response(head.status, head.headers)
         attempt.connection.keep_alive_s = metadata.keep_alive_s
         now = clock.now()
-        attempt.placement.record.record_slowness(metadata.slowness, now)
-        self._state.servers.record_directives(
-            attempt.placement.record, metadata, now
-        )
+        record = attempt.placement.record
+        if metadata.slowness is not None:
+            record.record_slowness(metadata.slowness, now)
+            self._state.load.speeds.record_stated(
+                record.key, metadata.slowness, now
+            )
+        self._state.servers.record_directives(record, metadata, now)
         if metadata.not_executed:
             return await self._handle_not_executed(attempt, metadata)
         if not metadata.sealed and head.status < 300:
--- a/hornbeamrudder/gateway/server_registry.py
+++ b/hornbeamrudder/gateway/server_registry.py
@@ -105,14 +105,13 @@
 
     def slowness(self, now: float) -> float:
         """Return the duration of work on the host relative to the usual."""
-        if self.speed.is_stated:
-            return host_speed.slowness(self.speed, now)
-        return self.measured_slowness
-
-    def record_slowness(self, stated: float | None, now: float) -> None:
-        """Update the speed of the host from a response, if it states one."""
-        if stated is not None:
-            self.speed = host_speed.updated(self.speed, stated, now)
+        return host_speed.slowness(self.speed, now, self.measured_slowness)
+
+    def record_slowness(self, stated: float, now: float) -> None:
+        """Update the speed of the host from a response that states one."""
+        self.speed = host_speed.updated(
+            self.speed, stated, now, self.measured_slowness
+        )
 
     def pop_idle_connection(
         self, now: float, request_id: str = ''
--- a/hornbeamrudder/gateway/server_speed.py
+++ b/hornbeamrudder/gateway/server_speed.py
@@ -3,8 +3,9 @@
 Hosts of one service differ for good: some take 0.7, others 1.7 times the
 usual time for the same work. A node sees too few streams of each server to
 tell, so every node publishes what it has seen as sums, and all of them derive
-the same speeds from the totals. Where servers state the speed of their hosts
-themselves, that figure is used instead (see `host_speed`).
+the same speeds from the totals. Where servers state how slow their hosts are
+at the moment, the mean of these figures counts instead (`host_speed` has the
+momentary speed).
 
 A sample is the pause between events in a stretch of a stream, without its
 longest pauses: those show prompts of other requests that are prefilled in
@@ -22,6 +23,8 @@
 
 # Samples by server: weight, and weighted sum of the logarithms of the pauses.
 PACE_TOPIC = shared_sums.Topic('pace')
+# The same for the slowness that servers state.
+STATED_TOPIC = shared_sums.Topic('stated')
 # Work by service: prompt tokens, requests and tokens of long prompts placed a
 # second, and what the prefill rate is derived from (tokens, milliseconds).
 WORK_TOPIC = shared_sums.Topic('work')
@@ -122,14 +125,16 @@
     Attributes
     ----------
     slowness_by_key : dict
-        Duration of work relative to the median server of the service, by
-        `reports.server_key`; servers without samples are left out.
+        Duration of work relative to the median server of the service, or to
+        the usual one where servers state it, by `reports.server_key`; servers
+        without samples are left out.
     """
 
     def __init__(self, initial_tokens_per_ms: float) -> None:
         self.slowness_by_key: dict[int, float] = {}
         self._initial_tokens_per_ms = initial_tokens_per_ms
         self._pace_by_key: dict[int, DecayingSums] = {}
+        self._stated_by_key: dict[int, DecayingSums] = {}
         self._placed_by_service: dict[ids.ServiceName, DecayingSums] = {}
         self._prefilled_by_service: dict[ids.ServiceName, DecayingSums] = {}
 
@@ -143,6 +148,13 @@
             key, DecayingSums(SAMPLE_AGE_S, (0.0, 0.0), now)
         ).add((1.0, math.log(pause_ms)), now)
 
+    def record_stated(self, key: int, slowness: float, now: float) -> None:
+        """Record a slowness that a server has stated."""
+        clamped = min(max(slowness, MIN_SLOWNESS), MAX_SLOWNESS)
+        self._stated_by_key.setdefault(
+            key, DecayingSums(SAMPLE_AGE_S, (0.0, 0.0), now)
+        ).add((1.0, math.log(clamped)), now)
+
     def record_placed(
         self,
         service: ids.ServiceName,
@@ -172,18 +184,23 @@
 
     def publish(self, sums: shared_sums.SharedSums, now: float) -> None:
         """Publish this node's measurements."""
-        self._pace_by_key = {
-            key: pace
-            for key, pace in self._pace_by_key.items()
-            if pace.at_time(now)[0] * UNITS >= 1.0
-        }
-        sums.publish(
-            PACE_TOPIC,
-            {
-                key: _rounded(pace.at_time(now))
-                for key, pace in self._pace_by_key.items()
-            },
-        )
+        for topic, samples_by_key in (
+            (PACE_TOPIC, self._pace_by_key),
+            (STATED_TOPIC, self._stated_by_key),
+        ):
+            for key in [
+                key
+                for key, samples in samples_by_key.items()
+                if samples.at_time(now)[0] * UNITS < 1.0
+            ]:
+                del samples_by_key[key]
+            sums.publish(
+                topic,
+                {
+                    key: _rounded(samples.at_time(now))
+                    for key, samples in samples_by_key.items()
+                },
+            )
         sums.publish(
             WORK_TOPIC,
             {
@@ -206,12 +223,17 @@
     ) -> None:
         """Derive the speeds of all servers from the sums of all nodes."""
         total = sums.total(PACE_TOPIC)
+        stated = sums.total(STATED_TOPIC)
         self.slowness_by_key = {
             key: slowness
             for keys in keys_by_service.values()
             for key, slowness in relative_slowness(
                 {key: total[key] for key in keys if key in total}
             ).items()
+        } | {
+            key: math.exp(total_log / (weight + TRUSTED_SAMPLES * UNITS))
+            for key, (weight, total_log) in stated.items()
+            if isinstance(key, int)
         }
 
     def work(
