Count error responses that are kept while other servers are asked

Cause: the body of an error response, up to 2 MB, was counted until it was whole and then kept, uncounted, while the request waited for another server.

Change: it is counted until its request ends. Over the limit it loses its body; the status stays and tells that the request has run.

Conclusion: what is kept of servers' answers is in the account.

--- a/hornbeamrudder/gateway/calls.py
+++ b/hornbeamrudder/gateway/calls.py
@@ -79,14 +79,25 @@
         return self.placement.record.entry.id
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(eq=False, slots=True)
 class ErrorResponse:
-    """Complete error response of a backend server that ran the request."""
+    """Complete error response of a backend server that ran the request.
+
+    Kept while other servers are asked. Over the limit on held bytes it loses
+    its body: the status tells that the request has run.
+    """
 
     status: int
     headers: tuple[http_client.Header, ...]
     body: bytes
 
+    def end_endless(self, detail: str) -> None:
+        """Give up the body."""
+        self.body = b''
+
+    def drop_unread(self) -> None:
+        """Do nothing; the body was given up."""
+
 
 @dataclasses.dataclass(slots=True)
 class Stream:
--- a/hornbeamrudder/gateway/features/endless.feature
+++ b/hornbeamrudder/gateway/features/endless.feature
@@ -139,6 +139,19 @@
       | unframed stream |
       | unframed cut    |
 
+  Scenario Outline: An error response is counted while another server is asked
+    # Guards against large error responses that are kept for many requests
+    # while no other server answers; a dropped one still tells that the request
+    # has run.
+    When "look" gets "error text" and then no answer, and its room is <room>
+    Then <count> bytes are held meanwhile and 0 afterwards
+    And the client receives 500 and <count> bytes
+
+    Examples:
+      | room   | count |
+      | left   | 75    |
+      | needed | 0     |
+
   Scenario: An answer that is cut off counts as an error of its server
     # Guards against avoiding a server that still answers other requests.
     When a request on "book" is answered with a "header lines" without end and then normally
--- a/hornbeamrudder/gateway/features/steps/held_bytes_steps.py
+++ b/hornbeamrudder/gateway/features/steps/held_bytes_steps.py
@@ -187,3 +187,47 @@
 @behave.then('the node holds no bytes of answers')
 def check_nothing_held(context):
     assert context.held_count == 0, context.held_count
+
+
+@behave.when(
+    '"look" gets "error text" and then no answer, and its room is {room}'
+)
+def keep_error_response(context, room):
+    async def scenario(harness):
+        held = harness.node.state.held_bytes
+        order = []
+        for server in harness.plain_servers:
+            server.behaviours = node_harness.BehaviourSequence(
+                order, ['error text', 'hang']
+            )
+        pending = asyncio.create_task(
+            harness.send_request('/look/x', remaining_ms=REMAINING_MS)
+        )
+        while (
+            sum(len(server.requests) for server in harness.plain_servers) < 2
+        ):
+            await asyncio.sleep(0.01)
+        if room == 'needed':
+            held.reduce(0, 0.0)
+        held_meanwhile = held.total
+        response = await pending
+        return held_meanwhile, held.total, response
+
+    context.held_counts = node_harness.run_scenario(scenario)
+
+
+@behave.then(
+    '{meanwhile:d} bytes are held meanwhile and {afterwards:d} afterwards'
+)
+def check_held_counts(context, meanwhile, afterwards):
+    assert context.held_counts[:2] == (meanwhile, afterwards), (
+        context.held_counts
+    )
+
+
+@behave.then('the client receives {status:d} and {count:d} bytes')
+def check_status_and_size(context, status, count):
+    response = context.held_counts[2]
+    assert response.status == status, response
+    assert len(response.body) == count, response
+    assert response.complete, response
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -140,6 +140,8 @@
             self._fail(call, outcome)
         finally:
             self.calls.discard(call)
+            if call.error_response is not None:
+                self.state.held_bytes.discard(call.error_response)
             self._clear_placement(call)
             self._abandon_next_attempt(call)
             self._abandon_move(call)
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -308,8 +308,8 @@
         )
         body = parts.joined()
         if head.status >= 500:
-            call.error_response = calls.ErrorResponse(
-                head.status, headers, body
+            self._keep_error(
+                call, calls.ErrorResponse(head.status, headers, body)
             )
             return ExchangeResult(
                 calls.Result.FAILED,
@@ -323,6 +323,16 @@
             calls.Result.DONE, server_outcome=health.Outcome.SUCCESS
         )
 
+    def _keep_error(
+        self, call: calls.Call, response: calls.ErrorResponse
+    ) -> None:
+        """Keep an error response, in the place of an earlier one."""
+        held_bytes = self._state.held_bytes
+        if call.error_response is not None:
+            held_bytes.discard(call.error_response)
+        call.error_response = response
+        held_bytes.add(response, len(response.body))
+
     def _record_broken_beginning(
         self,
         call: calls.Call,
