Tell which gap made a stream late, and at which server

Cause: a stream is late if a gap between its events exceeds what its route states, but logs told only when its first event came. Whether slow or full hosts make streams late could not be seen.

Change: the event "gap in a stream exceeds its target" with both servers, slowness, requests and prompt tokens in progress; the longest gap and the slowness in "request ended"; the counter hornbeamrudder_late_gaps_total.

--- a/hornbeamrudder/gateway/calls.py
+++ b/hornbeamrudder/gateway/calls.py
@@ -109,6 +109,10 @@
         Whether any event has been sent to the client.
     last_event_at : float or None
         Time at which the latest event was sent to the client.
+    last_event_from : WorkerId or None
+        Backend server that it came from.
+    longest_gap_s : float
+        Longest time between two events that were sent to the client.
     resume_elsewhere_at : float or None
         Time at which the stream should continue elsewhere, because its
         backend server is about to terminate.
@@ -125,6 +129,8 @@
     splitter: events.EventSplitter
     started: bool = False
     last_event_at: float | None = None
+    last_event_from: ids.WorkerId | None = None
+    longest_gap_s: float = 0.0
     resume_elsewhere_at: float | None = None
     moving: 'asyncio.Task[Moved | None] | None' = None
     moved: Moved | None = None
--- a/hornbeamrudder/gateway/features/failover.feature
+++ b/hornbeamrudder/gateway/features/failover.feature
@@ -135,3 +135,14 @@
       | plan  | 300      | 1.1  | 1     |
       | look  | 100      | 0.4  | 2     |
       | look  | 300      | 0.4  | 1     |
+
+  Scenario Outline: A gap in a stream that exceeds the target of its route is logged
+    # Guards against late streams that operators can't tell from others.
+    When a request on "<route>" gets "<first>" from one server and "<second>" from the other
+    Then the log has <count> gaps over the target, the stream going on at "<server>"
+
+    Examples: gaps
+      | route | first  | second | count | server         |
+      | chat  | normal | normal | 0     | same server    |
+      | chat  | pause  | normal | 1     | same server    |
+      | plan  | cut    | late   | 1     | another server |
--- a/hornbeamrudder/gateway/features/steps/failover_steps.py
+++ b/hornbeamrudder/gateway/features/steps/failover_steps.py
@@ -44,6 +44,7 @@
             server.behaviours = node_harness.BehaviourSequence(
                 order, [first, second]
             )
+        context.log, context.metrics = harness.log, harness.node.state.metrics
         return await harness.send_request(
             f'/{route}/x'
         ), harness.received_requests()
@@ -284,3 +285,31 @@
 def check_late_request(context, count):
     assert context.count == count, context.count
     assert context.response.status == 200 and context.response.complete
+
+
+@behave.then(
+    'the log has {count:d} gaps over the target, the stream going on at'
+    ' "{server}"'
+)
+def check_late_gaps(context, count, server):
+    assert context.response.complete, context.response
+    gaps = [
+        fields
+        for event, fields in context.log.lines
+        if event == 'gap in a stream exceeds its target'
+    ]
+    assert len(gaps) == count, context.log.lines
+    for fields in gaps:
+        is_same = fields['server'] == fields['previous_server']
+        assert is_same == (server == 'same server'), fields
+        assert fields['gap_ms'] > fields['target_ms'] == 600, fields
+    (ended,) = (
+        fields
+        for event, fields in context.log.lines
+        if event == 'request ended'
+    )
+    assert (ended['longest_gap_ms'] > 600) == bool(count), ended
+    counted = context.metrics.late_gaps.get_all()
+    assert counted == [
+        ({'route': fields['route'], 'goes_on': server}, 1) for fields in gaps
+    ], counted
--- a/hornbeamrudder/gateway/forward.py
+++ b/hornbeamrudder/gateway/forward.py
@@ -710,6 +710,8 @@
             outcome=outcome,
             complete=call.reply.complete,
             server=record.entry.id if record else None,
+            slowness=round(record.slowness(now), 2) if record else None,
+            longest_gap_ms=int(call.stream.longest_gap_s * 1e3),
             unreachable=call.unreachable,
             waited_ms=int(call.waited_s * 1e3),
             first_ms=int((call.first_at - arrived_at) * 1e3)
--- a/hornbeamrudder/gateway/metrics.py
+++ b/hornbeamrudder/gateway/metrics.py
@@ -33,6 +33,11 @@
             'Responses that ended before they were complete, by route and by'
             ' whether the client or the node ended them.',
         )
+        self.late_gaps = self._counter(
+            'hornbeamrudder_late_gaps_total',
+            'Gaps in streams that exceed the target of their route, by route'
+            ' and by whether the stream went on at the same server.',
+        )
         self.sends = self._counter(
             'hornbeamrudder_sends_total',
             'Requests sent to backend servers by service and result.',
--- a/hornbeamrudder/gateway/relay.py
+++ b/hornbeamrudder/gateway/relay.py
@@ -513,9 +513,43 @@
                 None,
             )
         call.stream.started = True
-        call.stream.last_event_at = clock.now()
+        self._record_gap(call, clock.now())
         call.reply.write(event_bytes)
 
+    def _record_gap(self, call: calls.Call, now: float) -> None:
+        """Record the time without an event up to the present one."""
+        stream = call.stream
+        route = call.admitted.route
+        record = stream.last_record
+        assert record is not None
+        gap_s = now - (stream.last_event_at or now)
+        stream.longest_gap_s = max(stream.longest_gap_s, gap_s)
+        if 0.0 < route.gap_target_s < gap_s:
+            same = record.entry.id == stream.last_event_from
+            self._state.metrics.late_gaps.inc(
+                {
+                    'route': route.name,
+                    'goes_on': 'same server' if same else 'another server',
+                }
+            )
+            self._state.log.info(
+                'gap in a stream exceeds its target',
+                request=call.request_id,
+                route=route.name,
+                server=record.entry.id,
+                previous_server=stream.last_event_from,
+                gap_ms=int(gap_s * 1e3),
+                target_ms=int(route.gap_target_s * 1e3),
+                events=stream.splitter.count,
+                slowness=round(record.slowness(now), 2),
+                running=record.running + record.peer_running,
+                backlog_tokens=int(
+                    record.backlog_tokens + record.peer_backlog_tokens
+                ),
+            )
+        stream.last_event_at = now
+        stream.last_event_from = record.entry.id
+
     def _finish_stream(self, call: calls.Call, head: http_client.Head) -> None:
         rest = call.stream.splitter.partial
         if rest or not call.reply.started:
