--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -633,6 +633,7 @@
         self.bounds = {**BOUNDS, **bounds}
         self.memory_mb = 300
         self._supervisor: asyncio.Task[None] | None = None
+        self._restarts: list[asyncio.TimerHandle] = []
         self.on_own_end: Callable[[Node, int], None] = lambda node, code: None
 
     async def start(self) -> None:
@@ -715,14 +716,18 @@
                     node.own_ends.append((now(), code))
                     self.on_own_end(node, code)
                 node.process = None
-                asyncio.get_running_loop().call_later(
-                    RESTART_DELAY_S, node.start
+                self._restarts.append(
+                    asyncio.get_running_loop().call_later(
+                        RESTART_DELAY_S, node.start
+                    )
                 )
 
     def stop(self, keep_logs_in: pathlib.Path | None = None) -> None:
         """End all processes that were started."""
         if self._supervisor is not None:
             self._supervisor.cancel()
+        for restart in self._restarts:
+            restart.cancel()
         for node in self.nodes:
             node.signal(signal.SIGCONT)
             node.signal(signal.SIGKILL)
